design: state requirements, modules, ownership protocol and house style

Cause: the repository was empty; all later work needs one page that fixes interfaces, state owners and terms.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Targets: venv, test, known-red, demo, bench, generate, format, programs-check.
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: venv test known-red demo bench generate format
+
+$(STAMP): pyproject.toml
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $(STAMP)
+
+venv: $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python tools/run_tests.py
+
+known-red: $(STAMP)
+	$(BIN)/python tools/run_tests.py --known-red
+
+demo: $(STAMP)
+	$(BIN)/python -m nutmeglead.demo
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks
+
+generate:
+	tools/generate.sh
+
+format: $(STAMP)
+	$(BIN)/black --quiet .
+	$(BIN)/ruff check --quiet --fix .
--- /dev/null
+++ b/nutmeglead/core/events.py
@@ -0,0 +1,92 @@
+"""Log numbered events as JSON lines or text."""
+
+import json
+import logging
+import sys
+from enum import Enum
+from typing import TextIO
+
+__all__ = ["Event", "configure_logging", "log_event"]
+
+
+class Event(Enum):
+    """List every log event: number, level and meaning. docs/events.md is the catalogue."""
+
+    PROGRAM_STARTED = (1001, logging.INFO, "the program is ready")
+    PROGRAM_STOPPING = (1002, logging.INFO, "the program has begun its graceful shutdown")
+    PROGRAM_STOPPED = (1003, logging.INFO, "the program has stopped")
+    SETTINGS_REFUSED = (1004, logging.ERROR, "the settings have faults; the program does not start")
+
+    ROLE_TAKEN = (2001, logging.INFO, "this controller now acts for a service")
+    ROLE_LOST = (2002, logging.WARNING, "another controller acts for a service")
+    LEASE_BEGUN = (2003, logging.INFO, "a lease epoch was written for a server")
+    LEASE_ENDED = (2004, logging.WARNING, "a server's lease is proven to have ended")
+    UNITS_MOVED = (2005, logging.INFO, "a placement page with new owners was written")
+    HANDOVER_PROVEN = (2006, logging.INFO, "previous holders of a unit are proven done")
+    TABLE_UNAVAILABLE = (2007, logging.WARNING, "the table service did not answer")
+    TABLE_ANSWER_LOST = (2008, logging.WARNING, "a table write has an unknown result")
+    SERVER_SUSPECTED = (2009, logging.WARNING, "a renewer reports a silent server")
+    TICKET_PLANNED = (2010, logging.INFO, "all placement pages of a ticket are written")
+    TICKET_IN_FORCE = (2011, logging.INFO, "a ticket is in force everywhere")
+
+    REQUEST_FAILED = (3001, logging.WARNING, "a request got an answer of the router's own")
+    SERVER_EJECTED = (3002, logging.WARNING, "the router sends a server fewer or no requests")
+    SERVER_RESTORED = (3003, logging.INFO, "the router sends a server requests again")
+    MAP_STALE = (3004, logging.WARNING, "the unit map is old and no neighbour answers")
+
+    PEER_SILENT = (4001, logging.WARNING, "an entry VM sends no heartbeats")
+    PEER_SEEN = (4002, logging.INFO, "an entry VM sends heartbeats")
+    MAP_REPAIRED = (4003, logging.INFO, "missing placement pages were fetched from a neighbour")
+    MESSAGE_REFUSED = (4004, logging.WARNING, "a message could not be decoded or was not expected")
+
+    AUDIT_GAP = (5001, logging.ERROR, "audit records were lost because the buffer was full")
+    AUDIT_DELAYED = (5002, logging.WARNING, "the object store did not take an audit batch")
+
+    def __init__(self, number: int, level: int, meaning: str) -> None:
+        self.number = number
+        self.level = level
+        self.meaning = meaning
+
+
+def log_event(logger: logging.Logger, event: Event, **fields: object) -> None:
+    """Log an event with its fields."""
+    if logger.isEnabledFor(event.level):
+        logger.log(event.level, event.meaning, extra={"event": event, "fields": fields})
+
+
+class _JsonFormatter(logging.Formatter):
+    def format(self, record: logging.LogRecord) -> str:
+        entry: dict[str, object] = {
+            "time_s": round(record.created, 3),
+            "level": record.levelname,
+            "logger": record.name,
+            "message": record.getMessage(),
+        }
+        event = getattr(record, "event", None)
+        if isinstance(event, Event):
+            entry["event"] = event.number
+            entry["name"] = event.name
+        entry.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            entry["exception"] = self.formatException(record.exc_info)
+        return json.dumps(entry, default=str)
+
+
+class _TextFormatter(logging.Formatter):
+    def format(self, record: logging.LogRecord) -> str:
+        event = getattr(record, "event", None)
+        number = event.number if isinstance(event, Event) else "-"
+        fields = " ".join(f"{k}={v}" for k, v in getattr(record, "fields", {}).items())
+        text = f"{record.levelname} {number} {record.name}: {record.getMessage()} {fields}".rstrip()
+        if record.exc_info:
+            text += "\n" + self.formatException(record.exc_info)
+        return text
+
+
+def configure_logging(level: str, log_format: str, stream: TextIO = sys.stderr) -> None:
+    """Send all log records to one stream."""
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(_JsonFormatter() if log_format == "json" else _TextFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
--- /dev/null
+++ b/schema/messages.thrift
@@ -0,0 +1,334 @@
+// Messages between the system's own processes and to grant holders, and the rows of the table service.
+include "common.thrift"
+namespace py nutmeglead._generated.messages
+
+// ---- rows of the table service ----
+
+struct PreviousHolder {
+  1: required string server_id,
+  2: required i64 epoch,
+}
+
+// One row of at most 256 units. For a hash page, position p is bucket page_number * 256 + p and `units` is
+// absent; for a pin page, `units` names them. `owners` indexes `servers`; -1 is no owner.
+struct PlacementPage {
+  1: required string service_name,
+  2: required bool pins,
+  3: required i32 page_number,
+  4: required i64 version,
+  5: required i64 role_epoch,
+  6: required i64 ticket_number,
+  7: required list<string> servers,
+  8: required list<i32> owners,
+  9: required list<i64> epochs,
+  10: required map<i32, list<PreviousHolder>> previous,
+  11: optional list<common.UnitId> units,
+}
+
+struct RoleRow {
+  1: required string service_name,
+  2: required string node_id,
+  3: required string incarnation,
+  4: required i64 epoch,
+  5: optional i64 planned_ticket_number = 0,
+}
+
+struct RenewerSet {
+  1: required i64 lease_epoch,
+  2: required list<string> node_ids,
+}
+
+// `former` holds renewer sets that the server may still be using because it has not confirmed `current`.
+struct ServerRow {
+  1: required string service_name,
+  2: required string server_id,
+  3: required string incarnation,
+  4: required RenewerSet current,
+  5: required list<RenewerSet> former,
+  6: optional string gate_node_id,
+}
+
+// ---- messages to a grant holder ----
+
+struct RenewLease {
+  1: required common.Sender sender,
+  2: required string holder_incarnation,
+  3: required i64 lease_epoch,
+  4: required list<string> renewer_node_ids,
+  // In the holder's own monotonic time, in ms. 0 asks for the holder's time only.
+  5: required i64 lease_end_ms,
+}
+
+enum RenewStatus {
+  RENEWED = 1,
+  TIME_ONLY = 2,
+  LAPSED = 3,
+  WRONG_INCARNATION = 4,
+  STALE_LEASE_EPOCH = 5,
+  NOT_A_RENEWER = 6,
+}
+
+struct RenewReply {
+  1: required RenewStatus status,
+  2: required string holder_incarnation,
+  3: required i64 holder_now_ms,
+  4: required i64 lease_epoch,
+  5: required i64 lease_end_ms,
+}
+
+struct Grant {
+  1: required common.UnitId unit,
+  2: required i64 epoch,
+}
+
+// Replaces the whole grant set. `carve_outs` are more specific units that the holder does not own.
+struct SetGrants {
+  1: required common.Sender sender,
+  2: required i64 role_epoch,
+  3: required i64 sequence,
+  4: required string holder_incarnation,
+  5: required i64 lease_epoch,
+  6: required list<string> renewer_node_ids,
+  7: required i32 hash_buckets,
+  8: required list<Grant> grants,
+  9: required list<common.UnitId> carve_outs,
+}
+
+enum OrderStatus {
+  DONE = 1,
+  DRAINING = 2,
+  STALE_ROLE_EPOCH = 3,
+  STALE_LEASE_EPOCH = 4,
+  WRONG_INCARNATION = 5,
+  LAPSED = 6,
+}
+
+struct GrantReply {
+  1: required OrderStatus status,
+  2: required string holder_incarnation,
+  3: required i64 holder_now_ms,
+  4: required i64 role_epoch,
+  5: required i64 sequence,
+  6: required i64 lease_epoch,
+}
+
+// Asks the holder to drain and drop the units at the given epochs or lower.
+struct ReleaseUnits {
+  1: required common.Sender sender,
+  2: required i64 role_epoch,
+  3: required i64 sequence,
+  4: required string holder_incarnation,
+  5: required list<Grant> units,
+}
+
+struct ReleaseReply {
+  1: required OrderStatus status,
+  2: required string holder_incarnation,
+  3: required list<common.UnitId> released,
+  4: required list<common.UnitId> draining,
+  5: required i64 role_epoch,
+}
+
+// ---- controller and renewer ----
+
+struct AssignRenewer {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required i64 role_epoch,
+  4: required string server_id,
+  5: required common.Address address,
+  6: required string holder_incarnation,
+  7: required RenewerSet renewers,
+}
+
+struct AssignReply {
+  1: required common.Sender sender,
+  2: required bool accepted,
+  3: required i64 lease_epoch,
+}
+
+struct StopRenewing {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required i64 role_epoch,
+  4: required string server_id,
+  5: required i64 lease_epoch,
+}
+
+// The renewer has stopped for this lease epoch and all lower ones. At most `remaining_ms` of what it renewed is left.
+struct StoppedReply {
+  1: required common.Sender sender,
+  2: required string server_id,
+  3: required i64 lease_epoch,
+  4: required i64 remaining_ms,
+}
+
+struct SuspectServer {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required string server_id,
+  4: required i64 lease_epoch,
+  5: required i64 silent_ms,
+  6: required string holder_incarnation,
+}
+
+// ---- between entry VMs ----
+
+struct Heartbeat {
+  1: required common.Sender sender,
+  2: required string failure_domain,
+  3: required i64 sequence,
+  4: required common.Address rpc_address,
+  5: required map<string, i64> role_epochs,
+  6: required map<string, i64> map_digests,
+  7: optional common.Address relay_address,
+}
+
+struct PageDelta {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required i64 role_epoch,
+  4: required bool pins,
+  5: required i32 page_number,
+  6: required i64 from_version,
+  7: required i64 to_version,
+  8: required binary changes,
+  9: required i32 hops_left,
+}
+
+struct DigestRequest {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required i64 digest,
+}
+
+struct PageVersion {
+  1: required bool pins,
+  2: required i32 page_number,
+  3: required i64 version,
+}
+
+struct DigestReply {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required i64 digest,
+  4: required list<PageVersion> versions,
+  5: required i64 age_ms,
+}
+
+struct PagesRequest {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required list<PageVersion> known,
+}
+
+struct PagesReply {
+  1: required common.Sender sender,
+  2: required list<PlacementPage> pages,
+  3: required i64 age_ms,
+}
+
+struct UnitLoad {
+  1: required common.UnitId unit,
+  2: required double requests_per_s,
+}
+
+struct LoadReport {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required i64 sequence,
+  4: required i32 window_ms,
+  5: required list<UnitLoad> loads,
+  6: required list<UnitLoad> hot_keys,
+}
+
+struct InForceRequest {
+  1: required common.Sender sender,
+  2: required i64 ticket_number,
+}
+
+struct MissingParty {
+  1: required string id,
+  2: required string reason,
+}
+
+struct InForceReply {
+  1: required common.Sender sender,
+  2: required i64 ticket_number,
+  3: required bool in_force,
+  4: required list<MissingParty> missing,
+}
+
+struct LendSlots {
+  1: required common.Sender sender,
+  2: required string service_name,
+  3: required string server_id,
+  4: required i64 sequence,
+  5: required i32 slots,
+  6: required i32 duration_ms,
+}
+
+struct LendReply {
+  1: required common.Sender sender,
+  2: required i64 sequence,
+  3: required i32 slots,
+}
+
+// ---- audit ----
+
+enum AuditKind {
+  TICKET_ACCEPTED = 1,
+  ROLE_TAKEN = 2,
+  UNIT_MOVED = 3,
+  LEASE_ENDED = 4,
+  LEASE_BEGUN = 5,
+  HANDOVER_PROVEN = 6,
+  SERVER_LEAVING = 7,
+  GAP = 8,
+  TICKET_IN_FORCE = 9,
+}
+
+struct AuditRecord {
+  1: required AuditKind kind,
+  2: required common.Sender sender,
+  3: required i64 sequence,
+  4: required i64 wall_time_ms,
+  5: required string service_name,
+  6: required i64 role_epoch,
+  7: required i64 ticket_number,
+  8: required string subject,
+  9: required string evidence,
+  10: optional common.UnitId unit,
+  11: optional string from_server_id,
+  12: optional string to_server_id,
+  13: optional i64 epoch,
+}
+
+// ---- envelope of the rpc frames ----
+
+enum MessageType {
+  HEARTBEAT = 1,
+  PAGE_DELTA = 2,
+  DIGEST = 3,
+  PAGES = 4,
+  LOAD_REPORT = 5,
+  IN_FORCE = 6,
+  LEND_SLOTS = 7,
+  ASSIGN_RENEWER = 8,
+  STOP_RENEWING = 9,
+  SUSPECT_SERVER = 10,
+  RENEW_LEASE = 11,
+  SET_GRANTS = 12,
+  RELEASE_UNITS = 13,
+}
+
+struct Envelope {
+  1: required MessageType type,
+  2: required i64 request_id,
+  3: required bool reply,
+  4: required binary body,
+}
+
+struct Acknowledged {
+  1: required common.Sender sender,
+}
--- /dev/null
+++ b/schema/tickets.thrift
@@ -0,0 +1,38 @@
+// Change tickets. A ticket carries the whole new state of whatever it touches.
+include "common.thrift"
+namespace py nutmeglead._generated.tickets
+
+enum ServerState {
+  PRESENT = 1,
+  LEAVING = 2,
+  REMOVED = 3,
+}
+
+struct ServerItem {
+  1: required string service_name,
+  2: required string server_id,
+  3: required ServerState state,
+  4: optional common.Address address,
+  5: optional string failure_domain,
+  6: optional double weight = 1.0,
+}
+
+// Exactly one of key, prefix and the bucket pair is set. `server_id` absent gives the keys back to the policy.
+struct KeyClaim {
+  1: required string service_name,
+  2: optional string key,
+  3: optional string prefix,
+  4: optional i32 first_bucket,
+  5: optional i32 last_bucket,
+  6: optional string server_id,
+}
+
+struct Ticket {
+  1: required string filing_id,
+  2: required i64 base_number,
+  3: required string filed_by,
+  4: optional string reason,
+  5: optional list<ServerItem> servers,
+  6: optional list<KeyClaim> claims,
+  7: optional i64 number,
+}
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Regenerate nutmeglead/_generated from schema/ with the thrift compiler.
+# With --check, only compare, and fail if the committed code differs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if ! command -v thrift >/dev/null; then
+    echo "generate: the thrift compiler (Debian package thrift-compiler) is not installed" >&2
+    [ "${1:-}" = "--check" ] && exit 0
+    exit 1
+fi
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+for schema in common settings tickets messages; do
+    thrift -I schema --gen py:enum -out "$out" "schema/$schema.thrift"
+done
+rm -f "$out"/nutmeglead/__init__.py
+if [ "${1:-}" = "--check" ]; then
+    diff -r --exclude=__pycache__ "$out/nutmeglead/_generated" nutmeglead/_generated
+    echo "generate: committed code matches the schema"
+else
+    rm -rf nutmeglead/_generated
+    cp -r "$out/nutmeglead/_generated" nutmeglead/_generated
+fi
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,125 @@
+"""Run formatter, linter, types, generated-code check and behave; print `N passed, N failed`."""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+BIN = Path(sys.executable).parent
+# A generated case or a scenario that hangs must fail the run, not stall it until CI's own limit.
+SUITE_TIMEOUT_S = 900
+
+
+@dataclass(frozen=True)
+class SuiteResult:
+    """Count what one suite ran."""
+
+    name: str
+    passed: int
+    failed: int
+    output: str
+
+
+def _run(command: Sequence[str]) -> subprocess.CompletedProcess[str]:
+    environment = dict(os.environ, PYTHONHASHSEED="0")
+    return subprocess.run(
+        command,
+        cwd=ROOT,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=SUITE_TIMEOUT_S,
+        check=False,
+    )
+
+
+def run_tool(name: str, command: Sequence[str]) -> SuiteResult:
+    """Run a checker whose exit code is its verdict."""
+    done = _run(command)
+    ok = done.returncode == 0
+    return SuiteResult(name, int(ok), int(not ok), done.stdout + done.stderr)
+
+
+def _count_scenarios(report: str) -> tuple[int, int]:
+    passed = failed = 0
+    for feature in json.loads(report or "[]"):
+        for element in feature.get("elements", []):
+            if element["type"] == "background":
+                continue
+            if element["status"] == "passed":
+                passed += 1
+            elif element["status"] != "skipped":
+                failed += 1
+    return passed, failed
+
+
+def run_behave(directory: Path, tags: str) -> SuiteResult:
+    """Run the features of one directory and count its scenarios."""
+    name = str(directory.relative_to(ROOT))
+    report = ROOT / "build" / (name.replace("/", "-") + ".json")
+    report.parent.mkdir(exist_ok=True)
+    report.unlink(missing_ok=True)
+    command = [str(BIN / "behave"), "--no-capture", "--no-color", "--tags", tags]
+    command += ["--format", "json", "--outfile", str(report), "--format", "progress", name]
+    done = _run(command)
+    try:
+        passed, failed = _count_scenarios(report.read_text() if report.exists() else "")
+    except (json.JSONDecodeError, KeyError) as error:
+        return SuiteResult(name, 0, 1, f"{error}\n{done.stdout}{done.stderr}")
+    if done.returncode != 0 and failed == 0:
+        failed = 1
+    return SuiteResult(name, passed, failed, done.stdout + done.stderr)
+
+
+def find_suites() -> list[Path]:
+    """List the directories that hold features."""
+    return sorted({path.parent for path in (ROOT / "nutmeglead").rglob("tests/*.feature")})
+
+
+def static_checks() -> list[tuple[str, list[str]]]:
+    """List the checkers and their commands."""
+    return [
+        ("black", [str(BIN / "black"), "--check", "--quiet", "."]),
+        ("ruff", [str(BIN / "ruff"), "check", "--no-cache", "."]),
+        ("mypy", [str(BIN / "mypy")]),
+        ("generated code", ["tools/generate.sh", "--check"]),
+    ]
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run every suite, print the failures and the closing line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--known-red", action="store_true", help="run only @known_red scenarios")
+    parser.add_argument("--only", default="", help="run only suites whose name contains this")
+    options = parser.parse_args(arguments)
+    tags = "@known_red" if options.known_red else "not @known_red"
+    jobs = max(1, (os.cpu_count() or 2) // 2)
+    with concurrent.futures.ThreadPoolExecutor(max_workers=jobs) as pool:
+        futures = []
+        if not options.known_red:
+            futures += [pool.submit(run_tool, *check) for check in static_checks()]
+        futures += [pool.submit(run_behave, suite, tags) for suite in find_suites()]
+        results = [future.result() for future in futures]
+    results = [result for result in results if options.only in result.name]
+    for result in results:
+        print(f"{result.name}: {result.passed} passed, {result.failed} failed")
+        if result.failed:
+            print(result.output)
+    passed = sum(result.passed for result in results)
+    failed = sum(result.failed for result in results)
+    if options.known_red:
+        print("known red faults are listed in KNOWN-RED.txt")
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
