--- /dev/null
+++ b/nutmeglead/platform/memory.py
@@ -0,0 +1,128 @@
+"""Provide in-memory platform services with injected faults, for tests and the stand-in."""
+
+from collections.abc import Sequence
+from enum import Enum
+
+from result import Err, Ok, Result
+
+from nutmeglead.core.ids import RowKey
+from nutmeglead.platform.errors import (
+    ObjectStoreUnavailable,
+    RowConflict,
+    TableAnswerLost,
+    TableUnavailable,
+    VmListUnavailable,
+)
+from nutmeglead.platform.ports import Row, RowCheck, RowWrite, VmEntry
+
+__all__ = ["MemoryObjectStore", "MemoryTable", "MemoryVmList", "TableFault"]
+
+
+class TableFault(Enum):
+    """Choose how the next table operations fail."""
+
+    NONE = "none"
+    UNAVAILABLE = "unavailable"
+    ANSWER_LOST_APPLIED = "answer lost, applied"
+    ANSWER_LOST_NOT_APPLIED = "answer lost, not applied"
+
+
+class MemoryTable:
+    """Keep rows in memory; count operations and inject faults."""
+
+    def __init__(self) -> None:
+        self.fault = TableFault.NONE
+        self.next_commit_faults: list[TableFault] = []
+        self.read_count = 0
+        self.write_count = 0
+        self._rows: dict[RowKey, Row] = {}
+        # Versions outlive deleted rows, so that a row created again gets a higher version.
+        self._last_versions: dict[RowKey, int] = {}
+
+    async def read(self, key: RowKey) -> Result[Row | None, TableUnavailable]:
+        """Return a row, or None if it is absent."""
+        self.read_count += 1
+        if self.fault is not TableFault.NONE:
+            return Err(TableUnavailable("injected outage"))
+        return Ok(self._rows.get(key))
+
+    async def scan(self, prefix: str) -> Result[list[Row], TableUnavailable]:
+        """Return all rows whose key begins with a prefix, in key order."""
+        rows = [self._rows[key] for key in sorted(self._rows) if key.startswith(prefix)]
+        self.read_count += max(1, len(rows))
+        if self.fault is not TableFault.NONE:
+            return Err(TableUnavailable("injected outage"))
+        return Ok(rows)
+
+    async def commit(
+        self, checks: Sequence[RowCheck], writes: Sequence[RowWrite]
+    ) -> Result[dict[RowKey, int], RowConflict | TableUnavailable | TableAnswerLost]:
+        """Apply all writes if all checks hold."""
+        fault = self.next_commit_faults.pop(0) if self.next_commit_faults else self.fault
+        if fault is TableFault.UNAVAILABLE:
+            return Err(TableUnavailable("injected outage"))
+        if fault is TableFault.ANSWER_LOST_NOT_APPLIED:
+            return Err(TableAnswerLost("injected loss"))
+        failed = tuple(check.key for check in checks if self.version(check.key) != check.version)
+        if failed and fault is TableFault.NONE:
+            return Err(RowConflict(failed))
+        versions = {} if failed else {write.key: self._apply(write) for write in writes}
+        if fault is TableFault.ANSWER_LOST_APPLIED:
+            return Err(TableAnswerLost("injected loss"))
+        return Ok(versions)
+
+    def version(self, key: RowKey) -> int:
+        """Return a row's version, or 0 if it is absent."""
+        row = self._rows.get(key)
+        return row.version if row else 0
+
+    def _apply(self, write: RowWrite) -> int:
+        self.write_count += 1
+        version = self._last_versions.get(write.key, 0) + 1
+        self._last_versions[write.key] = version
+        if write.value is None:
+            self._rows.pop(write.key, None)
+        else:
+            self._rows[write.key] = Row(write.key, version, write.value)
+        return version
+
+
+class MemoryObjectStore:
+    """Keep objects in memory; `available` switches an outage on and off."""
+
+    def __init__(self) -> None:
+        self.available = True
+        self.objects: dict[str, bytes] = {}
+
+    async def put(self, name: str, body: bytes) -> Result[None, ObjectStoreUnavailable]:
+        """Store an object."""
+        if not self.available:
+            return Err(ObjectStoreUnavailable("injected outage"))
+        self.objects[name] = body
+        return Ok(None)
+
+    async def get(self, name: str) -> Result[bytes | None, ObjectStoreUnavailable]:
+        """Return an object, or None if it is absent."""
+        if not self.available:
+            return Err(ObjectStoreUnavailable("injected outage"))
+        return Ok(self.objects.get(name))
+
+    async def list_names(self, prefix: str) -> Result[list[str], ObjectStoreUnavailable]:
+        """List the names that begin with a prefix, in order."""
+        if not self.available:
+            return Err(ObjectStoreUnavailable("injected outage"))
+        return Ok(sorted(name for name in self.objects if name.startswith(prefix)))
+
+
+class MemoryVmList:
+    """Return the entries that the test set last."""
+
+    def __init__(self) -> None:
+        self.available = True
+        self.entries: list[VmEntry] = []
+
+    async def read(self) -> Result[list[VmEntry], VmListUnavailable]:
+        """Return the VMs that the platform knows."""
+        if not self.available:
+            return Err(VmListUnavailable("injected outage"))
+        return Ok(list(self.entries))
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -29,7 +29,7 @@
 
 
 def _run(command: Sequence[str]) -> subprocess.CompletedProcess[str]:
-    environment = dict(os.environ, PYTHONHASHSEED="0")
+    environment = dict(os.environ, PYTHONHASHSEED="0", PYTHONPATH=str(ROOT))
     return subprocess.run(
         command,
         cwd=ROOT,
