--- /dev/null
+++ b/nutmeglead/controller/renewers.py
@@ -0,0 +1,50 @@
+"""Choose the entry VMs that renew a server's lease."""
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+from nutmeglead.controller.decisions import EntryNode
+from nutmeglead.core.ids import NodeId, ServerId
+
+__all__ = ["choose_renewers", "replace_renewer"]
+
+
+def _rank(node: EntryNode, server_id: ServerId) -> int:
+    """Return the rendezvous rank, which spreads servers evenly over entry VMs."""
+    return xxhash.xxh64_intdigest(f"{node.node_id}\0{server_id}".encode())
+
+
+def choose_renewers(
+    server_id: ServerId, server_domain: str, nodes: Iterable[EntryNode], count: int
+) -> list[NodeId]:
+    """Choose live entry VMs in different failure domains, the server's own domain included.
+
+    One renewer per domain: the loss of any one domain leaves a majority of three. With fewer
+    domains than renewers, a domain gives more than one.
+    """
+    ranked = sorted(
+        (node for node in nodes if node.is_alive), key=lambda node: -_rank(node, server_id)
+    )
+    own_first = sorted(ranked, key=lambda node: node.failure_domain != server_domain)
+    chosen: list[EntryNode] = []
+    while len(chosen) < min(count, len(ranked)):
+        domains = {node.failure_domain for node in chosen}
+        rest = [node for node in own_first if node not in chosen]
+        fresh = [node for node in rest if node.failure_domain not in domains]
+        chosen.append((fresh or rest)[0])
+    return sorted(node.node_id for node in chosen)
+
+
+def replace_renewer(
+    server_id: ServerId, present: Sequence[NodeId], lost: NodeId, nodes: Iterable[EntryNode]
+) -> list[NodeId] | None:
+    """Replace one lost renewer, if possible from a failure domain that is not yet used."""
+    by_id = {node.node_id: node for node in nodes}
+    kept = [node_id for node_id in present if node_id != lost]
+    used = {by_id[node_id].failure_domain for node_id in kept if node_id in by_id}
+    free = [node for node in by_id.values() if node.is_alive and node.node_id not in present]
+    if not free:
+        return None
+    best = min(free, key=lambda node: (node.failure_domain in used, -_rank(node, server_id)))
+    return sorted([*kept, best.node_id])
