--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -154,11 +154,12 @@
      - epochs
      - previous
      - units
+     - epoch_floor
 
     """
 
 
-    def __init__(self, service_name=None, pins=None, page_number=None, version=None, role_epoch=None, ticket_number=None, servers=None, owners=None, epochs=None, previous=None, units=None,):
+    def __init__(self, service_name=None, pins=None, page_number=None, version=None, role_epoch=None, ticket_number=None, servers=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=0,):
         self.service_name = service_name
         self.pins = pins
         self.page_number = page_number
@@ -170,6 +171,7 @@
         self.epochs = epochs
         self.previous = previous
         self.units = units
+        self.epoch_floor = epoch_floor
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -268,6 +270,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.epoch_floor = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -341,6 +348,10 @@
                 iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.epoch_floor is not None:
+            oprot.writeFieldBegin('epoch_floor', TType.I64, 12)
+            oprot.writeI64(self.epoch_floor)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -493,13 +504,17 @@
     Attributes:
      - lease_epoch
      - node_ids
+     - incarnations
+     - role_epoch
 
     """
 
 
-    def __init__(self, lease_epoch=None, node_ids=None,):
+    def __init__(self, lease_epoch=None, node_ids=None, incarnations=None, role_epoch=0,):
         self.lease_epoch = lease_epoch
         self.node_ids = node_ids
+        self.incarnations = incarnations
+        self.role_epoch = role_epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -525,6 +540,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.incarnations = []
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.incarnations.append(_elem55)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.role_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -542,10 +572,21 @@
         if self.node_ids is not None:
             oprot.writeFieldBegin('node_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.node_ids))
-            for iter50 in self.node_ids:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter56 in self.node_ids:
+                oprot.writeString(iter56.encode('utf-8') if sys.version_info[0] == 2 else iter56)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.incarnations is not None:
+            oprot.writeFieldBegin('incarnations', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.incarnations))
+            for iter57 in self.incarnations:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.role_epoch is not None:
+            oprot.writeFieldBegin('role_epoch', TType.I64, 4)
+            oprot.writeI64(self.role_epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -622,11 +663,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.former = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = RenewerSet()
-                        _elem56.read(iprot)
-                        self.former.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = RenewerSet()
+                        _elem63.read(iprot)
+                        self.former.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -664,8 +705,8 @@
         if self.former is not None:
             oprot.writeFieldBegin('former', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.former))
-            for iter57 in self.former:
-                iter57.write(oprot)
+            for iter64 in self.former:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gate_node_id is not None:
@@ -708,16 +749,18 @@
      - lease_epoch
      - renewer_node_ids
      - lease_end_ms
+     - role_epoch
 
     """
 
 
-    def __init__(self, sender=None, holder_incarnation=None, lease_epoch=None, renewer_node_ids=None, lease_end_ms=None,):
+    def __init__(self, sender=None, holder_incarnation=None, lease_epoch=None, renewer_node_ids=None, lease_end_ms=None, role_epoch=0,):
         self.sender = sender
         self.holder_incarnation = holder_incarnation
         self.lease_epoch = lease_epoch
         self.renewer_node_ids = renewer_node_ids
         self.lease_end_ms = lease_end_ms
+        self.role_epoch = role_epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -747,10 +790,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.renewer_node_ids = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.renewer_node_ids.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewer_node_ids.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -759,6 +802,11 @@
                     self.lease_end_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.role_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -784,14 +832,18 @@
         if self.renewer_node_ids is not None:
             oprot.writeFieldBegin('renewer_node_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.renewer_node_ids))
-            for iter64 in self.renewer_node_ids:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter71 in self.renewer_node_ids:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_end_ms is not None:
             oprot.writeFieldBegin('lease_end_ms', TType.I64, 5)
             oprot.writeI64(self.lease_end_ms)
             oprot.writeFieldEnd()
+        if self.role_epoch is not None:
+            oprot.writeFieldBegin('role_epoch', TType.I64, 6)
+            oprot.writeI64(self.role_epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1069,10 +1121,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.renewer_node_ids = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.renewer_node_ids.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewer_node_ids.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1084,22 +1136,22 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = Grant()
-                        _elem76.read(iprot)
-                        self.grants.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = Grant()
+                        _elem83.read(iprot)
+                        self.grants.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.carve_outs = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem82.read(iprot)
-                        self.carve_outs.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem89.read(iprot)
+                        self.carve_outs.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1136,8 +1188,8 @@
         if self.renewer_node_ids is not None:
             oprot.writeFieldBegin('renewer_node_ids', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.renewer_node_ids))
-            for iter83 in self.renewer_node_ids:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter90 in self.renewer_node_ids:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hash_buckets is not None:
@@ -1147,15 +1199,15 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter84 in self.grants:
-                iter84.write(oprot)
+            for iter91 in self.grants:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.carve_outs is not None:
             oprot.writeFieldBegin('carve_outs', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.carve_outs))
-            for iter85 in self.carve_outs:
-                iter85.write(oprot)
+            for iter92 in self.carve_outs:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1370,11 +1422,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.units = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = Grant()
-                        _elem91.read(iprot)
-                        self.units.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = Grant()
+                        _elem98.read(iprot)
+                        self.units.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1407,8 +1459,8 @@
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter92 in self.units:
-                iter92.write(oprot)
+            for iter99 in self.units:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1480,22 +1532,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.released = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem98.read(iprot)
-                        self.released.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem105.read(iprot)
+                        self.released.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.draining = []
-                    (_etype102, _size99) = iprot.readListBegin()
-                    for _i103 in range(_size99):
-                        _elem104 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem104.read(iprot)
-                        self.draining.append(_elem104)
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem111.read(iprot)
+                        self.draining.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1525,15 +1577,15 @@
         if self.released is not None:
             oprot.writeFieldBegin('released', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.released))
-            for iter105 in self.released:
-                iter105.write(oprot)
+            for iter112 in self.released:
+                iter112.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.draining is not None:
             oprot.writeFieldBegin('draining', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.draining))
-            for iter106 in self.draining:
-                iter106.write(oprot)
+            for iter113 in self.draining:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.role_epoch is not None:
@@ -2187,22 +2239,22 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.role_epochs = {}
-                    (_ktype108, _vtype109, _size107) = iprot.readMapBegin()
-                    for _i111 in range(_size107):
-                        _key112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val113 = iprot.readI64()
-                        self.role_epochs[_key112] = _val113
+                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
+                    for _i118 in range(_size114):
+                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val120 = iprot.readI64()
+                        self.role_epochs[_key119] = _val120
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.map_digests = {}
-                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
-                    for _i118 in range(_size114):
-                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val120 = iprot.readI64()
-                        self.map_digests[_key119] = _val120
+                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
+                    for _i125 in range(_size121):
+                        _key126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val127 = iprot.readI64()
+                        self.map_digests[_key126] = _val127
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2241,17 +2293,17 @@
         if self.role_epochs is not None:
             oprot.writeFieldBegin('role_epochs', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.role_epochs))
-            for kiter121, viter122 in self.role_epochs.items():
-                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
-                oprot.writeI64(viter122)
+            for kiter128, viter129 in self.role_epochs.items():
+                oprot.writeString(kiter128.encode('utf-8') if sys.version_info[0] == 2 else kiter128)
+                oprot.writeI64(viter129)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.map_digests is not None:
             oprot.writeFieldBegin('map_digests', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.map_digests))
-            for kiter123, viter124 in self.map_digests.items():
-                oprot.writeString(kiter123.encode('utf-8') if sys.version_info[0] == 2 else kiter123)
-                oprot.writeI64(viter124)
+            for kiter130, viter131 in self.map_digests.items():
+                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
+                oprot.writeI64(viter131)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.relay_address is not None:
@@ -2670,11 +2722,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = PageVersion()
-                        _elem130.read(iprot)
-                        self.versions.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = PageVersion()
+                        _elem137.read(iprot)
+                        self.versions.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2708,8 +2760,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter131 in self.versions:
-                iter131.write(oprot)
+            for iter138 in self.versions:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2782,11 +2834,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = PageVersion()
-                        _elem137.read(iprot)
-                        self.known.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = PageVersion()
+                        _elem144.read(iprot)
+                        self.known.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2811,8 +2863,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter138 in self.known:
-                iter138.write(oprot)
+            for iter145 in self.known:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2872,11 +2924,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.pages = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = PlacementPage()
-                        _elem144.read(iprot)
-                        self.pages.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = PlacementPage()
+                        _elem151.read(iprot)
+                        self.pages.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2902,8 +2954,8 @@
         if self.pages is not None:
             oprot.writeFieldBegin('pages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.pages))
-            for iter145 in self.pages:
-                iter145.write(oprot)
+            for iter152 in self.pages:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3061,22 +3113,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = UnitLoad()
-                        _elem151.read(iprot)
-                        self.loads.append(_elem151)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = UnitLoad()
+                        _elem158.read(iprot)
+                        self.loads.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = UnitLoad()
-                        _elem157.read(iprot)
-                        self.hot_keys.append(_elem157)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = UnitLoad()
+                        _elem164.read(iprot)
+                        self.hot_keys.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3109,15 +3161,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter158 in self.loads:
-                iter158.write(oprot)
+            for iter165 in self.loads:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter159 in self.hot_keys:
-                iter159.write(oprot)
+            for iter166 in self.hot_keys:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3340,11 +3392,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = MissingParty()
-                        _elem165.read(iprot)
-                        self.missing.append(_elem165)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = MissingParty()
+                        _elem172.read(iprot)
+                        self.missing.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3373,8 +3425,8 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.missing))
-            for iter166 in self.missing:
-                iter166.write(oprot)
+            for iter173 in self.missing:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3999,6 +4051,7 @@
     (9, TType.LIST, 'epochs', (TType.I64, None, False), None, ),  # 9
     (10, TType.MAP, 'previous', (TType.I32, None, TType.LIST, (TType.STRUCT, [PreviousHolder, None], False), False), None, ),  # 10
     (11, TType.LIST, 'units', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 11
+    (12, TType.I64, 'epoch_floor', None, 0, ),  # 12
 )
 all_structs.append(RoleRow)
 RoleRow.thrift_spec = (
@@ -4014,6 +4067,8 @@
     None,  # 0
     (1, TType.I64, 'lease_epoch', None, None, ),  # 1
     (2, TType.LIST, 'node_ids', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'incarnations', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.I64, 'role_epoch', None, 0, ),  # 4
 )
 all_structs.append(ServerRow)
 ServerRow.thrift_spec = (
@@ -4033,6 +4088,7 @@
     (3, TType.I64, 'lease_epoch', None, None, ),  # 3
     (4, TType.LIST, 'renewer_node_ids', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.I64, 'lease_end_ms', None, None, ),  # 5
+    (6, TType.I64, 'role_epoch', None, 0, ),  # 6
 )
 all_structs.append(RenewReply)
 RenewReply.thrift_spec = (
--- /dev/null
+++ b/nutmeglead/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide who owns a key: units, pages, leases, renewals and handovers."""
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -23,6 +23,8 @@
   9: required list<i64> epochs,
   10: required map<i32, list<PreviousHolder>> previous,
   11: optional list<common.UnitId> units,
+  // Highest epoch of a unit removed from this pin page; a unit that is added gets a higher one.
+  12: optional i64 epoch_floor = 0,
 }
 
 struct RoleRow {
@@ -33,9 +35,13 @@
   5: optional i64 planned_ticket_number = 0,
 }
 
+// `incarnations` is parallel to `node_ids`: a renewer that restarted has forgotten its stop statements and must
+// refuse an assignment to its earlier incarnation. `role_epoch` is the one that wrote this lease epoch.
 struct RenewerSet {
   1: required i64 lease_epoch,
   2: required list<string> node_ids,
+  3: optional list<string> incarnations,
+  4: optional i64 role_epoch = 0,
 }
 
 // `former` holds renewer sets that the server may still be using because it has not confirmed `current`.
@@ -57,6 +63,8 @@
   4: required list<string> renewer_node_ids,
   // In the holder's own monotonic time, in ms. 0 asks for the holder's time only.
   5: required i64 lease_end_ms,
+  // Role epoch that wrote the lease epoch; the holder refuses grants of a lower one.
+  6: optional i64 role_epoch = 0,
 }
 
 enum RenewStatus {
