--- /dev/null
+++ b/nutmeglead/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange typed messages between the project's own processes over TCP."""
