rpc: never report a sent call as not run

Cause: a call whose connection was dropped at the moment of its timeout was reported as not sent, and calls that timed out together closed a connection that was only slow once. Change: each call records whether it was sent; timeouts that overlap count once; a call above the frame limit has its own error; close waits for the connections.

--- a/nutmeglead/rpc/connection.py
+++ b/nutmeglead/rpc/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
@@ -10,6 +11,7 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.rpc.errors import (
     CallTimeout,
+    CallTooLarge,
     ConnectionLost,
     PeerUnreachable,
     RpcError,
@@ -50,6 +52,20 @@
         self._next_ms = now_ms + full_ms * self._rng.uniform(0.5, 1.0)
 
 
+def _new_future() -> "asyncio.Future[Answer]":
+    return asyncio.get_running_loop().create_future()
+
+
+@dataclass
+class _Call:
+    """Track one call; `is_sent` is set before its first byte may leave this process."""
+
+    request_id: int
+    frame: bytes
+    is_sent: bool = False
+    answer: "asyncio.Future[Answer]" = field(default_factory=_new_future)
+
+
 class Peer:
     """Hold at most one connection to an address and its calls in flight."""
 
@@ -64,10 +80,11 @@
         self._opening: asyncio.Task[None] | None = None
         self._reading: asyncio.Task[None] | None = None
         self._writer: asyncio.StreamWriter | None = None
-        self._waiting: dict[int, asyncio.Future[Answer]] = {}
+        self._sent: dict[int, _Call] = {}
         self._in_flight = 0
         self._last_request_id = 0
         self._silent_timeouts = 0
+        self._last_id_at_timeout = 0
 
     @property
     def is_idle(self) -> bool:
@@ -83,19 +100,22 @@
         envelope = Envelope(message_type, request_id, False, body)
         frame = encode_frame(envelope, self._limits.max_frame_bytes)
         if isinstance(frame, Err):
-            return Err(PeerUnreachable(self.name, str(frame.err_value)))
+            too_large = frame.err_value
+            name = message_type.name
+            return Err(CallTooLarge(name, too_large.size_bytes, too_large.limit_bytes))
+        call = _Call(request_id, frame.ok_value)
         self._in_flight += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                return await self._send(request_id, frame.ok_value)
+                return await self._send(call)
         except TimeoutError:
-            if request_id not in self._waiting:
+            if not call.is_sent:
                 return Err(PeerUnreachable(self.name, f"not sent within {timeout_ms} ms"))
-            self._count_timeout()
+            self._count_timeout(request_id)
             return Err(CallTimeout(self.name, message_type.name, timeout_ms))
         finally:
             self._in_flight -= 1
-            self._waiting.pop(request_id, None)
+            self._sent.pop(request_id, None)
 
     async def close(self, reason: str) -> None:
         """Close the connection and wait until the reader has ended."""
@@ -113,10 +133,10 @@
             if task is not None:
                 task.cancel()
         self._reading = self._opening = None
-        waiting, self._waiting = self._waiting, {}
-        for future in waiting.values():
-            if not future.done():
-                future.set_result(Err(ConnectionLost(self.name, reason)))
+        sent, self._sent = self._sent, {}
+        for call in sent.values():
+            if not call.answer.done():
+                call.answer.set_result(Err(ConnectionLost(self.name, reason)))
 
     async def _connect(self) -> PeerUnreachable | None:
         if self._writer is not None:
@@ -147,7 +167,7 @@
             if self._opening is asyncio.current_task():
                 self._opening = None
 
-    async def _send(self, request_id: int, frame: bytes) -> Answer:
+    async def _send(self, call: _Call) -> Answer:
         failure = await self._connect()
         if failure is not None:
             return Err(failure)
@@ -157,10 +177,10 @@
             await self._drain(writer)
         if writer is None or writer is not self._writer:
             return Err(PeerUnreachable(self.name, "the connection ended before the call was sent"))
-        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self._waiting[request_id] = future
-        writer.write(frame)
-        return await future
+        call.is_sent = True
+        self._sent[call.request_id] = call
+        writer.write(call.frame)
+        return await call.answer
 
     async def _drain(self, writer: asyncio.StreamWriter) -> None:
         try:
@@ -187,11 +207,15 @@
 
     def _settle(self, envelope: Envelope) -> None:
         """Resolve the call of a reply; a reply to a call that timed out is dropped."""
-        future = self._waiting.get(envelope.request_id)
-        if envelope.reply and future is not None and not future.done():
-            future.set_result(Ok(envelope.body))
-
-    def _count_timeout(self) -> None:
+        call = self._sent.get(envelope.request_id)
+        if envelope.reply and call is not None and not call.answer.done():
+            call.answer.set_result(Ok(envelope.body))
+
+    def _count_timeout(self, request_id: int) -> None:
+        """Count timeouts one after the other; calls that were in flight together count once."""
+        if request_id <= self._last_id_at_timeout:
+            return
+        self._last_id_at_timeout = self._last_request_id
         self._silent_timeouts += 1
         if self._silent_timeouts >= self._limits.timeouts_to_reconnect:
             self.drop("calls timed out and nothing was received")
--- a/nutmeglead/rpc/errors.py
+++ b/nutmeglead/rpc/errors.py
@@ -7,6 +7,7 @@
 __all__ = [
     "CallRefused",
     "CallTimeout",
+    "CallTooLarge",
     "ConnectionLost",
     "FrameError",
     "FrameMalformed",
@@ -48,6 +49,19 @@
         return f"{self.limit} calls are already in flight to {self.address}"
 
 
+@dataclass
+class CallTooLarge(RpcError):
+    """Report a call that was not sent because its frame is above the limit."""
+
+    call: str
+    size_bytes: int
+    limit_bytes: int
+    may_have_run = False
+
+    def __str__(self) -> str:
+        return f"{self.call} has {self.size_bytes} bytes, at most {self.limit_bytes} are sent"
+
+
 @dataclass
 class CallTimeout(RpcError):
     """Report a call that was sent and has no reply yet."""
--- a/nutmeglead/rpc/server.py
+++ b/nutmeglead/rpc/server.py
@@ -107,7 +107,8 @@
         """Stop listening and reading, let running handlers reply, then close the connections."""
         if self._server is not None:
             self._server.close()
-        await asyncio.gather(*(connection.close(grace_ms) for connection in self._connections))
+        connections = list(self._connections)
+        await asyncio.gather(*(connection.close(grace_ms) for connection in connections))
 
     @property
     def connection_count(self) -> int:
@@ -140,6 +141,7 @@
         self._slots = asyncio.Semaphore(max_running)
         self._running: set[asyncio.Task[None]] = set()
         self._reading: asyncio.Task[None] | None = None
+        self._ended = asyncio.Event()
 
     async def run(self) -> None:
         """Read frames until the peer closes, a frame is malformed, or the server closes."""
@@ -154,6 +156,7 @@
             for task in (self._reading, *self._running):
                 task.cancel()
             self._writer.close()
+            self._ended.set()
 
     async def close(self, grace_ms: int) -> None:
         """Read no more; wait at most the grace time for running handlers."""
@@ -163,6 +166,7 @@
             await asyncio.wait(self._running, timeout=grace_ms / 1000)
         for task in self._running:
             task.cancel()
+        await self._ended.wait()
 
     async def _read(self) -> None:
         while data := await self._reader.read(_READ_BYTES):
