placement: plan moves by claims, losses and load

Cause: the controller needs the planner's input and output types and a usable plan. Change: add the data model, the planner, its two policies and the rebalancing of load with hot keys pinned apart. Ticket claims take precedence; losses are not bounded by a budget.

--- a/nutmeglead/placement/model.py
+++ b/nutmeglead/placement/model.py
@@ -127,10 +127,11 @@
 class PlanRequest:
     """Hold all that a plan depends on.
 
-    Owner indexes that are not in `servers` count as no owner. `bucket_claims` is ordered by ticket
-    number: the last claim on a bucket applies. `recently_moved` names units that the caller moved
-    for IMBALANCE or HOT_KEY_PINNED less than `settle_ms` ago; only tickets and losses move them
-    again.
+    Owner indexes that are not in `servers` count as no owner. `bucket_claims` is ordered by
+    ticket number: the last claim on a bucket applies. `recently_moved` names units that the
+    caller moved for IMBALANCE or HOT_KEY_PINNED in the last few rounds; only tickets and losses
+    move them again. Rates older than three rounds (`LoadSnapshot.age_ms`) move nothing by
+    themselves.
     """
 
     servers: Sequence[ServerInfo]
@@ -162,10 +163,11 @@
 class Move:
     """Change a unit's owner.
 
-    `from_server` is None if the unit had no owner. For a new EXACT pin it is the owner of the unit
-    that held the key before; for a new PREFIX it is None if the keys came from many buckets. PIN_REMOVED deletes the pin: `to_server` is the owner of the unit that
-    holds the key from then on, or None for a prefix, whose keys return to many buckets. `load` is
-    in requests/s.
+    The moves of a plan are consistent when applied in order. `from_server` is None if the unit had
+    no owner. For a new EXACT pin it is the owner of the unit that held the key before; for a new
+    PREFIX it is None if the keys came from many buckets. `removes_pin` deletes the pin: then
+    `to_server` is the owner of the unit that holds the key from then on, or None for a prefix whose
+    keys return to many buckets. `load` is in requests/s.
     """
 
     unit: Unit
@@ -173,6 +175,7 @@
     to_server: ServerId | None
     reason: MoveReason
     load: float = 0.0
+    removes_pin: bool = False
 
 
 class UnmetReason(Enum):
@@ -197,14 +200,16 @@
 class Plan:
     """List moves in order of urgency.
 
-    `deferred_moves` are due but beyond the budget: plan again after this plan is written.
-    `unplaced_units` have no server that may own them. Imbalance is the highest load per capacity
-    of a present server divided by the mean, before and after the plan; 1.0 is even.
+    `deferred_moves` are due for tickets but beyond their budget: plan again once this plan is
+    written. `policy_budget_spent` tells that rebalancing may go on in the next round.
+    `unplaced_units` have no server that may own them. Imbalance is the highest load per capacity of
+    a present server divided by the mean, before and after the plan; 1.0 is even.
     """
 
     moves: list[Move]
     unmet_claims: list[UnmetClaim]
     deferred_moves: int
     unplaced_units: int
+    policy_budget_spent: bool
     imbalance_before: float
     imbalance_after: float
--- a/nutmeglead/placement/planner.py
+++ b/nutmeglead/placement/planner.py
@@ -1,10 +1,9 @@
 """Plan moves of units between servers; a pure function of the request."""
 
-from nutmeglead.core.ids import ServerId
-from nutmeglead.placement.ledger import Ledger
+from nutmeglead._generated.common.ttypes import UnitKind
+from nutmeglead.placement.claims import Claims
+from nutmeglead.placement.ledger import Ledger, unit_order
 from nutmeglead.placement.model import (
-    NO_OWNER,
-    BucketClaim,
     MoveBudget,
     MoveReason,
     Pin,
@@ -12,17 +11,15 @@
     PlanRequest,
     ServerStatus,
     Unit,
-    UnmetClaim,
-    UnmetReason,
 )
+from nutmeglead.placement.policies import limits_for
+from nutmeglead.placement.rebalance import Rebalancer, even_load
 
 __all__ = ["plan"]
 
-_UNMET = {
-    None: UnmetReason.UNKNOWN_SERVER,
-    ServerStatus.LEAVING: UnmetReason.SERVER_LEAVING,
-    ServerStatus.LOST: UnmetReason.SERVER_LOST,
-}
+# Routers report several times per round; rates older than this many rounds describe a load that
+# may be gone, and moves made for it would only cost churn.
+STALE_LOAD_ROUNDS = 3
 
 
 def plan(request: PlanRequest) -> Plan:
@@ -35,70 +32,75 @@
 
     def __init__(self, request: PlanRequest) -> None:
         self.request = request
+        self.limits = limits_for(request.settings)
         self.ledger = Ledger(request)
-        self.budget = request.budget or MoveBudget(request.settings.max_moves_per_round)
-        self.unmet: list[UnmetClaim] = []
+        self.claims = Claims(request, self.ledger)
+        budget = request.budget or MoveBudget(self.limits.moves_per_round)
+        self.ticket_moves = budget.ticket_moves
+        self.policy_moves = budget.policy_moves
         self.deferred = 0
         self.unplaced = 0
-        self.claims = self._claims_in_force()
 
     def run(self) -> Plan:
         """Make the plan."""
         before = self.ledger.imbalance()
+        self._remove_claimed_pins()
         self._place_claims()
         self._place_stranded()
-        moves = sorted(self.ledger.moves, key=lambda move: move.reason.value)
+        self._remove_cold_pins()
+        self._rebalance()
         return Plan(
-            moves, self.unmet, self.deferred, self.unplaced, before, self.ledger.imbalance()
+            moves=self.ledger.moves(),
+            unmet_claims=self.claims.unmet,
+            deferred_moves=self.deferred,
+            unplaced_units=self.unplaced,
+            policy_budget_spent=self.policy_moves <= 0,
+            imbalance_before=before,
+            imbalance_after=self.ledger.imbalance(),
         )
 
-    def _claims_in_force(self) -> dict[Unit, int]:
-        """Map each unit to the server that a ticket claims it for, if that server may own it."""
-        claims: dict[Unit, int] = {}
-        bucket_count = len(self.ledger.owners)
-        for claim in self.request.bucket_claims:
-            if not 0 <= claim.first <= claim.last < bucket_count:
-                self.unmet.append(UnmetClaim(claim, claim.server_id, UnmetReason.UNKNOWN_BUCKET))
+    def _spend_ticket_move(self) -> bool:
+        if self.ticket_moves <= 0:
+            self.deferred += 1
+            return False
+        self.ticket_moves -= 1
+        return True
+
+    def _policy_pins(self) -> list[Pin]:
+        """Return the pins that no ticket made, in a fixed order."""
+        pins = (pin for pin in self.ledger.owners.pins if not self.claims.names(pin))
+        return sorted(pins, key=unit_order)
+
+    def _remove_claimed_pins(self) -> None:
+        """Remove pins that keep keys away from a claimed bucket or prefix, or whose claim ended."""
+        for pin in self._policy_pins():
+            if self.claims.covers(pin):
+                reason = MoveReason.TICKET_CLAIM
+            elif pin.kind == UnitKind.PREFIX:
+                reason = MoveReason.PIN_REMOVED
+            else:
                 continue
-            target = self._claimed_server(claim, claim.server_id)
-            for bucket in range(claim.first, claim.last + 1):
-                claims.pop(bucket, None)
-                if target is not None:
-                    claims[bucket] = target
-        for pin, server_id in sorted(self.request.pin_claims.items()):
-            target = self._claimed_server(pin, server_id)
-            if target is not None:
-                claims[pin] = target
-        return claims
-
-    def _claimed_server(self, claim: BucketClaim | Pin, server_id: ServerId) -> int | None:
-        index = self.ledger.index_of(server_id)
-        if index is not None and self.ledger.may_own(index):
-            return index
-        status = None if index is None else self.ledger.servers[index].status
-        self.unmet.append(UnmetClaim(claim, server_id, _UNMET[status]))
-        return None
+            if self._spend_ticket_move():
+                self.ledger.remove_pin(pin, reason)
 
     def _place_claims(self) -> None:
         """Move each claimed unit to its server; a loss counts against no budget."""
-        left = self.budget.ticket_moves
-        for unit, target in self.claims.items():
-            owner = self.ledger.owner(unit)
-            if owner == target and (not isinstance(unit, Pin) or unit in self.ledger.pins):
+        rates = dict(self.request.load.hot_keys)
+        for unit, target in self.claims.targets.items():
+            owner = self.ledger.owners.owner(unit)
+            exists = self.ledger.owners.holds(unit)
+            if exists and owner == target:
                 continue
-            reason = self._claim_reason(owner)
-            if reason is MoveReason.TICKET_CLAIM:
-                if left <= 0:
-                    self.deferred += 1
-                    continue
-                left -= 1
+            lost = self.ledger.status(owner) is ServerStatus.LOST
+            if not lost and not self._spend_ticket_move():
+                continue
+            if isinstance(unit, Pin) and not exists and self._counts_in_bucket(unit):
+                self.ledger.detach(unit, rates.get(unit.key, 0.0))
+            reason = MoveReason.SERVER_LOST if lost else MoveReason.TICKET_CLAIM
             self.ledger.move(unit, target, reason)
-        self.budget = MoveBudget(self.budget.policy_moves, left)
 
-    def _claim_reason(self, owner: int) -> MoveReason:
-        if self.ledger.status(owner) is ServerStatus.LOST:
-            return MoveReason.SERVER_LOST
-        return MoveReason.TICKET_CLAIM
+    def _counts_in_bucket(self, pin: Pin) -> bool:
+        return pin.kind == UnitKind.EXACT and self.ledger.owners.enclosing_prefix(pin) is None
 
     def _place_stranded(self) -> None:
         """Move units off lost and leaving servers and give units without an owner one."""
@@ -108,24 +110,52 @@
             MoveReason.SERVER_LEAVING: [],
         }
         reasons = [_stranded_reason(server.status) for server in self.ledger.servers]
-        reasons.append(MoveReason.UNOWNED)
-        for bucket, owner in enumerate(self.ledger.owners):
-            reason = reasons[owner if owner < len(reasons) else NO_OWNER]
+        reasons.append(MoveReason.UNOWNED)  # index -1 is NO_OWNER
+        for bucket, owner in enumerate(self.ledger.owners.buckets):
+            reason = reasons[owner]
             if reason is not None:
                 stranded[reason].append(bucket)
-        for pin in self.ledger.pins:
-            reason = reasons[self.ledger.owner(pin)]
+        for pin, owner in self.ledger.owners.pins.items():
+            reason = reasons[owner]
             if reason is not None:
                 stranded[reason].append(pin)
         for reason, units in stranded.items():
-            if reason is MoveReason.SERVER_LEAVING:
-                units = self._within_ticket_budget(units)
+            if reason is MoveReason.SERVER_LEAVING and any(self.ledger.capacity):
+                units = [unit for unit in units if self._spend_ticket_move()]
             self.unplaced += self.ledger.spread(units, reason)
 
-    def _within_ticket_budget(self, units: list[Unit]) -> list[Unit]:
-        left = self.budget.ticket_moves
-        self.deferred += max(0, len(units) - left)
-        return units[:left]
+    def _load_is_stale(self) -> bool:
+        rounds_ms = STALE_LOAD_ROUNDS * self.request.settings.round_interval_ms
+        return self.request.load.age_ms > rounds_ms
+
+    def _remove_cold_pins(self) -> None:
+        """Return keys that are no longer hot to their buckets, and the coldest beyond max_pins."""
+        if self._load_is_stale():
+            return
+        least = self.limits.unpin_share * even_load(self.ledger)
+        pins = sorted(self._policy_pins(), key=lambda pin: (self.ledger.rate(pin), pin.key))
+        surplus = len(pins) - self.request.settings.max_pins
+        for position, pin in enumerate(pins):
+            cold = self.ledger.rate(pin) < least and pin not in self.request.recently_moved
+            if (cold or position < surplus) and self.policy_moves > 0:
+                self.ledger.remove_pin(pin, MoveReason.PIN_REMOVED)
+                self.policy_moves -= 1
+
+    def _rebalance(self) -> None:
+        if self._load_is_stale():
+            return
+        fixed: set[Unit] = {*self.claims.targets, *self.request.pin_claims}
+        fixed |= self.request.recently_moved
+        rebalancer = Rebalancer(
+            self.ledger,
+            self.limits,
+            fixed,
+            self.request.load.hot_keys,
+            self.request.settings.max_pins - len(self._policy_pins()),
+            self.policy_moves,
+        )
+        rebalancer.run()
+        self.policy_moves = rebalancer.budget
 
 
 def _stranded_reason(status: ServerStatus) -> MoveReason | None:
--- /dev/null
+++ b/nutmeglead/placement/rebalance.py
@@ -0,0 +1,165 @@
+"""Move units from overloaded to underloaded servers."""
+
+from collections.abc import Collection, Sequence
+from heapq import heapify, heappop, heappush, heapreplace, nlargest
+
+from nutmeglead.placement.candidates import Candidate, Candidates, collect, pinnable_keys
+from nutmeglead.placement.ledger import Ledger
+from nutmeglead.placement.model import HotKey, MoveReason, Pin, Unit
+from nutmeglead.placement.policies import Limits
+
+__all__ = ["Rebalancer", "even_load"]
+
+# Moving a unit with less than this part of a mean server's load costs churn without effect.
+LEAST_MOVE_SHARE = 0.001
+# Sums of floats differ in the last digits with the order of their terms; a server exactly at a
+# trigger must not depend on that.
+TOLERANCE = 1e-9
+
+
+class Rebalancer:
+    """Make the policy's moves on a ledger until loads are within the limits."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        limits: Limits,
+        fixed: Collection[Unit],
+        hot_keys: Sequence[HotKey],
+        free_pins: int,
+        budget: int,
+    ) -> None:
+        self.ledger = ledger
+        self.limits = limits
+        self.fixed = fixed
+        self.hot_keys = hot_keys
+        self.free_pins = free_pins
+        self.budget = budget
+        self.level = 0.0
+        self.least = 0.0
+        self._donors: dict[int, Candidates] = {}
+
+    def run(self) -> None:
+        """Repeat passes until one moves nothing; servers relieved late can receive in the next."""
+        while self.budget > 0 and self._pass():
+            pass
+
+    def _pass(self) -> bool:
+        before = self.budget
+        usable = [i for i, c in enumerate(self.ledger.capacity) if c > 0.0]
+        if len(usable) < 2:
+            return False
+        self.level = _even_level(self.ledger)
+        overload = self.level * self.limits.overload_trigger * (1.0 + TOLERANCE)
+        underload = self.level * self.limits.underload_trigger * (1.0 - TOLERANCE)
+        over = [i for i in usable if self.ledger.ratio(i) > overload]
+        under = [i for i in usable if self.ledger.ratio(i) < underload]
+        if not over and not under:
+            return False
+        # Each donor gives at least one unit, so more donors than moves are of no use. This also
+        # bounds the memory of the candidates.
+        donors = nlargest(self.budget, usable, key=lambda i: (self.ledger.ratio(i), -i))
+        even = self.level * _mean_capacity(self.ledger)
+        self.least = LEAST_MOVE_SHARE * even
+        hot_keys = pinnable_keys(
+            self.ledger, self.hot_keys, self.limits.pin_share * even, self.fixed
+        )[: max(0, self.free_pins)]
+        self._donors = collect(self.ledger, donors, self.fixed, hot_keys)
+        self._relieve(over, usable)
+        self._fill(under, donors)
+        return self.budget < before
+
+    def _relieve(self, over: list[int], usable: list[int]) -> None:
+        """Move units off each overloaded server, the most loaded first, to the most room."""
+        overloaded = set(over)
+        receivers = [(-self._room(i), i) for i in usable if i not in overloaded]
+        heapify(receivers)
+        for donor in sorted(over, key=lambda i: (-self.ledger.ratio(i), i)):
+            while self.budget > 0 and receivers:
+                need = self._excess(donor, self.limits.overload_settle)
+                if need <= 0.0 or not self._give(donor, receivers[0][1], need):
+                    break
+                receiver = receivers[0][1]
+                heapreplace(receivers, (-self._room(receiver), receiver))
+
+    def _fill(self, under: list[int], donors: list[int]) -> None:
+        """Move units to each underloaded server from the most loaded ones."""
+        heap = [(-self.ledger.ratio(i), i) for i in donors]
+        heapify(heap)
+        for receiver in sorted(under, key=lambda i: (self.ledger.ratio(i), i)):
+            spent: list[int] = []
+            while self.budget > 0 and heap:
+                need = -self._excess(receiver, self.limits.underload_settle)
+                if need <= 0.0:
+                    break
+                _, donor = heappop(heap)
+                if donor != receiver and self._give(donor, receiver, need):
+                    heappush(heap, (-self.ledger.ratio(donor), donor))
+                else:
+                    spent.append(donor)
+            for donor in spent:
+                heappush(heap, (-self.ledger.ratio(donor), donor))
+
+    def _give(self, donor: int, receiver: int, need: float) -> bool:
+        """Move the best unit from donor to receiver; return whether there was one."""
+        candidates = self._donors.get(donor)
+        if candidates is None:
+            return False
+        # The donor must not end below the level to which underloaded servers are filled.
+        spare = self._excess(donor, self.limits.underload_settle)
+        limit = min(self._room(receiver), spare)
+        chosen = candidates.take(need, limit, self.least)
+        if chosen is None:
+            return False
+        self._move(chosen, receiver, candidates)
+        self.budget -= 1
+        return True
+
+    def _move(self, chosen: Candidate, receiver: int, candidates: Candidates) -> None:
+        unit = chosen.unit
+        if not isinstance(unit, Pin) or self.ledger.owners.holds(unit):
+            self.ledger.move(unit, receiver, MoveReason.IMBALANCE)
+            return
+        self.ledger.detach(unit, chosen.rate)
+        self.ledger.move(unit, receiver, MoveReason.HOT_KEY_PINNED)
+        self.free_pins -= 1
+        candidates.discard_bucket(self.ledger.owners.bucket(unit.key))
+
+    def _excess(self, index: int, level: float) -> float:
+        """Return a server's load above a multiple of the mean, in requests/s."""
+        even = self.level * level * self.ledger.capacity[index]
+        return self.ledger.server_loads[index] - even
+
+    def _room(self, index: int) -> float:
+        return -self._excess(index, self.limits.overload_settle)
+
+
+def even_load(ledger: Ledger) -> float:
+    """Return the load of a mean server if load were even, in requests/s."""
+    if not any(ledger.capacity):
+        return 0.0
+    return _even_level(ledger) * _mean_capacity(ledger)
+
+
+def _even_level(ledger: Ledger) -> float:
+    """Return the load per capacity to aim at.
+
+    A unit larger than a server's even share fills a server alone. Its load and that server's
+    capacity are left out, because the others cannot share them.
+    """
+    capacity = sum(ledger.capacity)
+    load = ledger.mean_ratio() * capacity
+    largest = max(ledger.capacity)
+    level = load / capacity
+    for rate in ledger.largest_rates(level * largest / 2.0):
+        if rate <= level * largest or capacity <= largest:
+            break
+        load -= rate
+        capacity -= largest
+        level = load / capacity
+    return level
+
+
+def _mean_capacity(ledger: Ledger) -> float:
+    usable = [c for c in ledger.capacity if c > 0.0]
+    return sum(usable) / len(usable)
