--- /dev/null
+++ b/nutmeglead/settings/tests/examples.feature
@@ -0,0 +1,36 @@
+Feature: The example settings and tickets are valid and have the sizes of the design page
+
+  Scenario Outline: The settings of each failure domain load, and only the node differs
+    Given the example directory of <user>
+    Then it has settings for the failure domains <domains>
+    And the settings differ only in the node
+
+    Examples: each row names the failure it guards against
+      | user    | domains                                  | failure                                           |
+      | brunner | halle-a, halle-b, buero                  | a failure domain starts without a valid file      |
+      | cubo    | recife-a, recife-b, fortaleza-a, salvador-a | entry VMs disagree about a service's settings  |
+
+  Scenario Outline: Each service has the size and semantics of the design page
+    Given the example directory of <user>
+    Then <service> has <instances> servers, <slots> slots and <connections> connections, idempotent <idempotent>
+    And the first ticket places <instances> servers of <service> on all failure domains
+
+    Examples: design page, section 1
+      | user    | service        | instances | slots | connections | idempotent | failure                             |
+      | brunner | lagerblick     | 24        | 4     | 130         | true       | lookups are never hedged            |
+      | brunner | schnittauftrag | 9         | 4     | 130         | false      | a cutting order is sent twice       |
+      | brunner | konturablage   | 6         | 4     | 130         | true       | a pattern file is not sent again    |
+      | cubo    | catalogo       | 22        | 2     | 130         | true       | catalogue lookups are never hedged  |
+      | cubo    | pedidos        | 9         | 2     | 130         | false      | a payment is sent twice             |
+      | cubo    | guias          | 8         | 2     | 130         | true       | a guide is not sent again           |
+
+  Scenario Outline: Orders have the highest priority and large files a share of their own
+    Given the example directory of <user>
+    Then <orders> has a higher priority than every other service
+    And <files> has a smaller share than every other service
+    And the placement policy of every service is <policy>
+
+    Examples: each row names the failure it guards against
+      | user    | orders         | files        | policy   | failure                                     |
+      | brunner | schnittauftrag | konturablage | steady   | unavailable time counts less than imbalance |
+      | cubo    | pedidos        | guias        | balanced | imbalance counts less than unavailable time |
--- /dev/null
+++ b/nutmeglead/settings/tests/steps/examples_steps.py
@@ -0,0 +1,99 @@
+"""Steps for the example settings and tickets."""
+
+from collections import Counter
+from pathlib import Path
+
+from behave import given, then
+
+from nutmeglead._generated.settings.ttypes import NodeSettings
+from nutmeglead._generated.tickets.ttypes import ServerState, Ticket
+from nutmeglead.settings.loader import load_settings, load_struct
+
+EXAMPLES = Path(__file__).parents[4] / "examples"
+
+
+class ExampleDirectory:
+    def __init__(self, user):
+        files = sorted((EXAMPLES / user).glob("*.jsonc"))
+        self.settings = {
+            path.stem: load_settings(path, {}).unwrap()
+            for path in files
+            if not path.stem.startswith("ticket")
+        }
+        first_ticket = EXAMPLES / user / "ticket-1.jsonc"
+        self.ticket = load_struct(first_ticket.read_text(), Ticket, str(first_ticket)).unwrap()
+        self.any = next(iter(self.settings.values()))
+
+    def service(self, name):
+        return next(service for service in self.any.services if service.name == name)
+
+    def others(self, name):
+        return [service for service in self.any.services if service.name != name]
+
+
+@given("the example directory of {user}")
+def step_directory(context, user):
+    context.example = ExampleDirectory(user)
+
+
+@then("it has settings for the failure domains {domains}")
+def step_domains(context, domains):
+    expected = set(domains.split(", "))
+    found = context.example.settings
+    assert set(found) == expected
+    assert all(found[name].node.failure_domain == name for name in expected)
+    assert {domain.name for domain in context.example.any.failure_domains} == expected
+
+
+@then("the settings differ only in the node")
+def step_same(context):
+    node_ids = set()
+    for settings in context.example.settings.values():
+        node_ids.add(settings.node.node_id)
+        settings.node = NodeSettings()
+        assert settings == context.example.any
+    assert len(node_ids) == len(context.example.settings)
+
+
+@then(
+    "{name} has {instances:d} servers, {slots:d} slots and {connections:d} connections,"
+    " idempotent {idempotent}"
+)
+def step_size(context, name, instances, slots, connections, idempotent):
+    service = context.example.service(name)
+    found = (
+        service.expected_instances,
+        service.slots_per_instance,
+        service.connections_per_instance,
+        service.idempotent,
+    )
+    assert found == (instances, slots, connections, idempotent == "true"), found
+
+
+@then("the first ticket places {instances:d} servers of {name} on all failure domains")
+def step_servers(context, instances, name):
+    items = [item for item in context.example.ticket.servers if item.service_name == name]
+    assert len({item.server_id for item in items}) == instances
+    assert all(item.state == ServerState.PRESENT for item in items)
+    spread = Counter(item.failure_domain for item in items)
+    assert set(spread) == {domain.name for domain in context.example.any.failure_domains}
+    assert max(spread.values()) - min(spread.values()) <= 1, spread
+
+
+@then("{name} has a higher priority than every other service")
+def step_priority(context, name):
+    own = context.example.service(name).admission.priority
+    assert all(own > other.admission.priority for other in context.example.others(name))
+
+
+@then("{name} has a smaller share than every other service")
+def step_share(context, name):
+    own = context.example.service(name).admission.share_percent
+    shares = [other.admission.share_percent for other in context.example.others(name)]
+    assert all(own < share and own + share <= 100 for share in shares)
+
+
+@then("the placement policy of every service is {policy}")
+def step_policy(context, policy):
+    found = {service.placement.policy for service in context.example.any.services}
+    assert found == {policy}
--- /dev/null
+++ b/nutmeglead/settings/tests/steps/settings_steps.py
@@ -0,0 +1,169 @@
+"""Steps for loading settings."""
+
+import copy
+import fnmatch
+import json
+import re
+from pathlib import Path
+
+import jsonc
+from behave import given, then, when
+from hypothesis import given as generate
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from nutmeglead.core.registry import Registry
+from nutmeglead.settings.errors import FileUnreadable, SettingsFaults
+from nutmeglead.settings.loader import load_settings, parse_settings
+
+EXAMPLE = Path(__file__).parents[4] / "examples" / "brunner" / "halle-a.jsonc"
+POLICY_NAMES = {
+    "admission": ("deadline",),
+    "concurrency": ("fixed",),
+    "retries": ("budgeted",),
+    "ejection": ("stepwise",),
+    "placement": ("balanced", "steady"),
+    "selection": ("least_in_flight",),
+}
+
+
+def known_policies():
+    registries = {}
+    for kind, names in POLICY_NAMES.items():
+        registries[kind] = Registry(kind)
+        for name in names:
+            registries[kind].register(name)(object())
+    return registries
+
+
+class SettingsScenario:
+    def __init__(self, text):
+        self.text = text
+        self.policies = known_policies()
+
+    def change(self, path, value, remove=False):
+        tree = jsonc.loads(self.text)
+        steps = [int(s) if s.isdigit() else s for s in re.findall(r"\w+", path)]
+        target = tree
+        for step in steps[:-1]:
+            target = target[step]
+        if remove:
+            del target[steps[-1]]
+        else:
+            target[steps[-1]] = value
+        self.text = json.dumps(tree)
+
+    def load(self):
+        return parse_settings(self.text, self.policies)
+
+    def faults(self):
+        loaded = self.load()
+        assert isinstance(loaded, Err) and isinstance(loaded.err_value, SettingsFaults), loaded
+        return loaded.err_value.faults
+
+    def matching(self, pattern):
+        literal = pattern.replace("[", "[[]")
+        return [fault for fault in self.faults() if fnmatch.fnmatchcase(str(fault), literal)]
+
+
+@given("the example settings of brunner")
+def step_example(context):
+    context.settings = SettingsScenario(EXAMPLE.read_text())
+
+
+@given("the settings text {text}")
+def step_text(context, text):
+    context.settings = SettingsScenario(text)
+
+
+@given("no policy registries")
+def step_no_registries(context):
+    context.settings.policies = {}
+
+
+@when("{path} is set to {value}")
+def step_set(context, path, value):
+    context.settings.change(path, json.loads(value))
+
+
+@when("{path} is removed")
+def step_remove(context, path):
+    context.settings.change(path, None, remove=True)
+
+
+@then('the settings are refused with only the fault "{pattern}"')
+def step_one_fault(context, pattern):
+    faults = context.settings.matching(pattern)
+    assert len(faults) == len(context.settings.faults()) == 1, context.settings.faults()
+
+
+@then('one of the faults is "{pattern}"')
+def step_a_fault(context, pattern):
+    assert len(context.settings.matching(pattern)) == 1, context.settings.faults()
+
+
+@then('the settings are refused with the paths "{paths}"')
+def step_paths(context, paths):
+    found = sorted(fault.path for fault in context.settings.faults())
+    assert found == paths.split(", "), found
+
+
+@then("the settings are accepted")
+def step_accepted(context):
+    loaded = context.settings.load()
+    assert isinstance(loaded, Ok), loaded
+
+
+@given("settings that are loaded from a path that does not exist")
+def step_absent_file(context):
+    context.loaded = load_settings(EXAMPLE.with_name("absent.jsonc"), known_policies())
+
+
+@then("loading gives FileUnreadable")
+def step_unreadable(context):
+    assert isinstance(context.loaded.err_value, FileUnreadable), context.loaded
+
+
+@then(
+    "the loaded lease time is {ttl:d} ms, the retry budget of service 0 is {ratio:g}"
+    ' and the region "{region}"'
+)
+def step_defaults(context, ttl, ratio, region):
+    loaded = context.settings.load().unwrap()
+    assert loaded.ownership.lease_ttl_ms == ttl
+    assert loaded.services[0].retries.budget_ratio == ratio
+    assert loaded.failure_domains[0].region == region
+
+
+def paths_of(tree, path=""):
+    items = tree.items() if isinstance(tree, dict) else enumerate(tree)
+    for step, value in items:
+        here = f"{path}[{step}]" if isinstance(step, int) else f"{path}.{step}".strip(".")
+        yield here
+        if isinstance(value, dict | list):
+            yield from paths_of(value, here)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=5,
+)
+
+
+@then("{count:d} generated changes give settings or typed faults")
+def step_generated(context, count):
+    paths = sorted(paths_of(jsonc.loads(context.settings.text)))
+
+    @hypothesis_settings(max_examples=count, derandomize=True, database=None, deadline=None)
+    @generate(st.sampled_from(paths), JSON_VALUES)
+    def check(path, value):
+        scenario = copy.copy(context.settings)
+        scenario.change(path, value)
+        loaded = scenario.load()
+        if isinstance(loaded, Err):
+            assert loaded.err_value.faults
+            assert all(str(fault) for fault in loaded.err_value.faults)
+
+    check()
