--- a/nutmeglead/ownership/holder.py
+++ b/nutmeglead/ownership/holder.py
@@ -129,7 +129,7 @@
             holder_now_ms=now_ms,
             role_epoch=role_epoch,
             sequence=sequence,
-            lease_epoch=self._lease.epoch,
+            lease_epoch=self._lease.supporting_epoch(),
         )
 
     def begin_release(self, message: ReleaseUnits, now_ms: int) -> ReleaseReply:
@@ -180,6 +180,18 @@
         """Record that an admitted request has ended."""
         self._runs.pop(ticket.number, None)
 
+    def serves(self, key: str, now_ms: int) -> tuple[Unit, Epoch] | None:
+        """Return the unit and epoch at which a request would be admitted; changes nothing."""
+        unit = self._most_specific(key) if self._lease.is_valid(now_ms) else None
+        return None if unit is None or unit not in self._grants else (unit, self._grants[unit])
+
+    def holds(self, key: str, now_ms: int) -> bool:
+        """Tell whether a request for a key may run or take effect; changes nothing."""
+        if self.serves(key, now_ms) is not None:
+            return True
+        runs = (run for run in self._runs.values() if run.number > self._revoked_count)
+        return self._lease.is_valid(now_ms) and any(run.key == key for run in runs)
+
     def lease_end_ms(self, now_ms: int) -> int | None:
         """Return when the lease ends, or None if it is not in force."""
         return None if self._lease_refusal(now_ms) else self._lease.end_ms()
--- a/nutmeglead/ownership/pages.py
+++ b/nutmeglead/ownership/pages.py
@@ -170,19 +170,22 @@
     """Carve an exact or prefix unit out of the units below it.
 
     `below` is `UnitMap.records_below(unit)`. The owners of these units and their own previous
-    holders become previous holders. A prefix may get as many as there are servers.
+    holders become previous holders, at the new epoch - 1 and not at the epochs of the units below:
+    a pin that was removed and added again would else accept the proof of its first carve-out. A
+    prefix may get as many previous holders as there are servers.
     """
     if page_of_unit(unit) != (page.pins, page.page_number):
         return Err(UnitNotOnPage(unit, page_key_of(page)))
     if unit in units_on_page(page):
         return Err(UnitExists(unit))
-    earlier = [holder for record in below for holder in record.previous]
-    earlier += [Holder(r.owner, r.epoch) for r in below if r.owner is not None]
+    epoch = max([page.epoch_floor or 0, *(record.epoch for record in below)]) + 1
+    servers = [holder.server_id for record in below for holder in record.previous]
+    servers += [record.owner for record in below if record.owner is not None]
+    earlier = [Holder(server, Epoch(epoch - 1)) for server in servers]
     previous = _merge(earlier, owner)
     if unit.kind == UnitKind.EXACT and len(previous) > MAX_PREVIOUS:
         return Err(TooManyPreviousHolders(unit, len(previous), MAX_PREVIOUS))
     changed = _next_version(page, stamp)
-    epoch = max([page.epoch_floor or 0, *(record.epoch for record in below)]) + 1
     changed.units.append(unit.to_id())
     changed.owners.append(_server_index(changed, owner))
     changed.epochs.append(epoch)
