--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the system; each benchmark writes docs/measurements/<name>.md and .json."""
