--- /dev/null
+++ b/nutmeglead/routing/router.py
@@ -0,0 +1,219 @@
+"""Answer callers' requests from the servers that own their keys."""
+
+import asyncio
+import itertools
+import logging
+import random
+from collections.abc import Hashable
+
+from result import Err
+
+from nutmeglead._generated.settings.ttypes import (
+    AdmissionSettings,
+    RetrySettings,
+    ServiceSettings,
+    Settings,
+)
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.ids import ServerId, ServiceName
+from nutmeglead.http.errors import HttpError
+from nutmeglead.http.server import ServerExchange
+from nutmeglead.routing.admission import ADMISSION, AdmissionPolicy
+from nutmeglead.routing.answers import render_error
+from nutmeglead.routing.attempt import RouterParts
+from nutmeglead.routing.errors import CallerGone, RequestError, RouterStopping
+from nutmeglead.routing.handover import HandoverWaiter
+from nutmeglead.routing.inbound import InboundRequest, parse_request
+from nutmeglead.routing.job import RequestJob, ServiceRoute
+from nutmeglead.routing.pool import ConnectionPool, Connector, connect_tcp
+from nutmeglead.routing.retries import RETRIES
+from nutmeglead.routing.servers import ServiceServers
+from nutmeglead.routing.slots import SlotQueue
+from nutmeglead.routing.sources import AddressBook, AssignmentSource, RequestObserver
+from nutmeglead.routing.timers import Timers
+
+__all__ = ["RouterService"]
+
+logger = logging.getLogger(__name__)
+
+# One idle connection saves the first request after a move about 1 ms.
+WARM_CONNECTION_COUNT = 1
+
+
+class RouterService:
+    """Handle requests from the server edge; `handle` is the handler of an HttpServer."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        source: AssignmentSource,
+        addresses: AddressBook,
+        timers: Timers,
+        rng: random.Random,
+        connector: Connector = connect_tcp,
+        observer: RequestObserver | None = None,
+    ) -> None:
+        self._services = {service.name: service for service in settings.services}
+        self._source = source
+        self._addresses = addresses
+        self._timers = timers
+        self._observer = observer
+        self._request_ids = itertools.count(1)
+        self._attempt_ids = itertools.count(1)
+        self._routes = {
+            ServiceName(service.name): self._make_route(service, rng)
+            for service in settings.services
+        }
+        slots = SlotQueue(
+            _make_admission(settings.services),
+            {name: route.servers for name, route in self._routes.items()},
+            timers,
+        )
+        self._parts = RouterParts(timers, ConnectionPool(connector), slots)
+        self._active_count = 0
+        self._is_stopping = False
+        self._known: set[tuple[ServiceName, ServerId]] = set()
+        self._warming: set[asyncio.Task[int]] = set()
+        self._unsubscribe = source.subscribe(self._on_map_change)
+
+    def _make_route(self, service: ServiceSettings, rng: random.Random) -> ServiceRoute:
+        retries = service.retries or RetrySettings()
+        servers = ServiceServers(service, self._addresses)
+
+        def is_ejected(server_id: ServerId) -> bool:
+            return servers.is_ejected(server_id, self._timers.clock.now_ms())
+
+        waiter = HandoverWaiter(service, self._source, self._addresses, is_ejected, self._timers)
+        policy = RETRIES.get(retries.policy)(retries, rng)
+        return ServiceRoute(service, servers, waiter, policy, self._addresses, rng)
+
+    @property
+    def active_count(self) -> int:
+        """Count the requests that are not answered yet."""
+        return self._active_count
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """Return the connections to the servers."""
+        return self._parts.pool
+
+    def waiting_count(self) -> int:
+        """Count the requests that wait for a slot."""
+        return self._parts.slots.waiting_count
+
+    def held_count(self, service_name: ServiceName) -> int:
+        """Count the requests that wait for a unit of a service."""
+        return self._routes[service_name].waiter.held_count
+
+    def begin_stop(self) -> None:
+        """Refuse new requests; those that have arrived are still answered."""
+        self._is_stopping = True
+
+    def close(self) -> None:
+        """Close the idle connections and end the subscription."""
+        self._unsubscribe()
+        for task in self._warming:
+            task.cancel()
+        self._parts.pool.close()
+
+    async def handle(self, caller: ServerExchange) -> None:
+        """Answer one request."""
+        now_ms = self._timers.clock.now_ms()
+        parsed = parse_request(next(self._request_ids), caller.head, self._services, now_ms)
+        if self._is_stopping:
+            await _refuse(caller, RouterStopping("the router is stopping"))
+        elif isinstance(parsed, Err):
+            await _refuse(caller, parsed.err_value)
+        else:
+            await self._run(parsed.ok_value, caller)
+
+    async def _run(self, request: InboundRequest, caller: ServerExchange) -> None:
+        route = self._routes[request.service_name]
+        job = RequestJob(self._parts, route, request, caller, self._attempt_ids)
+        self._active_count += 1
+        try:
+            await self._run_until_gone(job, caller)
+        finally:
+            self._active_count -= 1
+            self._report(job)
+
+    async def _run_until_gone(self, job: RequestJob, caller: ServerExchange) -> None:
+        """Cancel the job when the caller leaves, which cancels the request at the server."""
+        running = asyncio.ensure_future(job.run())
+        leaving = asyncio.ensure_future(caller.caller_gone.wait())
+        try:
+            await asyncio.wait({running, leaving}, return_when=asyncio.FIRST_COMPLETED)
+            if not running.done():
+                running.cancel()
+                await asyncio.gather(running, return_exceptions=True)
+                await job.fail(CallerGone("the caller closed its connection"))
+            else:
+                running.result()
+        finally:
+            running.cancel()
+            leaving.cancel()
+            await asyncio.gather(running, leaving, return_exceptions=True)
+
+    def _report(self, job: RequestJob) -> None:
+        record = job.record()
+        if record.failure is not None:
+            log_event(
+                logger,
+                Event.REQUEST_FAILED,
+                service=record.service_name,
+                server=record.server_id,
+                failure=record.failure,
+                attempts=record.attempts,
+            )
+        if self._observer is not None:
+            self._observer.request_finished(record)
+
+    def _on_map_change(self, service_name: ServiceName) -> None:
+        route = self._routes.get(service_name)
+        if route is None:
+            return
+        route.servers.refresh()
+        self._parts.slots.recheck(service_name)
+        route.waiter.wake_ready()
+        self._warm_up(service_name)
+        self._parts.pool.retain(self._is_known)
+
+    def _is_known(self, server: Hashable) -> bool:
+        return server in self._known
+
+    def _warm_up(self, service_name: ServiceName) -> None:
+        """Open a connection to each server that is new since the last change."""
+        servers = self._routes[service_name].servers
+        known = {(service_name, server_id) for server_id in self._addresses.servers(service_name)}
+        for server in known - self._known:
+            address = self._addresses.address(*server)
+            if address is None:
+                continue
+            task = asyncio.ensure_future(
+                self._parts.pool.warm_up(
+                    server, address, WARM_CONNECTION_COUNT, servers.max_connections()
+                )
+            )
+            self._warming.add(task)
+            task.add_done_callback(self._warming.discard)
+        self._known = {server for server in self._known if server[0] != service_name} | known
+
+
+def _make_admission(services: list[ServiceSettings]) -> dict[ServiceName, AdmissionPolicy]:
+    """Return each service's policy; services with the same policy share one queue."""
+    groups: dict[str, list[ServiceSettings]] = {}
+    for service in services:
+        policy_name = (service.admission or AdmissionSettings()).policy
+        groups.setdefault(policy_name, []).append(service)
+    policies = {}
+    for policy_name, members in groups.items():
+        policy = ADMISSION.get(policy_name)(members)
+        policies.update({ServiceName(service.name): policy for service in members})
+    return policies
+
+
+async def _refuse(caller: ServerExchange, error: RequestError) -> None:
+    try:
+        await caller.respond(*render_error(error))
+    except HttpError:
+        caller.abort()
