schema: add page changes, member news and dissemination settings

Cause: PageDelta.changes needs a defined content, and heartbeats must carry news of members that the receiver does not hear itself, or a full mesh would be needed at every size. Change: PageChanges, MemberNews and optional heartbeat fields; settings for the push strategy, its timeout, the number of heartbeat peers and the size up to which all members exchange heartbeats.

--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -38,6 +38,13 @@
 
 
 
+class MemberStatus(IntEnum):
+    ALIVE = 1
+    SILENT = 2
+    LEFT = 3
+
+
+
 class AuditKind(IntEnum):
     TICKET_ACCEPTED = 1
     ROLE_TAKEN = 2
@@ -2182,6 +2189,119 @@
         return not (self == other)
 
 
+class MemberNews(object):
+    """
+    Attributes:
+     - member
+     - sequence
+     - status
+     - failure_domain
+     - rpc_address
+
+    """
+
+
+    def __init__(self, member=None, sequence=None, status=None, failure_domain=None, rpc_address=None,):
+        self.member = member
+        self.sequence = sequence
+        self.status = status
+        self.failure_domain = failure_domain
+        self.rpc_address = rpc_address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.member = nutmeglead._generated.common.ttypes.Sender()
+                    self.member.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.status = MemberStatus(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.rpc_address = nutmeglead._generated.common.ttypes.Address()
+                    self.rpc_address.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberNews')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRUCT, 1)
+            self.member.write(oprot)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 3)
+            oprot.writeI32(MemberStatus[self.status].value)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.rpc_address is not None:
+            oprot.writeFieldBegin('rpc_address', TType.STRUCT, 5)
+            self.rpc_address.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.member is None:
+            raise TProtocolException(message='Required field member is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        if self.failure_domain is None:
+            raise TProtocolException(message='Required field failure_domain is unset!')
+        if self.rpc_address is None:
+            raise TProtocolException(message='Required field rpc_address is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -2192,11 +2312,14 @@
      - role_epochs
      - map_digests
      - relay_address
+     - news
+     - passive
+     - leaving
 
     """
 
 
-    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None,):
+    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None, news=None, passive=False, leaving=False,):
         self.sender = sender
         self.failure_domain = failure_domain
         self.sequence = sequence
@@ -2204,6 +2327,9 @@
         self.role_epochs = role_epochs
         self.map_digests = map_digests
         self.relay_address = relay_address
+        self.news = news
+        self.passive = passive
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2264,6 +2390,27 @@
                     self.relay_address.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.news = []
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = MemberNews()
+                        _elem133.read(iprot)
+                        self.news.append(_elem133)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.passive = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2293,23 +2440,38 @@
         if self.role_epochs is not None:
             oprot.writeFieldBegin('role_epochs', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.role_epochs))
-            for kiter128, viter129 in self.role_epochs.items():
-                oprot.writeString(kiter128.encode('utf-8') if sys.version_info[0] == 2 else kiter128)
-                oprot.writeI64(viter129)
+            for kiter134, viter135 in self.role_epochs.items():
+                oprot.writeString(kiter134.encode('utf-8') if sys.version_info[0] == 2 else kiter134)
+                oprot.writeI64(viter135)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.map_digests is not None:
             oprot.writeFieldBegin('map_digests', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.map_digests))
-            for kiter130, viter131 in self.map_digests.items():
-                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
-                oprot.writeI64(viter131)
+            for kiter136, viter137 in self.map_digests.items():
+                oprot.writeString(kiter136.encode('utf-8') if sys.version_info[0] == 2 else kiter136)
+                oprot.writeI64(viter137)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.relay_address is not None:
             oprot.writeFieldBegin('relay_address', TType.STRUCT, 7)
             self.relay_address.write(oprot)
             oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.news))
+            for iter138 in self.news:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.passive is not None:
+            oprot.writeFieldBegin('passive', TType.BOOL, 9)
+            oprot.writeBool(self.passive)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 10)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2340,6 +2502,270 @@
         return not (self == other)
 
 
+class PageChanges(object):
+    """
+    Attributes:
+     - role_epoch
+     - ticket_number
+     - unit_count
+     - servers
+     - new_servers
+     - positions
+     - owners
+     - epochs
+     - previous
+     - units
+     - epoch_floor
+     - page_digest
+
+    """
+
+
+    def __init__(self, role_epoch=None, ticket_number=None, unit_count=None, servers=None, new_servers=None, positions=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=None, page_digest=None,):
+        self.role_epoch = role_epoch
+        self.ticket_number = ticket_number
+        self.unit_count = unit_count
+        self.servers = servers
+        self.new_servers = new_servers
+        self.positions = positions
+        self.owners = owners
+        self.epochs = epochs
+        self.previous = previous
+        self.units = units
+        self.epoch_floor = epoch_floor
+        self.page_digest = page_digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.role_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ticket_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.unit_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = iprot.readI32()
+                        self.servers.append(_elem144)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.new_servers = []
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.new_servers.append(_elem150)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.positions = []
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = iprot.readI32()
+                        self.positions.append(_elem156)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.owners = []
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = iprot.readI32()
+                        self.owners.append(_elem162)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.epochs = []
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = iprot.readI64()
+                        self.epochs.append(_elem168)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.MAP:
+                    self.previous = {}
+                    (_ktype170, _vtype171, _size169) = iprot.readMapBegin()
+                    for _i173 in range(_size169):
+                        _key174 = iprot.readI32()
+                        _val175 = []
+                        (_etype179, _size176) = iprot.readListBegin()
+                        for _i180 in range(_size176):
+                            _elem181 = PreviousHolder()
+                            _elem181.read(iprot)
+                            _val175.append(_elem181)
+                        iprot.readListEnd()
+                        self.previous[_key174] = _val175
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.units = []
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem187.read(iprot)
+                        self.units.append(_elem187)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.epoch_floor = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.page_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PageChanges')
+        if self.role_epoch is not None:
+            oprot.writeFieldBegin('role_epoch', TType.I64, 1)
+            oprot.writeI64(self.role_epoch)
+            oprot.writeFieldEnd()
+        if self.ticket_number is not None:
+            oprot.writeFieldBegin('ticket_number', TType.I64, 2)
+            oprot.writeI64(self.ticket_number)
+            oprot.writeFieldEnd()
+        if self.unit_count is not None:
+            oprot.writeFieldBegin('unit_count', TType.I32, 3)
+            oprot.writeI32(self.unit_count)
+            oprot.writeFieldEnd()
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.servers))
+            for iter188 in self.servers:
+                oprot.writeI32(iter188)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.new_servers is not None:
+            oprot.writeFieldBegin('new_servers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.new_servers))
+            for iter189 in self.new_servers:
+                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.positions is not None:
+            oprot.writeFieldBegin('positions', TType.LIST, 6)
+            oprot.writeListBegin(TType.I32, len(self.positions))
+            for iter190 in self.positions:
+                oprot.writeI32(iter190)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.owners is not None:
+            oprot.writeFieldBegin('owners', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.owners))
+            for iter191 in self.owners:
+                oprot.writeI32(iter191)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.epochs is not None:
+            oprot.writeFieldBegin('epochs', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.epochs))
+            for iter192 in self.epochs:
+                oprot.writeI64(iter192)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.previous is not None:
+            oprot.writeFieldBegin('previous', TType.MAP, 9)
+            oprot.writeMapBegin(TType.I32, TType.LIST, len(self.previous))
+            for kiter193, viter194 in self.previous.items():
+                oprot.writeI32(kiter193)
+                oprot.writeListBegin(TType.STRUCT, len(viter194))
+                for iter195 in viter194:
+                    iter195.write(oprot)
+                oprot.writeListEnd()
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.units is not None:
+            oprot.writeFieldBegin('units', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.units))
+            for iter196 in self.units:
+                iter196.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.epoch_floor is not None:
+            oprot.writeFieldBegin('epoch_floor', TType.I64, 11)
+            oprot.writeI64(self.epoch_floor)
+            oprot.writeFieldEnd()
+        if self.page_digest is not None:
+            oprot.writeFieldBegin('page_digest', TType.I64, 12)
+            oprot.writeI64(self.page_digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.role_epoch is None:
+            raise TProtocolException(message='Required field role_epoch is unset!')
+        if self.ticket_number is None:
+            raise TProtocolException(message='Required field ticket_number is unset!')
+        if self.unit_count is None:
+            raise TProtocolException(message='Required field unit_count is unset!')
+        if self.new_servers is None:
+            raise TProtocolException(message='Required field new_servers is unset!')
+        if self.positions is None:
+            raise TProtocolException(message='Required field positions is unset!')
+        if self.owners is None:
+            raise TProtocolException(message='Required field owners is unset!')
+        if self.epochs is None:
+            raise TProtocolException(message='Required field epochs is unset!')
+        if self.previous is None:
+            raise TProtocolException(message='Required field previous is unset!')
+        if self.page_digest is None:
+            raise TProtocolException(message='Required field page_digest is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PageDelta(object):
     """
     Attributes:
@@ -2722,11 +3148,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = PageVersion()
-                        _elem137.read(iprot)
-                        self.versions.append(_elem137)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = PageVersion()
+                        _elem202.read(iprot)
+                        self.versions.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2760,8 +3186,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter138 in self.versions:
-                iter138.write(oprot)
+            for iter203 in self.versions:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2834,11 +3260,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = PageVersion()
-                        _elem144.read(iprot)
-                        self.known.append(_elem144)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = PageVersion()
+                        _elem209.read(iprot)
+                        self.known.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2863,8 +3289,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter145 in self.known:
-                iter145.write(oprot)
+            for iter210 in self.known:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2924,11 +3350,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.pages = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = PlacementPage()
-                        _elem151.read(iprot)
-                        self.pages.append(_elem151)
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = PlacementPage()
+                        _elem216.read(iprot)
+                        self.pages.append(_elem216)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2954,8 +3380,8 @@
         if self.pages is not None:
             oprot.writeFieldBegin('pages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.pages))
-            for iter152 in self.pages:
-                iter152.write(oprot)
+            for iter217 in self.pages:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3113,22 +3539,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = UnitLoad()
-                        _elem158.read(iprot)
-                        self.loads.append(_elem158)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = UnitLoad()
+                        _elem223.read(iprot)
+                        self.loads.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = UnitLoad()
-                        _elem164.read(iprot)
-                        self.hot_keys.append(_elem164)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = UnitLoad()
+                        _elem229.read(iprot)
+                        self.hot_keys.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3161,15 +3587,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter165 in self.loads:
-                iter165.write(oprot)
+            for iter230 in self.loads:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter166 in self.hot_keys:
-                iter166.write(oprot)
+            for iter231 in self.hot_keys:
+                iter231.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3392,11 +3818,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = MissingParty()
-                        _elem172.read(iprot)
-                        self.missing.append(_elem172)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = MissingParty()
+                        _elem237.read(iprot)
+                        self.missing.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3425,8 +3851,8 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.missing))
-            for iter173 in self.missing:
-                iter173.write(oprot)
+            for iter238 in self.missing:
+                iter238.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4191,6 +4617,15 @@
     (5, TType.I64, 'silent_ms', None, None, ),  # 5
     (6, TType.STRING, 'holder_incarnation', 'UTF8', None, ),  # 6
 )
+all_structs.append(MemberNews)
+MemberNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'member', [nutmeglead._generated.common.ttypes.Sender, None], None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.I32, 'status', None, None, ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
+    (5, TType.STRUCT, 'rpc_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 5
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -4201,6 +4636,25 @@
     (5, TType.MAP, 'role_epochs', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
     (6, TType.MAP, 'map_digests', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
     (7, TType.STRUCT, 'relay_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 7
+    (8, TType.LIST, 'news', (TType.STRUCT, [MemberNews, None], False), None, ),  # 8
+    (9, TType.BOOL, 'passive', None, False, ),  # 9
+    (10, TType.BOOL, 'leaving', None, False, ),  # 10
+)
+all_structs.append(PageChanges)
+PageChanges.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'role_epoch', None, None, ),  # 1
+    (2, TType.I64, 'ticket_number', None, None, ),  # 2
+    (3, TType.I32, 'unit_count', None, None, ),  # 3
+    (4, TType.LIST, 'servers', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'new_servers', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'positions', (TType.I32, None, False), None, ),  # 6
+    (7, TType.LIST, 'owners', (TType.I32, None, False), None, ),  # 7
+    (8, TType.LIST, 'epochs', (TType.I64, None, False), None, ),  # 8
+    (9, TType.MAP, 'previous', (TType.I32, None, TType.LIST, (TType.STRUCT, [PreviousHolder, None], False), False), None, ),  # 9
+    (10, TType.LIST, 'units', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 10
+    (11, TType.I64, 'epoch_floor', None, None, ),  # 11
+    (12, TType.I64, 'page_digest', None, None, ),  # 12
 )
 all_structs.append(PageDelta)
 PageDelta.thrift_spec = (
--- a/nutmeglead/_generated/settings/ttypes.py
+++ b/nutmeglead/_generated/settings/ttypes.py
@@ -1283,15 +1283,25 @@
      - silent_after_ms
      - digest_interval_ms
      - fanout
+     - push_strategy
+     - push_timeout_ms
+     - heartbeat_peers
+     - mesh_max_members
+     - gone_after_ms
 
     """
 
 
-    def __init__(self, heartbeat_interval_ms=500, silent_after_ms=1500, digest_interval_ms=1000, fanout=3,):
+    def __init__(self, heartbeat_interval_ms=500, silent_after_ms=1500, digest_interval_ms=1000, fanout=3, push_strategy="domain_tree", push_timeout_ms=250, heartbeat_peers=6, mesh_max_members=16, gone_after_ms=30000,):
         self.heartbeat_interval_ms = heartbeat_interval_ms
         self.silent_after_ms = silent_after_ms
         self.digest_interval_ms = digest_interval_ms
         self.fanout = fanout
+        self.push_strategy = push_strategy
+        self.push_timeout_ms = push_timeout_ms
+        self.heartbeat_peers = heartbeat_peers
+        self.mesh_max_members = mesh_max_members
+        self.gone_after_ms = gone_after_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1322,6 +1332,31 @@
                     self.fanout = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.push_strategy = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.push_timeout_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.heartbeat_peers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.mesh_max_members = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.gone_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1348,6 +1383,26 @@
             oprot.writeFieldBegin('fanout', TType.I32, 4)
             oprot.writeI32(self.fanout)
             oprot.writeFieldEnd()
+        if self.push_strategy is not None:
+            oprot.writeFieldBegin('push_strategy', TType.STRING, 5)
+            oprot.writeString(self.push_strategy.encode('utf-8') if sys.version_info[0] == 2 else self.push_strategy)
+            oprot.writeFieldEnd()
+        if self.push_timeout_ms is not None:
+            oprot.writeFieldBegin('push_timeout_ms', TType.I32, 6)
+            oprot.writeI32(self.push_timeout_ms)
+            oprot.writeFieldEnd()
+        if self.heartbeat_peers is not None:
+            oprot.writeFieldBegin('heartbeat_peers', TType.I32, 7)
+            oprot.writeI32(self.heartbeat_peers)
+            oprot.writeFieldEnd()
+        if self.mesh_max_members is not None:
+            oprot.writeFieldBegin('mesh_max_members', TType.I32, 8)
+            oprot.writeI32(self.mesh_max_members)
+            oprot.writeFieldEnd()
+        if self.gone_after_ms is not None:
+            oprot.writeFieldBegin('gone_after_ms', TType.I32, 9)
+            oprot.writeI32(self.gone_after_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1818,6 +1873,11 @@
     (2, TType.I32, 'silent_after_ms', None, 1500, ),  # 2
     (3, TType.I32, 'digest_interval_ms', None, 1000, ),  # 3
     (4, TType.I32, 'fanout', None, 3, ),  # 4
+    (5, TType.STRING, 'push_strategy', 'UTF8', "domain_tree", ),  # 5
+    (6, TType.I32, 'push_timeout_ms', None, 250, ),  # 6
+    (7, TType.I32, 'heartbeat_peers', None, 6, ),  # 7
+    (8, TType.I32, 'mesh_max_members', None, 16, ),  # 8
+    (9, TType.I32, 'gone_after_ms', None, 30000, ),  # 9
 )
 all_structs.append(AuditSettings)
 AuditSettings.thrift_spec = (
--- a/nutmeglead/settings/ranges.py
+++ b/nutmeglead/settings/ranges.py
@@ -118,6 +118,11 @@
         "silent_after_ms": Range(10, _HOUR_MS, "ms"),
         "digest_interval_ms": Range(10, 60_000, "ms"),
         "fanout": Range(1, 64),
+        "push_timeout_ms": Range(1, 3000, "ms"),
+        # Fewer than 3 watchers would leave a member unwatched when two of them stop together.
+        "heartbeat_peers": Range(3, 64),
+        "mesh_max_members": Range(2, 64),
+        "gone_after_ms": Range(10, _HOUR_MS, "ms"),
     },
     AuditSettings: {
         "buffer_max_records": Range(1, 1_000_000),
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -182,6 +182,22 @@
 
 // ---- between entry VMs ----
 
+enum MemberStatus {
+  ALIVE = 1,
+  SILENT = 2,
+  LEFT = 3,
+}
+
+// What the sender has heard of another member. Higher sequences of the same incarnation override lower ones.
+struct MemberNews {
+  1: required common.Sender member,
+  2: required i64 sequence,
+  3: required MemberStatus status,
+  4: required string failure_domain,
+  5: required common.Address rpc_address,
+}
+
+// `passive` is set by a process that wants deltas but takes no part in membership. `leaving` announces a planned stop.
 struct Heartbeat {
   1: required common.Sender sender,
   2: required string failure_domain,
@@ -190,6 +206,28 @@
   5: required map<string, i64> role_epochs,
   6: required map<string, i64> map_digests,
   7: optional common.Address relay_address,
+  8: optional list<MemberNews> news,
+  9: optional bool passive = false,
+  10: optional bool leaving = false,
+}
+
+// Content of `PageDelta.changes`. The new page has `unit_count` units; those at `positions` get the given owners
+// (indices into the new page's servers), epochs and previous holders. `servers` lists, for each server of the new
+// page, its index in the old page's servers, or -1 - n for the n-th of `new_servers`; if it is absent, the new
+// servers are appended to the old ones. `page_digest` is the xxh64 of the new page's encoding.
+struct PageChanges {
+  1: required i64 role_epoch,
+  2: required i64 ticket_number,
+  3: required i32 unit_count,
+  4: optional list<i32> servers,
+  5: required list<string> new_servers,
+  6: required list<i32> positions,
+  7: required list<i32> owners,
+  8: required list<i64> epochs,
+  9: required map<i32, list<PreviousHolder>> previous,
+  10: optional list<common.UnitId> units,
+  11: optional i64 epoch_floor,
+  12: required i64 page_digest,
 }
 
 struct PageDelta {
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -107,6 +107,11 @@
   2: optional i32 silent_after_ms = 1500,
   3: optional i32 digest_interval_ms = 1000,
   4: optional i32 fanout = 3,
+  5: optional string push_strategy = "domain_tree",
+  6: optional i32 push_timeout_ms = 250,
+  7: optional i32 heartbeat_peers = 6,
+  8: optional i32 mesh_max_members = 16,
+  9: optional i32 gone_after_ms = 30000,
 }
 
 struct AuditSettings {
