controller: run one service as a pure machine in virtual time

Cause: leases, handovers, placement and table transactions have to act together; only a run of all of them shows the time without an owner.

--- a/nutmeglead/controller/decisions.py
+++ b/nutmeglead/controller/decisions.py
@@ -1,7 +1,8 @@
 """Define what the controller's pure machines ask the service to do."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from enum import Enum
 
 from nutmeglead._generated.common.ttypes import Address
 from nutmeglead._generated.messages.ttypes import (
@@ -12,14 +13,16 @@
     SetGrants,
     StopRenewing,
 )
-from nutmeglead.core.ids import NodeId, ServerId
+from nutmeglead.core.ids import NodeId, RowKey, ServerId
 from nutmeglead.platform.ports import RowCheck, RowWrite
 
 __all__ = [
     "Commit",
+    "CommitTag",
     "Decision",
     "EntryNode",
     "ProbeServer",
+    "ReadRows",
     "RecordAudit",
     "SendAssign",
     "SendGrants",
@@ -48,14 +51,27 @@
     message: RenewLease
 
 
+class CommitTag(Enum):
+    """Tell which of the machine's transactions a result belongs to."""
+
+    PAGES = "pages"
+    SERVERS = "servers"
+
+
 @dataclass(frozen=True)
 class Commit:
-    """Write rows in one transaction; `tag` tells the machine which write it was."""
+    """Write rows in one transaction."""
 
-    tag: str
+    tag: CommitTag
     checks: Sequence[RowCheck]
     writes: Sequence[RowWrite]
-    audit: Sequence[AuditRecord] = field(default_factory=tuple)
+
+
+@dataclass(frozen=True)
+class ReadRows:
+    """Read rows again after a transaction that conflicted or whose answer was lost."""
+
+    keys: tuple[RowKey, ...]
 
 
 @dataclass(frozen=True)
@@ -99,4 +115,6 @@
     record: AuditRecord
 
 
-Decision = ProbeServer | Commit | SendAssign | SendStop | SendGrants | SendRelease | RecordAudit
+Decision = (
+    ProbeServer | Commit | ReadRows | SendAssign | SendStop | SendGrants | SendRelease | RecordAudit
+)
--- /dev/null
+++ b/nutmeglead/controller/machine.py
@@ -0,0 +1,381 @@
+"""Run one service as its acting controller; a pure machine of events, time and decisions."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from result import Err
+
+from nutmeglead._generated.common.ttypes import Sender
+from nutmeglead._generated.messages.ttypes import (
+    AssignReply,
+    AuditKind,
+    GrantReply,
+    MissingParty,
+    OrderStatus,
+    ReleaseReply,
+    ReleaseUnits,
+    RenewLease,
+    RenewReply,
+    RenewStatus,
+    ServerRow,
+    StoppedReply,
+    StopRenewing,
+    SuspectServer,
+)
+from nutmeglead._generated.settings.ttypes import OwnershipSettings, ServiceSettings
+from nutmeglead._generated.tickets.ttypes import ServerState
+from nutmeglead.controller.audit_trail import AuditTrail
+from nutmeglead.controller.budget import WriteBudget
+from nutmeglead.controller.decisions import (
+    Commit,
+    CommitTag,
+    Decision,
+    EntryNode,
+    ReadRows,
+    RecordAudit,
+    SendStop,
+)
+from nutmeglead.controller.grants import GrantSender
+from nutmeglead.controller.in_force import InForceTracker
+from nutmeglead.controller.leases import LeaseKeeper
+from nutmeglead.controller.page_writer import PageWriter, TicketProgress
+from nutmeglead.controller.placer import PagePlacer
+from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.ids import NodeId, RoleEpoch, RowKey, ServerId, ServiceName, TicketNumber
+from nutmeglead.dissemination.digests import VersionDigest
+from nutmeglead.ownership.handover import HandoverTable, Suspicion
+from nutmeglead.ownership.handover import SendStop as StopDecision
+from nutmeglead.ownership.pages import role_key, server_key
+from nutmeglead.placement.model import LoadSnapshot
+from nutmeglead.platform.ports import Row, RowCheck, RowWrite
+from nutmeglead.tickets.state import ServiceState
+
+__all__ = ["ControllerMachine", "MachineSettings"]
+
+# Server rows per transaction.
+MAX_SERVER_ROWS = 64
+
+
+@dataclass(frozen=True)
+class MachineSettings:
+    """Hold the settings of one service's machine."""
+
+    service: ServiceSettings
+    ownership: OwnershipSettings
+
+
+class ControllerMachine:
+    """Decide for one service under one role epoch."""
+
+    def __init__(
+        self,
+        settings: MachineSettings,
+        sender: Sender,
+        role_epoch: RoleEpoch,
+        role_version: int,
+        now_ms: int,
+    ) -> None:
+        self.service_name = ServiceName(settings.service.name)
+        self.role_epoch = role_epoch
+        self.placer = PagePlacer(self.service_name, settings.service.hash_buckets)
+        self.handover = HandoverTable(settings.ownership, _after_lapse_ms(settings.service))
+        self.leases = LeaseKeeper(self.service_name, settings.ownership, sender, role_epoch)
+        self.grants = GrantSender(sender, role_epoch, settings.service.hash_buckets)
+        self.in_force = InForceTracker()
+        self._sender = sender
+        self._role_check = RowCheck(role_key(self.service_name), role_version)
+        self._trail = AuditTrail(self.service_name, sender, role_epoch)
+        self.writer = PageWriter(
+            settings.service, self.placer, self._role_check, role_epoch, self._trail
+        )
+        self._budget = WriteBudget(settings.ownership.table_writes_per_s, now_ms)
+        self._servers_in_flight: list[ServerRow] = []
+        self._to_read: set[RowKey] = set()
+        self._outbox: list[Decision] = []
+        self._node_incarnations: dict[NodeId, str] = {}
+
+    # ---- state from the table ----
+
+    def load_pages(self, rows: Iterable[Row]) -> None:
+        """Take over page rows of the table."""
+        for row in rows:
+            before = self.placer.pages.get(row.key)
+            self.placer.load_rows([row])
+            after = self.placer.pages.get(row.key)
+            for page in (before, after):
+                if page is not None:
+                    self.grants.mark(map(ServerId, page.servers))
+        self.handover.set_pending(self.placer.unit_map.pending())
+        self.in_force.map_changed(self.map_digest())
+        self._mark_proven()
+
+    def load_servers(self, rows: Iterable[Row]) -> None:
+        """Take over server rows of the table."""
+        for row in rows:
+            decoded = decode(ServerRow, row.value)
+            if isinstance(decoded, Err):
+                continue
+            self.leases.load_row(decoded.ok_value, row.version)
+            self.handover.set_server(decoded.ok_value)
+
+    def set_desired(self, desired: ServiceState, number: TicketNumber, now_ms: int) -> None:
+        """Take over the state that the tickets up to a number describe."""
+        self.writer.plan_input.desired = desired
+        if number > self.writer.progress.ticket_number:
+            self.writer.progress = TicketProgress(number)
+        self.leases.set_servers(
+            (server.server_id, server.address, server.failure_domain or "")
+            for server in desired.servers.values()
+            if server.address is not None
+        )
+        self.writer.replan(now_ms)
+        for server in desired.servers.values():
+            if server.state == ServerState.LEAVING and server.ticket_number == number:
+                self._audit(AuditKind.SERVER_LEAVING, server.server_id, f"ticket {number}")
+
+    def set_load(self, load: LoadSnapshot) -> None:
+        """Take over measured load."""
+        self.writer.plan_input.load = load
+
+    # ---- replies and reports ----
+
+    def on_probe_reply(
+        self, server_id: ServerId, sent: RenewLease, reply: RenewReply, sent_ms: int, now_ms: int
+    ) -> None:
+        """Take a server's reply to a probe."""
+        self._note_incarnation(server_id, reply.holder_incarnation, sent_ms, now_ms)
+        lease = self.leases.servers.get(server_id)
+        if lease is None or lease.row is None:
+            return
+        if reply.holder_incarnation != lease.row.incarnation:
+            return
+        if reply.status == RenewStatus.LAPSED:
+            self.handover.on_lapsed(server_id, sent.lease_epoch)
+            return
+        was_confirmed = lease.is_confirmed
+        self.leases.confirm(server_id, reply.lease_epoch)
+        if lease.is_confirmed and not was_confirmed:
+            self.writer.replan(now_ms)
+
+    def on_grant_reply(
+        self, server_id: ServerId, lease_epoch: int, reply: GrantReply, sent_ms: int, now_ms: int
+    ) -> None:
+        """Take a server's reply to a grant set that was sent under a lease epoch."""
+        self._note_incarnation(server_id, reply.holder_incarnation, sent_ms, now_ms)
+        self.grants.on_reply(server_id, reply)
+        if reply.status == OrderStatus.LAPSED:
+            self.handover.on_lapsed(server_id, lease_epoch)
+
+    def on_release_reply(
+        self, server_id: ServerId, sent: ReleaseUnits, reply: ReleaseReply, now_ms: int
+    ) -> None:
+        """Take a server's reply to a release."""
+        self.handover.on_release_reply(server_id, sent, reply, now_ms)
+        self._mark_proven()
+
+    def on_assign_reply(self, server_id: ServerId, reply: AssignReply) -> None:
+        """Take a renewer's reply to an assignment."""
+        if reply.accepted:
+            self.leases.accept_assignment(server_id, reply.sender.node_id, reply.lease_epoch)
+
+    def on_stopped(self, reply: StoppedReply, now_ms: int) -> None:
+        """Take a renewer's stop statement."""
+        self.handover.on_stopped(reply, now_ms)
+
+    def on_suspect(self, message: SuspectServer, now_ms: int) -> None:
+        """Take a renewer's report of a silent, lapsed or restarted server."""
+        server_id = ServerId(message.server_id)
+        suspicion = self.handover.on_suspect(message, now_ms)
+        lease = self.leases.servers.get(server_id)
+        if lease is None or lease.is_lost:
+            return
+        if suspicion is Suspicion.SILENT:
+            self._lose(server_id, f"{message.silent_ms} ms without a reply to renewals", now_ms)
+        elif suspicion in (Suspicion.LEASE_ENDED, Suspicion.RESTARTED):
+            self.leases.probe_now(server_id)
+
+    def on_server_gone(self, server_id: ServerId, incarnation: str, now_ms: int) -> None:
+        """Take the platform's word that a server's VM is gone."""
+        lease = self.leases.servers.get(server_id)
+        if lease is None or lease.row is None or lease.row.incarnation != incarnation:
+            return
+        if not lease.is_lost:
+            self._lose(server_id, "the platform reports its VM as gone", now_ms)
+        self.handover.on_server_gone(server_id, lease.row.incarnation, now_ms)
+
+    # ---- results of transactions ----
+
+    def on_committed(self, tag: CommitTag, versions: Mapping[RowKey, int], now_ms: int) -> None:
+        """Take the result of an applied transaction."""
+        if tag is CommitTag.PAGES:
+            self._outbox += [RecordAudit(record) for record in self.writer.audit_moves()]
+            self.load_pages(self.writer.committed(versions, now_ms))
+            return
+        rows, self._servers_in_flight = self._servers_in_flight, []
+        for row in rows:
+            key = server_key(self.service_name, row.server_id)
+            self.load_servers([Row(key, versions[key], encode(row))])
+            evidence = f"lease epoch {row.current.lease_epoch} by {', '.join(row.current.node_ids)}"
+            self._audit(AuditKind.LEASE_BEGUN, row.server_id, evidence)
+
+    def on_commit_failed(self, tag: CommitTag, now_ms: int) -> None:
+        """Read the rows of a transaction again, because it conflicted or its answer was lost."""
+        if tag is CommitTag.PAGES:
+            self._to_read.update(self.writer.failed(now_ms))
+            return
+        rows, self._servers_in_flight = self._servers_in_flight, []
+        self._to_read.update(server_key(self.service_name, row.server_id) for row in rows)
+
+    def on_rows_read(self, keys: Iterable[RowKey], rows: Iterable[Row]) -> None:
+        """Take rows that were read again after a failed transaction."""
+        found = list(rows)
+        prefix = f"page/{self.service_name}/"
+        self.load_pages([row for row in found if row.key.startswith(prefix)])
+        self.load_servers([row for row in found if not row.key.startswith(prefix)])
+        self._to_read.difference_update(keys)
+
+    # ---- time ----
+
+    def tick(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
+        """Return everything that is due."""
+        self._note_restarted_nodes(nodes, now_ms)
+        decisions: list[Decision] = self.leases.decide(now_ms)
+        decisions += self._handover_messages(now_ms)
+        leases = self.leases.servers
+        decisions += self.grants.decide(
+            leases.values(), self.placer.unit_map, self.handover.is_proven, now_ms
+        )
+        decisions += self._transactions(now_ms, nodes)
+        if self.writer.progress.is_planned:
+            self.in_force.ticket_planned(self.writer.progress.ticket_number)
+        decisions += self._outbox
+        self._outbox = []
+        return decisions
+
+    def missing(
+        self, ticket_number: TicketNumber, live_nodes: Iterable[tuple[str, str]]
+    ) -> list[MissingParty]:
+        """List who keeps a ticket from being in force everywhere."""
+        unproven = [
+            MissingParty(server_id, "has not acknowledged its grants")
+            for server_id in self.grants.unacknowledged()
+        ]
+        progress = self.writer.progress
+        unproven += [MissingParty(reason, "move postponed") for reason in progress.postponed]
+        if not progress.is_planned or progress.ticket_number < ticket_number:
+            unproven.append(MissingParty("controller", "the ticket's moves are not all written"))
+        for record in self.placer.unit_map.pending():
+            for holder in record.previous:
+                if not self.handover.is_proven(record.unit, holder):
+                    unproven.append(MissingParty(holder.server_id, "may still hold moved units"))
+        unique = {(party.id, party.reason): party for party in unproven}
+        return self.in_force.missing(ticket_number, live_nodes, unique.values())
+
+    def map_digest(self) -> int:
+        """Return a digest of the page versions."""
+        digest = VersionDigest()
+        for place, version in self.placer.unit_map.versions().items():
+            digest.replace(place, 0, version)
+        return digest.value
+
+    # ---- private ----
+
+    def _handover_messages(self, now_ms: int) -> list[Decision]:
+        messages: list[Decision] = []
+        for decision in self.handover.decide(now_ms):
+            if isinstance(decision, StopDecision):
+                message = StopRenewing(
+                    sender=self._sender,
+                    service_name=self.service_name,
+                    role_epoch=self.role_epoch,
+                    server_id=decision.server_id,
+                    lease_epoch=decision.lease_epoch,
+                )
+                messages.append(SendStop(decision.node_id, message))
+                continue
+            lease = self.leases.servers.get(decision.server_id)
+            if lease is not None and not lease.is_lost:
+                messages.append(
+                    self.grants.release_message(lease, decision.incarnation, decision.units)
+                )
+        self._note_ended()
+        return messages
+
+    def _note_ended(self) -> None:
+        for lease in self.leases.servers.values():
+            proof = self.handover.ended(lease.server_id)
+            if proof is None or lease.has_ended:
+                continue
+            lease.has_ended = True
+            evidence = f"{proof.value}, lease epoch {lease.lease_epoch}"
+            self._audit(AuditKind.LEASE_ENDED, lease.server_id, evidence)
+            self._mark_proven()
+
+    def _mark_proven(self) -> None:
+        """Have units whose handover is complete granted to their owners."""
+        for record in self.placer.unit_map.pending():
+            proven = all(self.handover.is_proven(record.unit, h) for h in record.previous)
+            if proven and record.owner is not None:
+                self.grants.mark([record.owner])
+
+    def _transactions(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
+        if self._to_read:
+            return [ReadRows(tuple(sorted(self._to_read)))]
+        decisions: list[Decision] = []
+        if not self._servers_in_flight:
+            decisions += self._write_servers(now_ms, nodes)
+        commit = self.writer.next_commit(
+            self.leases.servers, self.handover.proven(), self._budget, now_ms
+        )
+        return decisions + ([commit] if commit else [])
+
+    def _write_servers(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
+        due = self.leases.rows_to_write(nodes)
+        due = due[: self._budget.take_up_to(min(len(due), MAX_SERVER_ROWS), now_ms)]
+        if not due:
+            return []
+        self._servers_in_flight = [row for _, row in due]
+        keyed = [(server_key(self.service_name, row.server_id), v, row) for v, row in due]
+        checks = [self._role_check, *(RowCheck(key, version) for key, version, _ in keyed)]
+        writes = [RowWrite(key, encode(row)) for key, _, row in keyed]
+        return [Commit(CommitTag.SERVERS, checks, writes)]
+
+    def _note_incarnation(
+        self, server_id: ServerId, incarnation: str, sent_ms: int, now_ms: int
+    ) -> None:
+        if not self.leases.observe(server_id, incarnation, sent_ms):
+            return
+        row = self.leases.servers[server_id].row
+        if row is not None:
+            self.handover.on_server_gone(server_id, row.incarnation, now_ms)
+            self._note_ended()
+            self.writer.plan_input.present_since_ms[server_id] = now_ms
+
+    def _lose(self, server_id: ServerId, evidence: str, now_ms: int) -> None:
+        self.leases.lose(server_id)
+        self.grants.forget(server_id)
+        self.handover.require_lapse(server_id)
+        self.writer.plan_input.present_since_ms[server_id] = now_ms
+        self.writer.replan(now_ms)
+        self._audit(AuditKind.LEASE_ENDED, server_id, f"lost: {evidence}")
+
+    def _note_restarted_nodes(self, nodes: Mapping[NodeId, EntryNode], now_ms: int) -> None:
+        """Tell the handover table of renewers whose earlier incarnation is gone."""
+        for node_id, node in nodes.items():
+            known = self._node_incarnations.get(node_id)
+            self._node_incarnations[node_id] = node.incarnation
+            if known is not None and known != node.incarnation:
+                self.handover.on_renewer_gone(node_id, now_ms)
+
+    def _audit(self, kind: AuditKind, subject: str, evidence: str) -> None:
+        ticket_number = self.writer.progress.ticket_number
+        self._outbox.append(RecordAudit(self._trail.record(kind, ticket_number, subject, evidence)))
+
+
+def _after_lapse_ms(service: ServiceSettings) -> int:
+    """Return how long a request sent before a lapse may still run.
+
+    A server that checks grants checks its lease when it applies the effect; one that does not may
+    run what it has received until the deadline.
+    """
+    return 0 if service.checks_grants else int(service.request_timeout_ms)
--- a/nutmeglead/controller/role.py
+++ b/nutmeglead/controller/role.py
@@ -78,7 +78,6 @@
             node_id=self._node_id,
             incarnation=self._incarnation,
             epoch=(row.epoch if row else 0) + 1,
-            planned_ticket_number=row.planned_ticket_number if row else 0,
         )
 
     def _is_silent(self, row: RoleRow, alive: list[EntryNode], now_ms: int) -> bool:
--- a/nutmeglead/ownership/handover.py
+++ b/nutmeglead/ownership/handover.py
@@ -200,6 +200,12 @@
             if any(node_id in renewers.node_ids for renewers in renewer_sets(server.row)):
                 self._note_stop(server, node_id, server.row.current.lease_epoch, expired_ms)
 
+    def on_lapsed(self, server_id: ServerId, lease_epoch: int) -> None:
+        """Take a server's own statement that its lease of an epoch has lapsed."""
+        server = self._servers.get(server_id)
+        if server is not None and lease_epoch >= server.row.current.lease_epoch:
+            server.ended = server.ended or Proof.LAPSED
+
     def on_server_gone(self, server_id: ServerId, incarnation: Incarnation, now_ms: int) -> None:
         """Take the platform's word that the VM of an incarnation is gone."""
         server = self._servers.get(server_id)
