settings: refuse text that has no UTF-8 form

Cause: JSON can escape half of a surrogate pair; encoding such a ticket raises. Change: such a string is a fault of its field, quoted with its escape. Measured: settings/tests, 49 scenarios pass.

--- a/nutmeglead/settings/errors.py
+++ b/nutmeglead/settings/errors.py
@@ -54,6 +54,8 @@
     if isinstance(value, list):
         return f"a list of {len(value)}"
     text = json.dumps(value, ensure_ascii=False, default=str)
+    # Half of a surrogate pair cannot be printed; it is shown as its escape.
+    text = text.encode(errors="backslashreplace").decode()
     if len(text) <= _MAX_QUOTED_CHARACTERS:
         return text
     return text[:_MAX_QUOTED_CHARACTERS] + "..."
--- a/nutmeglead/settings/structs.py
+++ b/nutmeglead/settings/structs.py
@@ -128,7 +128,7 @@
 
 def _is_scalar_of(field_type: int, value: object) -> bool:
     if field_type == TType.STRING:
-        return isinstance(value, str)
+        return isinstance(value, str) and _is_encodable(value)
     if field_type == TType.BOOL:
         return isinstance(value, bool)
     # bool is a subclass of int in Python, so `true` would pass as 1.
@@ -141,6 +141,15 @@
     return isinstance(value, int) and -(1 << bits - 1) <= value < 1 << bits - 1
 
 
+def _is_encodable(text: str) -> bool:
+    """Tell whether a text has a UTF-8 form; JSON can escape half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _expected(field_type: int) -> str:
     if field_type in _INTEGER_BITS:
         return f"a whole number of {_INTEGER_BITS[field_type]} bits"
--- a/nutmeglead/settings/tests/settings.feature
+++ b/nutmeglead/settings/tests/settings.feature
@@ -18,6 +18,7 @@
       | node.router_port is set to 4294967296           | node.router_port: expected a whole number of 32 bits, got 4294967296               | a number wraps when it is encoded                           |
       | node.router_port is set to null                 | node.router_port: expected a whole number of 32 bits, got null                     | null replaces a default                                     |
       | services[0].placement.max_imbalance is set to NaN | services[0].placement.max_imbalance: expected a number, got NaN                  | NaN passes every range check that compares with `<`         |
+      | user is set to "\ud800"                          | user: expected a string, got "\ud800"                                              | half of a surrogate pair raises when the ticket is encoded  |
       | failure_domains[0].name is set to null          | failure_domains[0].name: expected a string, got null                               | a domain without a name                                     |
 
     Examples: meaning
