tickets: check, file, merge and fold change tickets

Cause: tickets need one number each, typed conflicts and one desired state under lost answers, outages and operators who file at the same moment.

--- /dev/null
+++ b/nutmeglead/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Check, file, merge and fold change tickets."""
--- /dev/null
+++ b/nutmeglead/tickets/errors.py
@@ -0,0 +1,156 @@
+"""Define the errors of tickets."""
+
+from dataclasses import dataclass
+
+from nutmeglead.core.errors import NutmegleadError
+from nutmeglead.core.ids import RowKey
+from nutmeglead.settings.errors import Fault
+
+__all__ = [
+    "BaseAhead",
+    "BaseTooOld",
+    "Collision",
+    "CorruptRow",
+    "FilingIdReused",
+    "FilingUnknown",
+    "HeadContention",
+    "TicketAbsent",
+    "TicketConflict",
+    "TicketError",
+    "TicketFaults",
+]
+
+
+class TicketError(NutmegleadError):
+    """Be the root of the errors of tickets."""
+
+
+@dataclass
+class TicketFaults(TicketError):
+    """Report all faults of a ticket; it was not filed."""
+
+    source: str
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        lines = "\n".join(f"  {fault}" for fault in self.faults)
+        return f"{self.source}: not filed, {len(self.faults)} faults\n{lines}"
+
+
+@dataclass(frozen=True)
+class Collision:
+    """Name an item of this ticket and the item of a later ticket that it collides with."""
+
+    path: str
+    item: str
+    other_number: int
+    other_item: str
+
+    def __str__(self) -> str:
+        other = f"ticket {self.other_number} ({self.other_item})"
+        return f"{self.path} ({self.item}) collides with {other}"
+
+
+@dataclass
+class TicketConflict(TicketError):
+    """Report that tickets filed after the base touch the same items; the ticket was not filed."""
+
+    base_number: int
+    head_number: int
+    collisions: tuple[Collision, ...]
+
+    def __str__(self) -> str:
+        lines = "\n".join(f"  {collision}" for collision in self.collisions)
+        return (
+            f"not filed: expected no change of its items after base {self.base_number},"
+            f" got {len(self.collisions)} collisions up to head {self.head_number}\n{lines}"
+        )
+
+
+@dataclass
+class FilingIdReused(TicketError):
+    """Report a filing id under which a ticket with other content is filed; nothing was filed."""
+
+    filing_id: str
+    number: int
+
+    def __str__(self) -> str:
+        return (
+            f"not filed: expected a new filing id or the content of ticket {self.number},"
+            f" got other content under the filing id {self.filing_id!r}"
+        )
+
+
+@dataclass
+class FilingUnknown(TicketError):
+    """Report that a ticket may or may not be filed; filing it again with its id settles that."""
+
+    filing_id: str
+    reason: str
+
+    def __str__(self) -> str:
+        return (
+            f"the ticket with filing id {self.filing_id!r} may or may not be filed;"
+            f" file it again with the same filing id: {self.reason}"
+        )
+
+
+@dataclass
+class HeadContention(TicketError):
+    """Report that other tickets were filed during each attempt; the ticket was not filed."""
+
+    attempts: int
+    head_number: int
+
+    def __str__(self) -> str:
+        return (
+            f"not filed: other tickets were accepted during each of {self.attempts} attempts,"
+            f" the last seen head is {self.head_number}"
+        )
+
+
+@dataclass
+class BaseAhead(TicketError):
+    """Report a base number that no ticket has yet; the ticket was not filed."""
+
+    base_number: int
+    head_number: int
+
+    def __str__(self) -> str:
+        return f"not filed: expected a base of at most {self.head_number}, got {self.base_number}"
+
+
+@dataclass
+class BaseTooOld(TicketError):
+    """Report a base so old that too many tickets would be compared; the ticket was not filed."""
+
+    base_number: int
+    head_number: int
+    max_tickets: int
+
+    def __str__(self) -> str:
+        return (
+            f"not filed: expected a base of at most {self.max_tickets} tickets before the head"
+            f" {self.head_number}, got {self.base_number}"
+        )
+
+
+@dataclass
+class TicketAbsent(TicketError):
+    """Report a number below the head, or asked for, that has no ticket row."""
+
+    number: int
+
+    def __str__(self) -> str:
+        return f"expected a ticket with the number {self.number}, got no such row"
+
+
+@dataclass
+class CorruptRow(TicketError):
+    """Report a ticket row that does not decode; filing stops until it is repaired."""
+
+    key: RowKey
+    reason: str
+
+    def __str__(self) -> str:
+        return f"row {self.key}: {self.reason}"
--- /dev/null
+++ b/nutmeglead/tickets/rows.py
@@ -0,0 +1,171 @@
+"""Name, encode and read the ticket rows of the table service."""
+
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState, Ticket
+from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.ids import RowKey, TicketNumber
+from nutmeglead.platform.errors import TableUnavailable
+from nutmeglead.platform.ports import Row, RowWrite, TableStore
+from nutmeglead.tickets.errors import CorruptRow, TicketAbsent
+from nutmeglead.tickets.items import ItemId, ServerItemId, touched_items
+from nutmeglead.tickets.state import DesiredState, fold
+
+__all__ = [
+    "HEAD_ROW",
+    "ITEM_PREFIX",
+    "ReadError",
+    "filing_row",
+    "item_row",
+    "number_row",
+    "read_desired",
+    "read_header",
+    "read_server_state",
+    "read_since",
+    "read_ticket",
+    "ticket_writes",
+]
+
+HEAD_ROW = RowKey("ticket/head")
+ITEM_PREFIX = "ticket/item/"
+
+# Zero-padded numbers keep the table's key order equal to the order of filing. Ten digits last for
+# 1,140 years at 24,000 tickets a day.
+_NUMBER_DIGITS = 10
+
+ReadError = TableUnavailable | CorruptRow
+
+
+def number_row(number: int) -> RowKey:
+    """Return the key of the row that holds a whole ticket."""
+    return RowKey(f"ticket/number/{number:0{_NUMBER_DIGITS}}")
+
+
+def filing_row(filing_id: str) -> RowKey:
+    """Return the key of the row that holds the header of the ticket filed under an id."""
+    return RowKey(f"ticket/filing/{quote(filing_id, safe='')}")
+
+
+def item_row(item_id: ItemId) -> RowKey:
+    """Return the key of the row that holds the last ticket's part about an item."""
+    return RowKey(f"{ITEM_PREFIX}{item_id}")
+
+
+def ticket_writes(ticket: Ticket) -> list[RowWrite]:
+    """Return all rows of a numbered ticket: number, head, filing id and one per item.
+
+    The head and filing rows hold the ticket without its items. An item row holds the ticket with
+    only that item, so the item rows alone give the desired state.
+    """
+    header = encode(_part(ticket, [], []))
+    writes = [
+        RowWrite(number_row(ticket.number), encode(ticket)),
+        RowWrite(HEAD_ROW, header),
+        RowWrite(filing_row(ticket.filing_id), header),
+    ]
+    for touched in touched_items(ticket):
+        is_server = isinstance(touched.item, ServerItem)
+        servers, claims = ([touched.item], []) if is_server else ([], [touched.item])
+        part = _part(ticket, servers, claims)
+        writes.append(RowWrite(item_row(touched.item_id), encode(part)))
+    return writes
+
+
+def _part(ticket: Ticket, servers: list[Any], claims: list[Any]) -> Ticket:
+    return Ticket(
+        filing_id=ticket.filing_id,
+        base_number=ticket.base_number,
+        filed_by=ticket.filed_by,
+        servers=servers,
+        claims=claims,
+        number=ticket.number,
+    )
+
+
+async def read_header(
+    store: TableStore, key: RowKey
+) -> Result[tuple[Ticket | None, int], ReadError]:
+    """Return the numbered ticket of a row and the row's version; None and 0 if it is absent."""
+    row = await store.read(key)
+    if isinstance(row, Err):
+        return row
+    if row.ok_value is None:
+        return Ok((None, 0))
+    ticket = _decode_row(row.ok_value)
+    if isinstance(ticket, Err):
+        return ticket
+    return Ok((ticket.ok_value, row.ok_value.version))
+
+
+async def read_ticket(store: TableStore, number: int) -> Result[Ticket, ReadError | TicketAbsent]:
+    """Return the whole ticket with a number."""
+    read = await read_header(store, number_row(number))
+    if isinstance(read, Err):
+        return read
+    ticket, _ = read.ok_value
+    return Err(TicketAbsent(number)) if ticket is None else Ok(ticket)
+
+
+async def read_since(
+    store: TableStore, base_number: int, head_number: int
+) -> Result[list[Ticket], ReadError | TicketAbsent]:
+    """Return the tickets after the base up to the head, in order."""
+    tickets: list[Ticket] = []
+    for number in range(base_number + 1, head_number + 1):
+        read = await read_ticket(store, number)
+        if isinstance(read, Err):
+            return read
+        tickets.append(read.ok_value)
+    return Ok(tickets)
+
+
+async def read_server_state(
+    store: TableStore, item_id: ServerItemId
+) -> Result[ServerState | None, ReadError]:
+    """Return the state that the last ticket gave a server, or None if no ticket touched it."""
+    key = item_row(item_id)
+    read = await read_header(store, key)
+    if isinstance(read, Err):
+        return read
+    part, _ = read.ok_value
+    if part is None:
+        return Ok(None)
+    if not part.servers:
+        return Err(CorruptRow(key, "expected one server, got none"))
+    return Ok(ServerState(part.servers[0].state))
+
+
+async def read_desired(store: TableStore) -> Result[DesiredState, ReadError]:
+    """Return the desired state at the head from one snapshot of the item rows.
+
+    Every ticket touches at least one item, so the highest number among the item rows is the head's.
+    """
+    rows = await store.scan(ITEM_PREFIX)
+    if isinstance(rows, Err):
+        return rows
+    parts = _decode_rows(rows.ok_value)
+    return parts if isinstance(parts, Err) else Ok(fold(parts.ok_value))
+
+
+def _decode_rows(rows: Sequence[Row]) -> Result[list[Ticket], CorruptRow]:
+    tickets: list[Ticket] = []
+    for row in rows:
+        ticket = _decode_row(row)
+        if isinstance(ticket, Err):
+            return ticket
+        tickets.append(ticket.ok_value)
+    return Ok(tickets)
+
+
+def _decode_row(row: Row) -> Result[Ticket, CorruptRow]:
+    decoded = decode(Ticket, row.value)
+    if isinstance(decoded, Err):
+        return Err(CorruptRow(row.key, str(decoded.err_value)))
+    ticket = decoded.ok_value
+    if ticket.number is None or TicketNumber(ticket.number) < 1:
+        return Err(CorruptRow(row.key, f"expected a ticket number from 1, got {ticket.number}"))
+    return Ok(ticket)
--- /dev/null
+++ b/nutmeglead/tickets/tests/checks.feature
@@ -0,0 +1,55 @@
+Feature: A ticket with faults is refused with the path of each
+
+  Scenario Outline: A wrong ticket is refused with its path
+    Given the first ticket of brunner
+    When the ticket's <change>
+    Then the ticket is refused with only the fault "<fault>"
+
+    Examples: each row names the failure it guards against
+      | change                                     | fault                                                                                     | failure                                              |
+      | number is set to 7                         | number: expected no number before the ticket is filed, got 7                              | an operator picks the number                         |
+      | filing_id is set to "a/b"                  | filing_id: expected an id of the form *, got "a/b"                                        | a slash splits the row key                           |
+      | filing_id is set to ""                     | filing_id: expected an id of the form *, got ""                                           | all tickets share the empty id                       |
+      | base_number is set to -1                   | base_number: expected the number of a ticket, or 0, got -1                                | ticket 0 is read                                     |
+      | filed_by is set to ""                      | filed_by: expected the operator's name, got ""                                            | the audit trail names nobody                         |
+      | servers[0].state is set to "gone"          | servers[0].state: expected one of "present", "leaving", "removed", got "gone"             | an unknown state is stored                           |
+      | servers[0].service_name is set to "catalogo" | servers[0].service_name: expected one of lagerblick, schnittauftrag, konturablage, got "catalogo" | a server of another user is added            |
+      | servers[0].server_id is set to "lb/01"     | servers[0].server_id: expected a name of the form *, got "lb/01"                          | a slash splits the row key                           |
+      | servers[0].weight is set to 0              | servers[0].weight: expected a number above 0 and up to 100, got 0.0                       | a weight of 0 divides by zero                        |
+      | servers[0].failure_domain is set to "keller" | servers[0].failure_domain: expected one of halle-a, halle-b, buero, got "keller"        | renewers cannot be spread                            |
+      | servers[0].address is removed              | servers[0].address: expected an object, got no such field                                 | a server that no router can reach gets keys          |
+      | servers[0].address.ip is set to "halle"    | servers[0].address.ip: expected an IP address, got "halle"                                | a name is stored where an address is needed          |
+      | servers[0].address.port is set to 0        | servers[0].address.port: expected a whole number from 1 to 65 535, got 0                  | a port that nothing can listen on                    |
+      | servers[1].address is set to {"ip": "10.20.1.100", "port": 9000} | servers[1].address: expected an address other than that of servers[0], got 10.20.1.100:9000 | one process gets two leases |
+      | servers[1].server_id is set to "lb-01"     | servers[1]: expected an item that does not overlap servers[0], got lagerblick/server/lb-01 | the order of items decides                          |
+      | claims is set to [{"service_name": "lagerblick", "key": "k"}, {"service_name": "lagerblick", "key": "k", "server_id": "lb-01"}] | claims[1]: expected an item that does not overlap claims[0], got lagerblick/key/k | the order of items decides |
+      | claims is set to [{"service_name": "lagerblick", "first_bucket": 0, "last_bucket": 5}, {"service_name": "lagerblick", "first_bucket": 5, "last_bucket": 6}] | claims[1]: expected an item that does not overlap claims[0], got lagerblick/buckets/5-6 | a bucket gets two owners |
+      | claims is set to [{"service_name": "lagerblick", "first_bucket": 5, "last_bucket": 4}] | claims[0].last_bucket: expected a bucket from first_bucket (5) to 2047, got 4 | an inverted range claims nothing |
+      | claims is set to [{"service_name": "lagerblick", "first_bucket": 0, "last_bucket": 2048}] | claims[0].last_bucket: expected a bucket from first_bucket (0) to 2047, got 2048 | a bucket that does not exist is claimed |
+      | claims is set to [{"service_name": "lagerblick", "first_bucket": -1, "last_bucket": 3}] | claims[0].first_bucket: expected a bucket from 0 to 2047, got -1 | a bucket that does not exist is claimed |
+      | claims is set to [{"service_name": "lagerblick", "first_bucket": 3}] | claims[0]: expected exactly one of key, prefix, and first_bucket with last_bucket, got first_bucket | half a range is stored |
+      | claims is set to [{"service_name": "lagerblick", "key": "k", "prefix": "k"}] | claims[0]: expected exactly one of key, prefix, and first_bucket with last_bucket, got key and prefix | one of two forms is ignored |
+      | claims is set to [{"service_name": "lagerblick"}] | claims[0]: expected exactly one of key, prefix, and first_bucket with last_bucket, got none of them | an empty claim is stored |
+      | claims is set to [{"service_name": "lagerblick", "prefix": ""}] | claims[0].prefix: expected from 1 to 512 bytes, got 0 bytes | every key is claimed by an empty prefix |
+      | claims is set to [{"service_name": "catalogo", "key": "k"}] | claims[0].service_name: expected one of lagerblick, schnittauftrag, konturablage, got "catalogo" | a claim of another user is stored |
+
+  Scenario: A key and a prefix that covers it are no fault
+    Given the first ticket of brunner
+    When the ticket's claims is set to [{"service_name": "lagerblick", "key": "a/b"}, {"service_name": "lagerblick", "prefix": "a/"}]
+    Then the ticket is accepted
+
+  Scenario: A removed server needs no address
+    Given the first ticket of brunner
+    When the ticket's servers is set to [{"service_name": "lagerblick", "server_id": "lb-01", "state": "removed"}]
+    And the ticket's claims is removed
+    Then the ticket is accepted
+
+  Scenario Outline: A ticket has from 1 to 256 items
+    Given a ticket with <count> claims
+    Then the ticket is <verdict>
+
+    Examples: each row names the failure it guards against
+      | count | verdict                                                                          | failure                                              |
+      | 0     | refused with only the fault "(top level): expected from 1 to 256 servers and claims, got 0" | a ticket without items hides the head from the item rows |
+      | 256   | accepted                                                                         | a permitted ticket is refused                        |
+      | 257   | refused with only the fault "(top level): expected from 1 to 256 servers and claims, got 257" | one ticket takes the table service's writes |
--- /dev/null
+++ b/nutmeglead/tickets/tests/steps/merge_steps.py
@@ -0,0 +1,95 @@
+"""Steps for conflicts between tickets."""
+
+from behave import given, then, when
+from hypothesis import given as generate
+from hypothesis import settings as hypothesis_settings
+
+from nutmeglead.tickets.merge import CONFLICT_RULES, per_item
+from nutmeglead.tickets.state import fold
+from nutmeglead.tickets.tests.generated import ticket_items
+from nutmeglead.tickets.tests.samples import parse_items, ticket
+
+
+class MergeScenario:
+    def __init__(self, mine):
+        self.mine = ticket("mine", 4, **parse_items(mine))
+        self.later = []
+
+    def conflict(self, rule):
+        return CONFLICT_RULES.get(rule)(self.mine, self.later)
+
+
+@given("a ticket with {mine}")
+def step_mine(context, mine):
+    context.merge = MergeScenario(mine)
+
+
+@when("the tickets after its base are one with {theirs}")
+def step_theirs(context, theirs):
+    context.merge.later = [ticket("theirs", 4, number=5, **parse_items(theirs))]
+
+
+@when("there are no tickets after its base")
+def step_none(context):
+    context.merge.later = []
+
+
+@then("per_item finds {count:d} collisions")
+def step_collisions(context, count):
+    conflict = context.merge.conflict("per_item")
+    assert (len(conflict.collisions) if conflict else 0) == count, conflict
+
+
+@then("head_only finds a conflict")
+def step_head_only(context):
+    conflict = context.merge.conflict("head_only")
+    assert conflict is not None and conflict.head_number == 5
+
+
+@then("per_item finds the same number with the two tickets exchanged")
+def step_symmetric(context):
+    mine, theirs = context.merge.mine, context.merge.later[0]
+    there = per_item(mine, [theirs])
+    mine.number, theirs.number = 5, None
+    back = per_item(theirs, [mine])
+    counts = [len(conflict.collisions) if conflict else 0 for conflict in (there, back)]
+    assert counts[0] == counts[1], counts
+
+
+@then('the collision reads "{text}"')
+def step_text(context, text):
+    assert [str(c) for c in context.merge.conflict("per_item").collisions] == [text]
+
+
+@then("no rule finds a conflict")
+def step_no_conflict(context):
+    assert CONFLICT_RULES.names() == ("head_only", "per_item")
+    assert all(context.merge.conflict(name) is None for name in CONFLICT_RULES.names())
+
+
+@then("in {count:d} generated pairs of tickets, those without a conflict commute")
+def step_commute(context, count):
+    disjoint = []
+
+    @hypothesis_settings(max_examples=count, derandomize=True, database=None, deadline=None)
+    @generate(ticket_items, ticket_items, ticket_items)
+    def check(before, one, two):
+        first = fold([ticket("before", number=1, **before)])
+        mine = ticket("one", 1, **one)
+        theirs = ticket("two", 1, number=2, **two)
+        if per_item(mine, [theirs]) is None:
+            disjoint.append(1)
+            assert effects(first, mine, theirs) == effects(first, theirs, mine)
+
+    check()
+    assert len(disjoint) > count // 10, "too few pairs without a conflict were generated"
+
+
+def effects(state, one, two):
+    """Return who owns what, without the numbers, which depend on the order."""
+    one.number, two.number = 2, 3
+    service = fold([one, two], state).service("lagerblick")
+    keys = ["a", "a/", "a/b", "a/b/c", "b"]
+    owners = [service.claim_of(key, bucket) for key in keys for bucket in range(16)]
+    servers = [(s.server_id, s.state) for s in service.servers.values()]
+    return servers, [claim and claim.server_id for claim in owners]
--- /dev/null
+++ b/nutmeglead/tickets/tests/steps/state_steps.py
@@ -0,0 +1,109 @@
+"""Steps for folding tickets."""
+
+import random
+
+from behave import given, then
+from hypothesis import given as generate
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from nutmeglead._generated.tickets.ttypes import ServerState
+from nutmeglead.platform.memory import MemoryTable
+from nutmeglead.tickets.items import BucketItem, claim_id
+from nutmeglead.tickets.rows import read_desired, ticket_writes
+from nutmeglead.tickets.state import fold
+from nutmeglead.tickets.tests.generated import BUCKETS, ticket_items
+from nutmeglead.tickets.tests.samples import parse_items, run, ticket
+
+
+def number_tickets(items):
+    return [ticket(f"t-{n}", n - 1, number=n, **part) for n, part in enumerate(items, 1)]
+
+
+class StateScenario:
+    def __init__(self, *items):
+        self.state = fold(number_tickets([parse_items(text) for text in items]))
+        self.service = self.state.service("lagerblick")
+
+
+@given("tickets 1 to 3 with {one}, {two} and {three}")
+def step_tickets(context, one, two, three):
+    context.state = StateScenario(one, two, three)
+
+
+@then("key {key} in bucket {bucket:d} belongs to {owner}")
+def step_owner(context, key, bucket, owner):
+    service = context.state.service
+    for variant in (service, service.effective()):
+        claim = variant.claim_of(key, bucket)
+        assert (claim.server_id if claim else "none") == owner, claim
+
+
+@then("server {one} is {state} since ticket {n:d} and server {two} is {other} since ticket {m:d}")
+def step_servers(context, one, state, n, two, other, m):
+    for server_id, name, number in ((one, state, n), (two, other, m)):
+        server = context.state.service.servers[server_id]
+        assert (server.state, server.ticket_number) == (ServerState[name.upper()], number)
+        assert server.address.port == 9000 and server.weight == 1.0
+
+
+@then("the state has the number {number:d}")
+def step_number(context, number):
+    assert context.state.state.number == number
+
+
+@then("service {name} is empty")
+def step_empty(context, name):
+    service = context.state.state.service(name)
+    assert not service.servers and not service.buckets
+
+
+def check_histories(count, check):
+    @hypothesis_settings(max_examples=count, derandomize=True, database=None, deadline=None)
+    @generate(st.lists(ticket_items, min_size=1, max_size=12))
+    def run_check(items):
+        check(number_tickets(items))
+
+    run_check()
+
+
+@then(
+    "in {count:d} generated histories the state is the same folded at once, in steps, shuffled"
+    " and from the item rows"
+)
+def step_same(context, count):
+    def check(tickets):
+        expected = fold(tickets)
+        state = fold([])
+        for one in tickets:
+            state = fold([one], state)
+        assert state == expected
+        shuffled = list(tickets)
+        random.Random(7).shuffle(shuffled)
+        assert fold(shuffled) == expected
+        table = MemoryTable()
+        for one in tickets:
+            run(table.commit([], ticket_writes(one)))
+        assert run(read_desired(table)).unwrap() == expected
+
+    check_histories(count, check)
+
+
+@then("in {count:d} generated histories each bucket has the owner of the last ticket that names it")
+def step_model(context, count):
+    def check(tickets):
+        model = [None] * BUCKETS
+        for one in tickets:
+            for claim in one.claims:
+                item = claim_id(claim)
+                if isinstance(item, BucketItem):
+                    for bucket in range(item.first, item.last + 1):
+                        model[bucket] = claim.server_id and (claim.server_id, one.number)
+        found = [None] * BUCKETS
+        for entry in fold(tickets).service("lagerblick").buckets:
+            for bucket in range(entry.first, entry.last + 1):
+                assert found[bucket] is None, "two claims on one bucket"
+                found[bucket] = (entry.claim.server_id, entry.claim.ticket_number)
+        assert found == model
+
+    check_histories(count, check)
