--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -38,6 +38,13 @@
 
 
 
+class MemberStatus(IntEnum):
+    ALIVE = 1
+    SILENT = 2
+    LEFT = 3
+
+
+
 class AuditKind(IntEnum):
     TICKET_ACCEPTED = 1
     ROLE_TAKEN = 2
@@ -154,11 +161,12 @@
      - epochs
      - previous
      - units
+     - epoch_floor
 
     """
 
 
-    def __init__(self, service_name=None, pins=None, page_number=None, version=None, role_epoch=None, ticket_number=None, servers=None, owners=None, epochs=None, previous=None, units=None,):
+    def __init__(self, service_name=None, pins=None, page_number=None, version=None, role_epoch=None, ticket_number=None, servers=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=0,):
         self.service_name = service_name
         self.pins = pins
         self.page_number = page_number
@@ -170,6 +178,7 @@
         self.epochs = epochs
         self.previous = previous
         self.units = units
+        self.epoch_floor = epoch_floor
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -268,6 +277,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.epoch_floor = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -341,6 +355,10 @@
                 iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.epoch_floor is not None:
+            oprot.writeFieldBegin('epoch_floor', TType.I64, 12)
+            oprot.writeI64(self.epoch_floor)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -493,13 +511,17 @@
     Attributes:
      - lease_epoch
      - node_ids
+     - incarnations
+     - role_epoch
 
     """
 
 
-    def __init__(self, lease_epoch=None, node_ids=None,):
+    def __init__(self, lease_epoch=None, node_ids=None, incarnations=None, role_epoch=0,):
         self.lease_epoch = lease_epoch
         self.node_ids = node_ids
+        self.incarnations = incarnations
+        self.role_epoch = role_epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -525,6 +547,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.incarnations = []
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.incarnations.append(_elem55)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.role_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -542,10 +579,21 @@
         if self.node_ids is not None:
             oprot.writeFieldBegin('node_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.node_ids))
-            for iter50 in self.node_ids:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter56 in self.node_ids:
+                oprot.writeString(iter56.encode('utf-8') if sys.version_info[0] == 2 else iter56)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.incarnations is not None:
+            oprot.writeFieldBegin('incarnations', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.incarnations))
+            for iter57 in self.incarnations:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.role_epoch is not None:
+            oprot.writeFieldBegin('role_epoch', TType.I64, 4)
+            oprot.writeI64(self.role_epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -622,11 +670,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.former = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = RenewerSet()
-                        _elem56.read(iprot)
-                        self.former.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = RenewerSet()
+                        _elem63.read(iprot)
+                        self.former.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -664,8 +712,8 @@
         if self.former is not None:
             oprot.writeFieldBegin('former', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.former))
-            for iter57 in self.former:
-                iter57.write(oprot)
+            for iter64 in self.former:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gate_node_id is not None:
@@ -708,16 +756,18 @@
      - lease_epoch
      - renewer_node_ids
      - lease_end_ms
+     - role_epoch
 
     """
 
 
-    def __init__(self, sender=None, holder_incarnation=None, lease_epoch=None, renewer_node_ids=None, lease_end_ms=None,):
+    def __init__(self, sender=None, holder_incarnation=None, lease_epoch=None, renewer_node_ids=None, lease_end_ms=None, role_epoch=0,):
         self.sender = sender
         self.holder_incarnation = holder_incarnation
         self.lease_epoch = lease_epoch
         self.renewer_node_ids = renewer_node_ids
         self.lease_end_ms = lease_end_ms
+        self.role_epoch = role_epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -747,10 +797,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.renewer_node_ids = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.renewer_node_ids.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewer_node_ids.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -759,6 +809,11 @@
                     self.lease_end_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.role_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -784,14 +839,18 @@
         if self.renewer_node_ids is not None:
             oprot.writeFieldBegin('renewer_node_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.renewer_node_ids))
-            for iter64 in self.renewer_node_ids:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter71 in self.renewer_node_ids:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_end_ms is not None:
             oprot.writeFieldBegin('lease_end_ms', TType.I64, 5)
             oprot.writeI64(self.lease_end_ms)
             oprot.writeFieldEnd()
+        if self.role_epoch is not None:
+            oprot.writeFieldBegin('role_epoch', TType.I64, 6)
+            oprot.writeI64(self.role_epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1069,10 +1128,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.renewer_node_ids = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.renewer_node_ids.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewer_node_ids.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1084,22 +1143,22 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = Grant()
-                        _elem76.read(iprot)
-                        self.grants.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = Grant()
+                        _elem83.read(iprot)
+                        self.grants.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.carve_outs = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem82.read(iprot)
-                        self.carve_outs.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem89.read(iprot)
+                        self.carve_outs.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1136,8 +1195,8 @@
         if self.renewer_node_ids is not None:
             oprot.writeFieldBegin('renewer_node_ids', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.renewer_node_ids))
-            for iter83 in self.renewer_node_ids:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter90 in self.renewer_node_ids:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hash_buckets is not None:
@@ -1147,15 +1206,15 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter84 in self.grants:
-                iter84.write(oprot)
+            for iter91 in self.grants:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.carve_outs is not None:
             oprot.writeFieldBegin('carve_outs', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.carve_outs))
-            for iter85 in self.carve_outs:
-                iter85.write(oprot)
+            for iter92 in self.carve_outs:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1370,11 +1429,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.units = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = Grant()
-                        _elem91.read(iprot)
-                        self.units.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = Grant()
+                        _elem98.read(iprot)
+                        self.units.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1407,8 +1466,8 @@
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter92 in self.units:
-                iter92.write(oprot)
+            for iter99 in self.units:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1480,22 +1539,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.released = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem98.read(iprot)
-                        self.released.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem105.read(iprot)
+                        self.released.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.draining = []
-                    (_etype102, _size99) = iprot.readListBegin()
-                    for _i103 in range(_size99):
-                        _elem104 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem104.read(iprot)
-                        self.draining.append(_elem104)
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem111.read(iprot)
+                        self.draining.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1525,15 +1584,15 @@
         if self.released is not None:
             oprot.writeFieldBegin('released', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.released))
-            for iter105 in self.released:
-                iter105.write(oprot)
+            for iter112 in self.released:
+                iter112.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.draining is not None:
             oprot.writeFieldBegin('draining', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.draining))
-            for iter106 in self.draining:
-                iter106.write(oprot)
+            for iter113 in self.draining:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.role_epoch is not None:
@@ -2130,6 +2189,119 @@
         return not (self == other)
 
 
+class MemberNews(object):
+    """
+    Attributes:
+     - member
+     - sequence
+     - status
+     - failure_domain
+     - rpc_address
+
+    """
+
+
+    def __init__(self, member=None, sequence=None, status=None, failure_domain=None, rpc_address=None,):
+        self.member = member
+        self.sequence = sequence
+        self.status = status
+        self.failure_domain = failure_domain
+        self.rpc_address = rpc_address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.member = nutmeglead._generated.common.ttypes.Sender()
+                    self.member.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.status = MemberStatus(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.rpc_address = nutmeglead._generated.common.ttypes.Address()
+                    self.rpc_address.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberNews')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRUCT, 1)
+            self.member.write(oprot)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 3)
+            oprot.writeI32(MemberStatus[self.status].value)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.rpc_address is not None:
+            oprot.writeFieldBegin('rpc_address', TType.STRUCT, 5)
+            self.rpc_address.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.member is None:
+            raise TProtocolException(message='Required field member is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        if self.failure_domain is None:
+            raise TProtocolException(message='Required field failure_domain is unset!')
+        if self.rpc_address is None:
+            raise TProtocolException(message='Required field rpc_address is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -2140,11 +2312,14 @@
      - role_epochs
      - map_digests
      - relay_address
+     - news
+     - passive
+     - leaving
 
     """
 
 
-    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None,):
+    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None, news=None, passive=False, leaving=False,):
         self.sender = sender
         self.failure_domain = failure_domain
         self.sequence = sequence
@@ -2152,6 +2327,9 @@
         self.role_epochs = role_epochs
         self.map_digests = map_digests
         self.relay_address = relay_address
+        self.news = news
+        self.passive = passive
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2187,22 +2365,22 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.role_epochs = {}
-                    (_ktype108, _vtype109, _size107) = iprot.readMapBegin()
-                    for _i111 in range(_size107):
-                        _key112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val113 = iprot.readI64()
-                        self.role_epochs[_key112] = _val113
+                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
+                    for _i118 in range(_size114):
+                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val120 = iprot.readI64()
+                        self.role_epochs[_key119] = _val120
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.map_digests = {}
-                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
-                    for _i118 in range(_size114):
-                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val120 = iprot.readI64()
-                        self.map_digests[_key119] = _val120
+                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
+                    for _i125 in range(_size121):
+                        _key126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val127 = iprot.readI64()
+                        self.map_digests[_key126] = _val127
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2212,6 +2390,27 @@
                     self.relay_address.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.news = []
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = MemberNews()
+                        _elem133.read(iprot)
+                        self.news.append(_elem133)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.passive = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2241,23 +2440,38 @@
         if self.role_epochs is not None:
             oprot.writeFieldBegin('role_epochs', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.role_epochs))
-            for kiter121, viter122 in self.role_epochs.items():
-                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
-                oprot.writeI64(viter122)
+            for kiter134, viter135 in self.role_epochs.items():
+                oprot.writeString(kiter134.encode('utf-8') if sys.version_info[0] == 2 else kiter134)
+                oprot.writeI64(viter135)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.map_digests is not None:
             oprot.writeFieldBegin('map_digests', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.map_digests))
-            for kiter123, viter124 in self.map_digests.items():
-                oprot.writeString(kiter123.encode('utf-8') if sys.version_info[0] == 2 else kiter123)
-                oprot.writeI64(viter124)
+            for kiter136, viter137 in self.map_digests.items():
+                oprot.writeString(kiter136.encode('utf-8') if sys.version_info[0] == 2 else kiter136)
+                oprot.writeI64(viter137)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.relay_address is not None:
             oprot.writeFieldBegin('relay_address', TType.STRUCT, 7)
             self.relay_address.write(oprot)
             oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.news))
+            for iter138 in self.news:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.passive is not None:
+            oprot.writeFieldBegin('passive', TType.BOOL, 9)
+            oprot.writeBool(self.passive)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 10)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2288,6 +2502,270 @@
         return not (self == other)
 
 
+class PageChanges(object):
+    """
+    Attributes:
+     - role_epoch
+     - ticket_number
+     - unit_count
+     - servers
+     - new_servers
+     - positions
+     - owners
+     - epochs
+     - previous
+     - units
+     - epoch_floor
+     - page_digest
+
+    """
+
+
+    def __init__(self, role_epoch=None, ticket_number=None, unit_count=None, servers=None, new_servers=None, positions=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=None, page_digest=None,):
+        self.role_epoch = role_epoch
+        self.ticket_number = ticket_number
+        self.unit_count = unit_count
+        self.servers = servers
+        self.new_servers = new_servers
+        self.positions = positions
+        self.owners = owners
+        self.epochs = epochs
+        self.previous = previous
+        self.units = units
+        self.epoch_floor = epoch_floor
+        self.page_digest = page_digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.role_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ticket_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.unit_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = iprot.readI32()
+                        self.servers.append(_elem144)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.new_servers = []
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.new_servers.append(_elem150)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.positions = []
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = iprot.readI32()
+                        self.positions.append(_elem156)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.owners = []
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = iprot.readI32()
+                        self.owners.append(_elem162)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.epochs = []
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = iprot.readI64()
+                        self.epochs.append(_elem168)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.MAP:
+                    self.previous = {}
+                    (_ktype170, _vtype171, _size169) = iprot.readMapBegin()
+                    for _i173 in range(_size169):
+                        _key174 = iprot.readI32()
+                        _val175 = []
+                        (_etype179, _size176) = iprot.readListBegin()
+                        for _i180 in range(_size176):
+                            _elem181 = PreviousHolder()
+                            _elem181.read(iprot)
+                            _val175.append(_elem181)
+                        iprot.readListEnd()
+                        self.previous[_key174] = _val175
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.units = []
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem187.read(iprot)
+                        self.units.append(_elem187)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.epoch_floor = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.page_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PageChanges')
+        if self.role_epoch is not None:
+            oprot.writeFieldBegin('role_epoch', TType.I64, 1)
+            oprot.writeI64(self.role_epoch)
+            oprot.writeFieldEnd()
+        if self.ticket_number is not None:
+            oprot.writeFieldBegin('ticket_number', TType.I64, 2)
+            oprot.writeI64(self.ticket_number)
+            oprot.writeFieldEnd()
+        if self.unit_count is not None:
+            oprot.writeFieldBegin('unit_count', TType.I32, 3)
+            oprot.writeI32(self.unit_count)
+            oprot.writeFieldEnd()
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.servers))
+            for iter188 in self.servers:
+                oprot.writeI32(iter188)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.new_servers is not None:
+            oprot.writeFieldBegin('new_servers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.new_servers))
+            for iter189 in self.new_servers:
+                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.positions is not None:
+            oprot.writeFieldBegin('positions', TType.LIST, 6)
+            oprot.writeListBegin(TType.I32, len(self.positions))
+            for iter190 in self.positions:
+                oprot.writeI32(iter190)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.owners is not None:
+            oprot.writeFieldBegin('owners', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.owners))
+            for iter191 in self.owners:
+                oprot.writeI32(iter191)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.epochs is not None:
+            oprot.writeFieldBegin('epochs', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.epochs))
+            for iter192 in self.epochs:
+                oprot.writeI64(iter192)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.previous is not None:
+            oprot.writeFieldBegin('previous', TType.MAP, 9)
+            oprot.writeMapBegin(TType.I32, TType.LIST, len(self.previous))
+            for kiter193, viter194 in self.previous.items():
+                oprot.writeI32(kiter193)
+                oprot.writeListBegin(TType.STRUCT, len(viter194))
+                for iter195 in viter194:
+                    iter195.write(oprot)
+                oprot.writeListEnd()
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.units is not None:
+            oprot.writeFieldBegin('units', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.units))
+            for iter196 in self.units:
+                iter196.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.epoch_floor is not None:
+            oprot.writeFieldBegin('epoch_floor', TType.I64, 11)
+            oprot.writeI64(self.epoch_floor)
+            oprot.writeFieldEnd()
+        if self.page_digest is not None:
+            oprot.writeFieldBegin('page_digest', TType.I64, 12)
+            oprot.writeI64(self.page_digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.role_epoch is None:
+            raise TProtocolException(message='Required field role_epoch is unset!')
+        if self.ticket_number is None:
+            raise TProtocolException(message='Required field ticket_number is unset!')
+        if self.unit_count is None:
+            raise TProtocolException(message='Required field unit_count is unset!')
+        if self.new_servers is None:
+            raise TProtocolException(message='Required field new_servers is unset!')
+        if self.positions is None:
+            raise TProtocolException(message='Required field positions is unset!')
+        if self.owners is None:
+            raise TProtocolException(message='Required field owners is unset!')
+        if self.epochs is None:
+            raise TProtocolException(message='Required field epochs is unset!')
+        if self.previous is None:
+            raise TProtocolException(message='Required field previous is unset!')
+        if self.page_digest is None:
+            raise TProtocolException(message='Required field page_digest is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PageDelta(object):
     """
     Attributes:
@@ -2670,11 +3148,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = PageVersion()
-                        _elem130.read(iprot)
-                        self.versions.append(_elem130)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = PageVersion()
+                        _elem202.read(iprot)
+                        self.versions.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2708,8 +3186,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter131 in self.versions:
-                iter131.write(oprot)
+            for iter203 in self.versions:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2782,11 +3260,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = PageVersion()
-                        _elem137.read(iprot)
-                        self.known.append(_elem137)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = PageVersion()
+                        _elem209.read(iprot)
+                        self.known.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2811,8 +3289,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter138 in self.known:
-                iter138.write(oprot)
+            for iter210 in self.known:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2872,11 +3350,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.pages = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = PlacementPage()
-                        _elem144.read(iprot)
-                        self.pages.append(_elem144)
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = PlacementPage()
+                        _elem216.read(iprot)
+                        self.pages.append(_elem216)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2902,8 +3380,8 @@
         if self.pages is not None:
             oprot.writeFieldBegin('pages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.pages))
-            for iter145 in self.pages:
-                iter145.write(oprot)
+            for iter217 in self.pages:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3061,22 +3539,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = UnitLoad()
-                        _elem151.read(iprot)
-                        self.loads.append(_elem151)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = UnitLoad()
+                        _elem223.read(iprot)
+                        self.loads.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = UnitLoad()
-                        _elem157.read(iprot)
-                        self.hot_keys.append(_elem157)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = UnitLoad()
+                        _elem229.read(iprot)
+                        self.hot_keys.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3109,15 +3587,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter158 in self.loads:
-                iter158.write(oprot)
+            for iter230 in self.loads:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter159 in self.hot_keys:
-                iter159.write(oprot)
+            for iter231 in self.hot_keys:
+                iter231.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3340,11 +3818,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = MissingParty()
-                        _elem165.read(iprot)
-                        self.missing.append(_elem165)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = MissingParty()
+                        _elem237.read(iprot)
+                        self.missing.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3373,8 +3851,8 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.missing))
-            for iter166 in self.missing:
-                iter166.write(oprot)
+            for iter238 in self.missing:
+                iter238.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3999,6 +4477,7 @@
     (9, TType.LIST, 'epochs', (TType.I64, None, False), None, ),  # 9
     (10, TType.MAP, 'previous', (TType.I32, None, TType.LIST, (TType.STRUCT, [PreviousHolder, None], False), False), None, ),  # 10
     (11, TType.LIST, 'units', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 11
+    (12, TType.I64, 'epoch_floor', None, 0, ),  # 12
 )
 all_structs.append(RoleRow)
 RoleRow.thrift_spec = (
@@ -4014,6 +4493,8 @@
     None,  # 0
     (1, TType.I64, 'lease_epoch', None, None, ),  # 1
     (2, TType.LIST, 'node_ids', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'incarnations', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.I64, 'role_epoch', None, 0, ),  # 4
 )
 all_structs.append(ServerRow)
 ServerRow.thrift_spec = (
@@ -4033,6 +4514,7 @@
     (3, TType.I64, 'lease_epoch', None, None, ),  # 3
     (4, TType.LIST, 'renewer_node_ids', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.I64, 'lease_end_ms', None, None, ),  # 5
+    (6, TType.I64, 'role_epoch', None, 0, ),  # 6
 )
 all_structs.append(RenewReply)
 RenewReply.thrift_spec = (
@@ -4135,6 +4617,15 @@
     (5, TType.I64, 'silent_ms', None, None, ),  # 5
     (6, TType.STRING, 'holder_incarnation', 'UTF8', None, ),  # 6
 )
+all_structs.append(MemberNews)
+MemberNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'member', [nutmeglead._generated.common.ttypes.Sender, None], None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.I32, 'status', None, None, ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
+    (5, TType.STRUCT, 'rpc_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 5
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -4145,6 +4636,25 @@
     (5, TType.MAP, 'role_epochs', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
     (6, TType.MAP, 'map_digests', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
     (7, TType.STRUCT, 'relay_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 7
+    (8, TType.LIST, 'news', (TType.STRUCT, [MemberNews, None], False), None, ),  # 8
+    (9, TType.BOOL, 'passive', None, False, ),  # 9
+    (10, TType.BOOL, 'leaving', None, False, ),  # 10
+)
+all_structs.append(PageChanges)
+PageChanges.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'role_epoch', None, None, ),  # 1
+    (2, TType.I64, 'ticket_number', None, None, ),  # 2
+    (3, TType.I32, 'unit_count', None, None, ),  # 3
+    (4, TType.LIST, 'servers', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'new_servers', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'positions', (TType.I32, None, False), None, ),  # 6
+    (7, TType.LIST, 'owners', (TType.I32, None, False), None, ),  # 7
+    (8, TType.LIST, 'epochs', (TType.I64, None, False), None, ),  # 8
+    (9, TType.MAP, 'previous', (TType.I32, None, TType.LIST, (TType.STRUCT, [PreviousHolder, None], False), False), None, ),  # 9
+    (10, TType.LIST, 'units', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 10
+    (11, TType.I64, 'epoch_floor', None, None, ),  # 11
+    (12, TType.I64, 'page_digest', None, None, ),  # 12
 )
 all_structs.append(PageDelta)
 PageDelta.thrift_spec = (
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -23,6 +23,8 @@
   9: required list<i64> epochs,
   10: required map<i32, list<PreviousHolder>> previous,
   11: optional list<common.UnitId> units,
+  // Highest epoch of a unit removed from this pin page; a unit that is added gets a higher one.
+  12: optional i64 epoch_floor = 0,
 }
 
 struct RoleRow {
@@ -33,9 +35,13 @@
   5: optional i64 planned_ticket_number = 0,
 }
 
+// `incarnations` is parallel to `node_ids`: a renewer that restarted has forgotten its stop statements and must
+// refuse an assignment to its earlier incarnation. `role_epoch` is the one that wrote this lease epoch.
 struct RenewerSet {
   1: required i64 lease_epoch,
   2: required list<string> node_ids,
+  3: optional list<string> incarnations,
+  4: optional i64 role_epoch = 0,
 }
 
 // `former` holds renewer sets that the server may still be using because it has not confirmed `current`.
@@ -57,6 +63,8 @@
   4: required list<string> renewer_node_ids,
   // In the holder's own monotonic time, in ms. 0 asks for the holder's time only.
   5: required i64 lease_end_ms,
+  // Role epoch that wrote the lease epoch; the holder refuses grants of a lower one.
+  6: optional i64 role_epoch = 0,
 }
 
 enum RenewStatus {
@@ -174,6 +182,22 @@
 
 // ---- between entry VMs ----
 
+enum MemberStatus {
+  ALIVE = 1,
+  SILENT = 2,
+  LEFT = 3,
+}
+
+// What the sender has heard of another member. Higher sequences of the same incarnation override lower ones.
+struct MemberNews {
+  1: required common.Sender member,
+  2: required i64 sequence,
+  3: required MemberStatus status,
+  4: required string failure_domain,
+  5: required common.Address rpc_address,
+}
+
+// `passive` is set by a process that wants deltas but takes no part in membership. `leaving` announces a planned stop.
 struct Heartbeat {
   1: required common.Sender sender,
   2: required string failure_domain,
@@ -182,6 +206,28 @@
   5: required map<string, i64> role_epochs,
   6: required map<string, i64> map_digests,
   7: optional common.Address relay_address,
+  8: optional list<MemberNews> news,
+  9: optional bool passive = false,
+  10: optional bool leaving = false,
+}
+
+// Content of `PageDelta.changes`. The new page has `unit_count` units; those at `positions` get the given owners
+// (indices into the new page's servers), epochs and previous holders. `servers` lists, for each server of the new
+// page, its index in the old page's servers, or -1 - n for the n-th of `new_servers`; if it is absent, the new
+// servers are appended to the old ones. `page_digest` is the xxh64 of the new page's encoding.
+struct PageChanges {
+  1: required i64 role_epoch,
+  2: required i64 ticket_number,
+  3: required i32 unit_count,
+  4: optional list<i32> servers,
+  5: required list<string> new_servers,
+  6: required list<i32> positions,
+  7: required list<i32> owners,
+  8: required list<i64> epochs,
+  9: required map<i32, list<PreviousHolder>> previous,
+  10: optional list<common.UnitId> units,
+  11: optional i64 epoch_floor,
+  12: required i64 page_digest,
 }
 
 struct PageDelta {
