--- a/nutmeglead/settings/structs.py
+++ b/nutmeglead/settings/structs.py
@@ -7,15 +7,21 @@
 
 from thrift.Thrift import TType
 
+from nutmeglead._generated.common.ttypes import UnitId, UnitKind
+from nutmeglead._generated.messages.ttypes import AuditKind, AuditRecord
 from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState
 from nutmeglead.settings.errors import Fault, describe_value
 
-__all__ = ["DuplicateField", "fill_struct", "join_path", "required_fields"]
+__all__ = ["ENUM_FIELDS", "DuplicateField", "fill_struct", "join_path", "required_fields"]
 
 _INTEGER_BITS = {TType.BYTE: 8, TType.I16: 16, TType.I32: 32, TType.I64: 64}
 
 # `thrift_spec` gives an enum field the type I32 and does not name the enum.
-_ENUM_FIELDS: dict[tuple[type, str], type[IntEnum]] = {(ServerItem, "state"): ServerState}
+ENUM_FIELDS: dict[tuple[type, str], type[IntEnum]] = {
+    (ServerItem, "state"): ServerState,
+    (AuditRecord, "kind"): AuditKind,
+    (UnitId, "kind"): UnitKind,
+}
 
 
 @dataclass(frozen=True)
@@ -87,7 +93,7 @@
 def _fill_field(
     struct_type: type, spec: tuple[Any, ...], value: object, path: str, faults: list[Fault]
 ) -> Any:
-    enum_type = _ENUM_FIELDS.get((struct_type, spec[2]))
+    enum_type = ENUM_FIELDS.get((struct_type, spec[2]))
     if enum_type is not None:
         return _read_enum(enum_type, value, path, faults)
     return _read_value(spec[1], spec[3], value, path, faults)
@@ -128,7 +134,7 @@
 
 def _is_scalar_of(field_type: int, value: object) -> bool:
     if field_type == TType.STRING:
-        return isinstance(value, str)
+        return isinstance(value, str) and _is_encodable(value)
     if field_type == TType.BOOL:
         return isinstance(value, bool)
     # bool is a subclass of int in Python, so `true` would pass as 1.
@@ -141,6 +147,15 @@
     return isinstance(value, int) and -(1 << bits - 1) <= value < 1 << bits - 1
 
 
+def _is_encodable(text: str) -> bool:
+    """Tell whether a text has a UTF-8 form; JSON can escape half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _expected(field_type: int) -> str:
     if field_type in _INTEGER_BITS:
         return f"a whole number of {_INTEGER_BITS[field_type]} bits"
