--- /dev/null
+++ b/nutmeglead/dissemination/__init__.py
@@ -0,0 +1,1 @@
+"""Spread placement pages and liveness between entry VMs."""
