--- a/nutmeglead/dissemination/digests.py
+++ b/nutmeglead/dissemination/digests.py
@@ -6,6 +6,7 @@
 from xxhash import xxh64_intdigest
 
 from nutmeglead._generated.messages.ttypes import PageVersion
+from nutmeglead.dissemination.page_ids import PageId, page_id
 
 __all__ = ["VersionDigest", "newer_pages", "version_list"]
 
@@ -28,29 +29,25 @@
         """Return the digest as a signed 64-bit number, as an i64 field holds it."""
         return self._sum - _MODULUS if self._sum >= _MODULUS // 2 else self._sum
 
-    def replace(self, place: tuple[bool, int], old_version: int, new_version: int) -> None:
+    def replace(self, place: PageId, old_version: int, new_version: int) -> None:
         """Take the old version of a page out and the new one in; version 0 stands for none."""
         self._sum = (self._sum - _hash(place, old_version) + _hash(place, new_version)) % _MODULUS
 
 
-def _hash(place: tuple[bool, int], version: int) -> int:
+def _hash(place: PageId, version: int) -> int:
     if version == 0:
         return 0
     return int(xxh64_intdigest(_PAIR.pack(*place, version)))
 
 
-def version_list(versions: Mapping[tuple[bool, int], int]) -> list[PageVersion]:
+def version_list(versions: Mapping[PageId, int]) -> list[PageVersion]:
     """Return the versions as message fields."""
     return [PageVersion(pins, number, version) for (pins, number), version in versions.items()]
 
 
-def newer_pages(
-    own: Mapping[tuple[bool, int], int], theirs: Iterable[PageVersion]
-) -> list[PageVersion]:
+def newer_pages(own: Mapping[PageId, int], theirs: Iterable[PageVersion]) -> list[PageVersion]:
     """List the neighbour's pages that are newer than the own ones.
 
     Pages in which the neighbour lies behind are left out: it fetches them itself.
     """
-    return [
-        entry for entry in theirs if entry.version > own.get((entry.pins, entry.page_number), 0)
-    ]
+    return [entry for entry in theirs if entry.version > own.get(page_id(entry), 0)]
