--- a/nutmeglead/routing/attempt.py
+++ b/nutmeglead/routing/attempt.py
@@ -107,6 +107,10 @@
             self._error = part.err_value
         return part
 
+    def begin_streaming(self) -> None:
+        """Let the rest of the body take longer than the deadline, as long as bytes come."""
+        self.exchange.begin_streaming()
+
     def close(self, cancelled: bool = False) -> None:
         """Give back the connection and the slot; a second call has no effect."""
         if not self._has_slot:
--- a/nutmeglead/routing/delivery.py
+++ b/nutmeglead/routing/delivery.py
@@ -86,6 +86,7 @@
     async def _stream(
         self, attempt: Attempt, status: int, headers: Headers, first: bytes
     ) -> RequestError | None:
+        attempt.begin_streaming()
         await self._start(status, headers)
         data = first
         while data:
--- a/nutmeglead/routing/exchange.py
+++ b/nutmeglead/routing/exchange.py
@@ -98,6 +98,7 @@
         self._deadline_ms = deadline_ms
         self._stall_ms = stall_ms
         self._sent_head: RequestHead | None = None
+        self._is_streaming = False
 
     async def run(
         self, connect: Connect, make_head: Callable[[], RequestHead], body: BodySource | None
@@ -210,11 +211,14 @@
     async def read_body(self) -> Result[bytes, RequestError]:
         """Return the next part of the answer's body, or b"" at its end."""
         assert self.connection is not None
+        end_ms = self._deadline_ms
+        if self._is_streaming:
+            end_ms = self._timers.clock.now_ms() + self._stall_ms
         try:
-            async with time_limit(self._timers, self._timers.clock.now_ms() + self._stall_ms):
+            async with time_limit(self._timers, end_ms):
                 data = await self.connection.read_body()
         except TimeoutError:
-            return Err(self._fail(AnswerLate(f"no byte of the body for {self._stall_ms} ms")))
+            return Err(self._fail(AnswerLate("the body was not whole in time")))
         except HttpError as error:
             return Err(self._fail(self._classify(error)))
         except BaseException:
@@ -225,6 +229,13 @@
             self.state = ExchangeState.DONE
         return Ok(data)
 
+    def begin_streaming(self) -> None:
+        """Let the rest of the body take longer than the deadline, as long as bytes come.
+
+        The caller has the head in time then; a large file takes as long as the caller reads.
+        """
+        self._is_streaming = True
+
     async def drain(self, max_bytes: int) -> bool:
         """Read the rest of a refusal's body, so that its connection can be reused."""
         while self.answer_bytes <= max_bytes:
--- a/nutmeglead/routing/handover.py
+++ b/nutmeglead/routing/handover.py
@@ -114,7 +114,8 @@
 
     def end_trial(self, request_id: int) -> None:
         """Let the unit have another trial."""
-        self._trials = {unit: n for unit, n in self._trials.items() if n != request_id}
+        if self._trials:
+            self._trials = {unit: n for unit, n in self._trials.items() if n != request_id}
 
     def wake_ready(self) -> None:
         """Wake the requests whose unit is ready, the earliest deadline first."""
--- a/nutmeglead/routing/job.py
+++ b/nutmeglead/routing/job.py
@@ -79,6 +79,8 @@
             self._failure = await self._attempt_until_answered()
         except RequestError as error:
             self._failure = error
+        finally:
+            self._route.waiter.end_trial(self._request.request_id)
         if self._failure is not None:
             await self.fail(self._failure)
 
@@ -111,30 +113,37 @@
                 return error
 
     async def _wait_for_target(self) -> Result[AttemptTarget, RequestError]:
-        waiter = self._route.waiter
-        wake = Wake.READY
-        while not waiter.is_ready(self._request.key) and wake is Wake.READY:
-            now_ms = self._parts.timers.clock.now_ms()
-            if self._held_since_ms is None:
-                self._held_since_ms = now_ms
-            woken = await waiter.wait(
-                self._request.request_id,
-                self._request.key,
-                self._request.deadline_ms,
-                self._body.size_bytes,
-                self._held_since_ms,
-            )
-            if isinstance(woken, Err):
-                return woken
-            wake = woken.ok_value
-        return self._locate()
-
-    def _locate(self) -> Result[AttemptTarget, RequestError]:
+        while True:
+            wake = Wake.READY
+            if not self._route.waiter.is_ready(self._request.key):
+                woken = await self._hold()
+                if isinstance(woken, Err):
+                    return woken
+                wake = woken.ok_value
+            # The map may have changed between the wake-up and this step.
+            if wake is Wake.TRIAL or self._route.waiter.is_ready(self._request.key):
+                target = self._locate()
+                if target is not None:
+                    return Ok(target)
+            self._route.waiter.end_trial(self._request.request_id)
+
+    async def _hold(self) -> Result[Wake, RequestError]:
+        if self._held_since_ms is None:
+            self._held_since_ms = self._parts.timers.clock.now_ms()
+        return await self._route.waiter.wait(
+            self._request.request_id,
+            self._request.key,
+            self._request.deadline_ms,
+            self._body.size_bytes,
+            self._held_since_ms,
+        )
+
+    def _locate(self) -> AttemptTarget | None:
         assignment = self._route.waiter.locate(self._request.key)
-        assert assignment is not None and assignment.owner is not None
+        if assignment is None or assignment.owner is None:
+            return None
         address = self._route.addresses.address(self._route.name, assignment.owner)
-        assert address is not None
-        return Ok(AttemptTarget(assignment, assignment.owner, address))
+        return AttemptTarget(assignment, assignment.owner, address) if address else None
 
     def _is_current(self) -> bool:
         """Tell whether the target still owns the key at the same epoch."""
--- a/nutmeglead/routing/servers.py
+++ b/nutmeglead/routing/servers.py
@@ -10,7 +10,7 @@
 from nutmeglead.core.ids import ServerId, ServiceName
 from nutmeglead.routing.concurrency import CONCURRENCY, ConcurrencyLimit, connection_share
 from nutmeglead.routing.ejection import EJECTION, EjectionPolicy
-from nutmeglead.routing.errors import AnswerLate, RequestError, is_server_fault
+from nutmeglead.routing.errors import AnswerLate, RequestError, ServerRefused, is_server_fault
 from nutmeglead.routing.estimates import SmoothedTime
 from nutmeglead.routing.sources import AddressBook
 
@@ -60,11 +60,19 @@
         if state is None:
             limit = self._limits(self._service, self._addresses.router_count())
             state = self._states[server_id] = ServerState(limit)
-            self.refresh()
+            self._learn_domains()
         return state
 
     def refresh(self) -> None:
         """Take over the known servers and forget idle ones that are gone."""
+        self._learn_domains()
+        self._states = {
+            server_id: state
+            for server_id, state in self._states.items()
+            if server_id in self._known or state.in_flight
+        }
+
+    def _learn_domains(self) -> None:
         domains = {}
         for server_id in self._addresses.servers(self._name):
             address = self._addresses.address(self._name, server_id)
@@ -73,11 +81,6 @@
         if domains != self._known:
             self._known = dict(domains)
             self.ejection.set_servers(domains)
-        self._states = {
-            server_id: state
-            for server_id, state in self._states.items()
-            if server_id in domains or state.in_flight
-        }
 
     def allowed(self, server_id: ServerId, now_ms: int) -> int:
         """Return how many requests may be in flight to a server."""
@@ -111,10 +114,11 @@
         now_ms: int,
         cancelled: bool,
     ) -> None:
-        """Count the end of a request in flight and learn from it, unless its caller left."""
+        """Count the end of a request in flight and learn from it, unless its caller ended it."""
         state = self.state(server_id)
         state.in_flight -= 1
-        if cancelled:
+        says_nothing = error and not isinstance(error, ServerRefused) and not is_server_fault(error)
+        if cancelled or says_nothing:
             return
         state.limit.observe(duration_ms, error is None, state.in_flight + 1)
         if error is None:
--- a/nutmeglead/routing/tests/fake_server.py
+++ b/nutmeglead/routing/tests/fake_server.py
@@ -9,7 +9,7 @@
 from nutmeglead.http.client import ClientConnection
 from nutmeglead.http.errors import ConnectFailed
 
-from .memory_wire import join
+from .memory_wire import join, settle
 
 
 class ReceivedRequest:
@@ -116,8 +116,14 @@
         self.connect_failures = 0
         self.connect_gate = None
         self.dies_before_first_byte = False
+        self.settles_after_connect = False
+        self.thawed = None
         self._tasks = set()
 
+    def make_thaw(self):
+        """Create the event that scripts wait for; it belongs to the running loop."""
+        self.thawed = asyncio.Event()
+
     async def connect(self, address):
         if self.connect_gate is not None:
             await self.connect_gate.wait()
@@ -137,6 +143,8 @@
             task = asyncio.ensure_future(script(side))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+            if self.settles_after_connect:
+                await settle()
         return Ok(ClientConnection(near))
 
     @property
--- a/nutmeglead/routing/tests/memory_wire.py
+++ b/nutmeglead/routing/tests/memory_wire.py
@@ -36,7 +36,9 @@
             self.protocol.pause_writing()
 
     def _receive(self, data):
-        self._inbox.append(data)
+        # A socket gives at most 256 KiB to one read; smaller parts exercise the flow control.
+        for start in range(0, len(data), HIGH_WATER_BYTES):
+            self._inbox.append(data[start : start + HIGH_WATER_BYTES])
         self._inbox_bytes += len(data)
         asyncio.get_running_loop().call_soon(self._pump)
 
