--- a/nutmeglead/routing/admission.py
+++ b/nutmeglead/routing/admission.py
@@ -68,6 +68,11 @@
         """Remove a waiting request; return False if it does not wait any more."""
         ...
 
+    @property
+    def waiting_count(self) -> int:
+        """Count the waiting requests."""
+        ...
+
     def dispatch(
         self,
         take_slot: Callable[[ServerKey], bool],
@@ -233,6 +238,11 @@
         """Remove a waiting request; return False if it does not wait any more."""
         return self._queue.remove(request_id) is not None
 
+    @property
+    def waiting_count(self) -> int:
+        """Count the waiting requests."""
+        return len(self._queue.server_of)
+
     def dispatch(
         self,
         take_slot: Callable[[ServerKey], bool],
@@ -323,6 +333,11 @@
         """Remove a waiting request; return False if it does not wait any more."""
         return self._queue.remove(request_id) is not None
 
+    @property
+    def waiting_count(self) -> int:
+        """Count the waiting requests."""
+        return len(self._queue.server_of)
+
     def dispatch(
         self,
         take_slot: Callable[[ServerKey], bool],
--- a/nutmeglead/routing/inbound.py
+++ b/nutmeglead/routing/inbound.py
@@ -11,7 +11,6 @@
 from nutmeglead.http.messages import Headers, RequestHead, header_value
 from nutmeglead.routing.errors import (
     BodyTooLarge,
-    DeadlinePassed,
     RequestError,
     RequestMalformed,
     UnknownService,
@@ -125,8 +124,6 @@
     value = values.pop()
     if values or not value.isdigit() or len(value) > 10:
         return Err(RequestMalformed("expected one Nutmeglead-Deadline-Ms in whole ms"))
-    if int(value) == 0:
-        return Err(DeadlinePassed("the request came with 0 ms left"))
     return Ok(min(int(value), int(service.request_timeout_ms)))
 
 
--- a/nutmeglead/routing/slots.py
+++ b/nutmeglead/routing/slots.py
@@ -46,7 +46,7 @@
     @property
     def waiting_count(self) -> int:
         """Count the requests that wait for a slot."""
-        return len(self._waiting)
+        return sum(policy.waiting_count for policy in dict.fromkeys(self._policies.values()))
 
     async def acquire(
         self, request: QueuedRequest, is_current: Callable[[], bool]
--- a/nutmeglead/routing/tests/fake_server.py
+++ b/nutmeglead/routing/tests/fake_server.py
@@ -19,12 +19,11 @@
         self.method = event.method.decode()
         self.target = event.target.decode()
         self.headers = dict(event.headers)
+        epochs = [value for name, value in event.headers if name == b"nutmeglead-epoch"]
+        assert len(epochs) == 1, epochs
+        self.epoch = int(epochs[0])
         self.body = b""
 
-    @property
-    def epoch(self):
-        return int(self.headers[b"nutmeglead-epoch"])
-
 
 class ServerSide:
     """Be the server's end of one connection."""
@@ -115,6 +114,7 @@
         self.runs = []
         self.connect_failures = 0
         self.connect_gate = None
+        self.connecting = 0
         self.dies_before_first_byte = False
         self.settles_after_connect = False
         self.thawed = None
@@ -125,6 +125,7 @@
         self.thawed = asyncio.Event()
 
     async def connect(self, address):
+        self.connecting += 1
         if self.connect_gate is not None:
             await self.connect_gate.wait()
         if self.connect_failures:
--- a/nutmeglead/routing/tests/rig.py
+++ b/nutmeglead/routing/tests/rig.py
@@ -102,8 +102,9 @@
         self.is_cut = False
 
     def send(self, method, target, body=b"", headers=(), chunked=False):
+        """Send a request without its end; chunked None means that `headers` frame the body."""
         framing = [("transfer-encoding", "chunked")] if chunked else []
-        if not chunked and (body or method == "POST"):
+        if chunked is False and (body or method == "POST"):
             framing = [("content-length", str(len(body)))]
         head = h11.Request(
             method=method, target=target, headers=[("host", "r"), *framing, *headers]
@@ -112,6 +113,9 @@
         if body:
             self.channel.transport.write(self._parser.send(h11.Data(data=body)))
 
+    def send_rest(self, body):
+        self.channel.transport.write(self._parser.send(h11.Data(data=body)))
+
     def finish(self):
         self.channel.transport.write(self._parser.send(h11.EndOfMessage()) or b"")
 
