routing: hedge slow lookups and lend slots between routers

Cause: the policies for hedging and lent slots were not connected to the request path, and retries had no fault table.

--- a/nutmeglead/routing/attempt.py
+++ b/nutmeglead/routing/attempt.py
@@ -10,7 +10,7 @@
 from nutmeglead.routing.admission import QueuedRequest
 from nutmeglead.routing.body import RequestBody
 from nutmeglead.routing.errors import RequestError, ServerRefused
-from nutmeglead.routing.exchange import BackendConnection, Exchange
+from nutmeglead.routing.exchange import BackendConnection, Exchange, ExchangeState
 from nutmeglead.routing.inbound import InboundRequest, server_head
 from nutmeglead.routing.pool import ConnectionPool
 from nutmeglead.routing.servers import ServiceServers
@@ -73,6 +73,11 @@
         self._started_ms = 0
         self._error: RequestError | None = None
 
+    @property
+    def is_written(self) -> bool:
+        """Tell whether the whole request was sent and its answer is awaited."""
+        return self.exchange.state is ExchangeState.WAIT
+
     async def open(self, is_current: Callable[[], bool]) -> Result[ResponseHead, RequestError]:
         """Wait for a slot, send the request and return the head of the answer.
 
--- a/nutmeglead/routing/body.py
+++ b/nutmeglead/routing/body.py
@@ -66,6 +66,11 @@
         """Return how many bytes are buffered."""
         return len(self._whole or b"")
 
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the whole body is buffered, so that two attempts can send it."""
+        return self._whole is not None
+
     @property
     def can_replay(self) -> bool:
         """Tell whether another attempt can send the body from its start."""
--- a/nutmeglead/routing/concurrency.py
+++ b/nutmeglead/routing/concurrency.py
@@ -12,6 +12,7 @@
     "FixedShare",
     "GradientLimit",
     "LentShare",
+    "SlotShares",
     "connection_share",
     "split_share",
 ]
@@ -118,8 +119,7 @@
 class LentShare:
     """Use the router's own slots and those that others lend it.
 
-    The numbers come from a `nutmeglead.routing.lending.SlotLedger`, which the router keeps per
-    server; without one, the limit is the own part of the slots.
+    The router sets `shares` to the server's nutmeglead.routing.lending.SlotLedger.
     """
 
     def __init__(self, service: ServiceSettings, routers: int) -> None:
--- a/nutmeglead/routing/job.py
+++ b/nutmeglead/routing/job.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Iterator
+from collections.abc import Awaitable, Iterator
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from nutmeglead._generated.settings.ttypes import ServiceSettings
 from nutmeglead.core.ids import ServiceName
+from nutmeglead.http.messages import ResponseHead
 from nutmeglead.routing.answers import render_error
 from nutmeglead.routing.attempt import Attempt, AttemptTarget, RouterParts
 from nutmeglead.routing.body import CallerExchange, RequestBody
@@ -22,6 +22,7 @@
     ServerRefused,
 )
 from nutmeglead.routing.handover import HandoverWaiter, Wake
+from nutmeglead.routing.hedging import open_hedged
 from nutmeglead.routing.inbound import InboundRequest
 from nutmeglead.routing.retries import RetryPolicy, RetryRequest
 from nutmeglead.routing.servers import ServiceServers
@@ -40,7 +41,6 @@
     waiter: HandoverWaiter
     retries: RetryPolicy
     addresses: AddressBook
-    rng: random.Random
 
     @property
     def name(self) -> ServiceName:
@@ -157,17 +157,10 @@
         )
 
     async def _attempt(self, target: AttemptTarget) -> RequestError | None:
-        attempt = Attempt(
-            self._parts,
-            self._route.servers,
-            self._request,
-            self._body,
-            target,
-            next(self._attempt_ids),
-        )
+        attempt = self._new_attempt(target)
         is_left = True
         try:
-            opened = await attempt.open(self._is_current)
+            attempt, opened = await self._open(attempt, target)
             error = opened.err_value if isinstance(opened, Err) else None
             if isinstance(opened, Ok):
                 self._route.waiter.note_served(target.assignment)
@@ -180,6 +173,35 @@
             self._attempt_count += 1
         return error
 
+    def _new_attempt(self, target: AttemptTarget) -> Attempt:
+        return Attempt(
+            self._parts,
+            self._route.servers,
+            self._request,
+            self._body,
+            target,
+            next(self._attempt_ids),
+        )
+
+    async def _open(
+        self, attempt: Attempt, target: AttemptTarget
+    ) -> tuple[Attempt, Result[ResponseHead, RequestError]]:
+        """Send the request, and send it again if it may be hedged and its answer is slow."""
+        retries = self._route.retries
+        delay_ms = retries.hedge_delay_ms(self._request.idempotent)
+        if delay_ms is None or not self._body.is_whole:
+            return attempt, await attempt.open(self._is_current)
+
+        def make_second() -> Attempt | None:
+            return self._new_attempt(target) if retries.take_hedge() else None
+
+        def open_attempt(entrant: Attempt) -> Awaitable[Result[ResponseHead, RequestError]]:
+            return entrant.open(self._is_current)
+
+        timers = self._parts.timers
+        hedge_at_ms = timers.clock.now_ms() + delay_ms
+        return await open_hedged(attempt, make_second, open_attempt, timers, hedge_at_ms)
+
     async def _may_repeat(self, error: RequestError, target: AttemptTarget) -> bool:
         """Tell whether to send the request again, after the back-off."""
         if self._delivery.state is not DeliveryState.NOTHING:
--- a/nutmeglead/routing/lending.py
+++ b/nutmeglead/routing/lending.py
@@ -54,8 +54,9 @@
         self._sender = sender
         self._service_name = service_name
         self._server_id = server_id
-        self._own_slots = own_slots
         # A router that restarted may have lent all its slots just before.
+        self._own_slots = 0
+        self._next_own_slots = own_slots
         self._own_from_ms = now_ms + _with_margin(MAX_LOAN_MS)
         self._borrowers: dict[tuple[str, str], _Borrower] = {}
         self._sequence = 0
@@ -74,10 +75,22 @@
             for loans in self._borrowed.values()
         )
 
+    def set_own_slots(self, slots: int, now_ms: int) -> None:
+        """Change this router's own part after the list of routers has changed.
+
+        Fewer slots count at once; more only after the loans of their previous owner have ended.
+        """
+        if slots == self._next_own_slots:
+            return
+        self._own_slots = min(slots, self._own_now(now_ms))
+        self._next_own_slots = slots
+        self._own_from_ms = now_ms + _with_margin(MAX_LOAN_MS)
+
+    def _own_now(self, now_ms: int) -> int:
+        return self._next_own_slots if now_ms >= self._own_from_ms else self._own_slots
+
     def _own_free(self, now_ms: int) -> int:
-        if now_ms < self._own_from_ms:
-            return 0
-        return self._own_slots - self._lent(now_ms)
+        return max(0, self._own_now(now_ms) - self._lent(now_ms))
 
     def _lent(self, now_ms: int) -> int:
         return sum(self._lent_to(borrower, now_ms) for borrower in self._borrowers.values())
@@ -149,20 +162,24 @@
     def _reply(self, message: LendSlots, slots: int) -> LendReply:
         return LendReply(sender=self._sender, sequence=message.sequence, slots=slots)
 
-    def accept(self, reply: LendReply, now_ms: int) -> None:
-        """Use lent slots until the duration has passed since the request was sent."""
+    def accept(self, reply: LendReply, now_ms: int) -> bool:
+        """Use lent slots until the duration has passed since the request was sent.
+
+        Return False if the reply lends nothing or is not expected.
+        """
         asked = self._asked.pop(reply.sequence, None)
         if asked is None or reply.sender.node_id != asked.lender:
-            return
+            return False
         slots = min(reply.slots, asked.slots)
         end_ms = asked.sent_ms + min(asked.duration_ms, MAX_LOAN_MS)
         if slots <= 0 or end_ms <= now_ms:
-            return
+            return False
         loans = self._borrowed.setdefault(asked.lender, {})
         loans[reply.sequence] = _Loan(slots, end_ms)
         self._borrowed[asked.lender] = {
             n: loan for n, loan in loans.items() if loan.end_ms > now_ms
         }
+        return True
 
     def borrowed_until_ms(self, lender: str, now_ms: int) -> int:
         """Return when the last loan from a lender ends, or `now_ms` if there is none."""
--- a/nutmeglead/routing/router.py
+++ b/nutmeglead/routing/router.py
@@ -8,8 +8,10 @@
 
 from result import Err
 
+from nutmeglead._generated.messages.ttypes import LendReply, LendSlots
 from nutmeglead._generated.settings.ttypes import (
     AdmissionSettings,
+    ConcurrencySettings,
     RetrySettings,
     ServiceSettings,
     Settings,
@@ -18,7 +20,7 @@
 from nutmeglead.core.ids import ServerId, ServiceName
 from nutmeglead.http.errors import HttpError
 from nutmeglead.http.server import ServerExchange
-from nutmeglead.routing.admission import ADMISSION, AdmissionPolicy
+from nutmeglead.routing.admission import ADMISSION, AdmissionPolicy, ServerKey
 from nutmeglead.routing.answers import render_error
 from nutmeglead.routing.attempt import RouterParts
 from nutmeglead.routing.errors import CallerGone, RequestError, RouterStopping
@@ -28,6 +30,7 @@
 from nutmeglead.routing.pool import ConnectionPool, Connector, connect_tcp
 from nutmeglead.routing.retries import RETRIES
 from nutmeglead.routing.servers import ServiceServers
+from nutmeglead.routing.slot_exchange import RouterPeers, SlotExchange
 from nutmeglead.routing.slots import SlotQueue
 from nutmeglead.routing.sources import AddressBook, AssignmentSource, RequestObserver
 from nutmeglead.routing.timers import Timers
@@ -52,22 +55,27 @@
         rng: random.Random,
         connector: Connector = connect_tcp,
         observer: RequestObserver | None = None,
+        peers: RouterPeers | None = None,
     ) -> None:
+        """Connect the parts; `peers` is needed by services with the `lent` policy only."""
         self._services = {service.name: service for service in settings.services}
         self._source = source
         self._addresses = addresses
         self._timers = timers
         self._observer = observer
+        self._peers = peers
+        self._rng = rng
+        self._slot_exchanges: dict[ServiceName, SlotExchange] = {}
         self._request_ids = itertools.count(1)
         self._attempt_ids = itertools.count(1)
         self._routes = {
-            ServiceName(service.name): self._make_route(service, rng)
-            for service in settings.services
+            ServiceName(service.name): self._make_route(service) for service in settings.services
         }
         slots = SlotQueue(
             _make_admission(settings.services),
             {name: route.servers for name, route in self._routes.items()},
             timers,
+            self._on_starved,
         )
         self._parts = RouterParts(timers, ConnectionPool(connector), slots)
         self._active_count = 0
@@ -76,16 +84,52 @@
         self._warming: set[asyncio.Task[int]] = set()
         self._unsubscribe = source.subscribe(self._on_map_change)
 
-    def _make_route(self, service: ServiceSettings, rng: random.Random) -> ServiceRoute:
+    def _make_route(self, service: ServiceSettings) -> ServiceRoute:
         retries = service.retries or RetrySettings()
-        servers = ServiceServers(service, self._addresses)
+        name = ServiceName(service.name)
+        servers = ServiceServers(
+            service, self._addresses, lambda server_id: self._slot_exchanges[name].ledger(server_id)
+        )
+        self._add_slot_exchange(service, servers)
 
         def is_ejected(server_id: ServerId) -> bool:
             return servers.is_ejected(server_id, self._timers.clock.now_ms())
 
         waiter = HandoverWaiter(service, self._source, self._addresses, is_ejected, self._timers)
-        policy = RETRIES.get(retries.policy)(retries, rng)
-        return ServiceRoute(service, servers, waiter, policy, self._addresses, rng)
+        policy = RETRIES.get(retries.policy)(retries, self._rng)
+        return ServiceRoute(service, servers, waiter, policy, self._addresses)
+
+    def _add_slot_exchange(self, service: ServiceSettings, servers: ServiceServers) -> None:
+        name = ServiceName(service.name)
+        if (service.concurrency or ConcurrencySettings()).policy != "lent":
+            return
+        if self._peers is None:
+            raise ValueError(f"{name}: the concurrency policy 'lent' needs the other routers")
+        self._slot_exchanges[name] = SlotExchange(
+            service,
+            self._peers,
+            self._timers,
+            self._rng,
+            servers.in_flight,
+            lambda server_id: self._parts.slots.dispatch([(name, server_id)]),
+        )
+
+    def _on_starved(self, server: ServerKey) -> None:
+        service_name, server_id = server
+        if service_name in self._slot_exchanges:
+            self._slot_exchanges[service_name].want(server_id)
+
+    def lend(self, message: LendSlots) -> LendReply:
+        """Answer another router's request for slots."""
+        exchange = self._slot_exchanges.get(ServiceName(message.service_name))
+        if exchange is None or self._peers is None:
+            return LendReply(message.sender, message.sequence, 0)
+        return exchange.answer(message)
+
+    def refresh_routers(self) -> None:
+        """Take over a changed list of routers."""
+        for exchange in self._slot_exchanges.values():
+            exchange.refresh()
 
     @property
     def active_count(self) -> int:
@@ -114,6 +158,8 @@
         self._unsubscribe()
         for task in self._warming:
             task.cancel()
+        for exchange in self._slot_exchanges.values():
+            exchange.close()
         self._parts.pool.close()
 
     async def handle(self, caller: ServerExchange) -> None:
--- a/nutmeglead/routing/servers.py
+++ b/nutmeglead/routing/servers.py
@@ -1,6 +1,6 @@
 """Keep what the router knows of each server: requests in flight, limit, health, service times."""
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 
 from nutmeglead._generated.settings.ttypes import (
     ConcurrencySettings,
@@ -8,7 +8,13 @@
     ServiceSettings,
 )
 from nutmeglead.core.ids import ServerId, ServiceName
-from nutmeglead.routing.concurrency import CONCURRENCY, ConcurrencyLimit, connection_share
+from nutmeglead.routing.concurrency import (
+    CONCURRENCY,
+    ConcurrencyLimit,
+    LentShare,
+    SlotShares,
+    connection_share,
+)
 from nutmeglead.routing.ejection import EJECTION, EjectionPolicy
 from nutmeglead.routing.errors import AnswerLate, RequestError, ServerRefused, is_server_fault
 from nutmeglead.routing.estimates import SmoothedTime
@@ -44,7 +50,13 @@
 class ServiceServers:
     """Hold the servers of one service."""
 
-    def __init__(self, service: ServiceSettings, addresses: AddressBook) -> None:
+    def __init__(
+        self,
+        service: ServiceSettings,
+        addresses: AddressBook,
+        shares: Callable[[ServerId], SlotShares],
+    ) -> None:
+        self._shares = shares
         self._service = service
         self._name = ServiceName(service.name)
         self._addresses = addresses
@@ -59,6 +71,8 @@
         state = self._states.get(server_id)
         if state is None:
             limit = self._limits(self._service, self._addresses.router_count())
+            if isinstance(limit, LentShare):
+                limit.shares = self._shares(server_id)
             state = self._states[server_id] = ServerState(limit)
             self._learn_domains()
         return state
@@ -94,6 +108,11 @@
         """Tell whether a server gets no requests at present."""
         return self.ejection.share(server_id, now_ms) <= 0
 
+    def in_flight(self, server_id: ServerId) -> int:
+        """Count the requests in flight to a server."""
+        state = self._states.get(server_id)
+        return state.in_flight if state else 0
+
     def take_slot(self, server_id: ServerId, now_ms: int) -> bool:
         """Count a request in flight if the limit allows one more."""
         state = self.state(server_id)
--- a/nutmeglead/routing/slots.py
+++ b/nutmeglead/routing/slots.py
@@ -36,10 +36,13 @@
         policies: Mapping[ServiceName, AdmissionPolicy],
         services: Mapping[ServiceName, ServiceServers],
         timers: Timers,
+        on_starved: Callable[[ServerKey], None] = lambda server: None,
     ) -> None:
         self._policies = policies
         self._services = services
         self._timers = timers
+        # Called while requests wait for a server's slot, so that slots can be borrowed.
+        self._on_starved = on_starved
         self._waiting: dict[int, _Waiter] = {}
         self._tick: Alarm | None = None
 
@@ -69,6 +72,7 @@
 
     async def _wait(self, request: QueuedRequest, future: SlotFuture) -> None:
         self._start_tick()
+        self._on_starved(request.server)
         alarm = self._timers.call_at(request.deadline_ms, lambda: self.dispatch([request.server]))
         try:
             await future
@@ -137,4 +141,6 @@
     def _on_tick(self) -> None:
         self._tick = None
         self.dispatch(None)
+        for server in {waiter.request.server for waiter in self._waiting.values()}:
+            self._on_starved(server)
         self._start_tick()
--- a/nutmeglead/routing/tests/server_faults.py
+++ b/nutmeglead/routing/tests/server_faults.py
@@ -113,6 +113,13 @@
     return script
 
 
+async def refuse_once(side):
+    request = await side.read_head()
+    await side.read_rest(request)
+    side.answer(b"{}", 503, b"nutmeglead-refusal: overloaded\r\n")
+    await serve_healthily(side)
+
+
 async def refuse_early(side):
     await side.read_head()
     side.answer(b"{}", 421, b"nutmeglead-refusal: not-owner\r\n")
@@ -151,6 +158,7 @@
     "says that it closes": _send_raw(HEAD + b"connection: close\r\ncontent-length: 4\r\n\r\nfour"),
     "reads nothing": read_nothing,
     "sheds load": _refuse(503, b"overloaded"),
+    "sheds one request": refuse_once,
     "refuses with an endless body": _refuse(503, b"overloaded", b"x" * 100_000),
     "refuses early": refuse_early,
     "fails by itself": _send_raw(b"HTTP/1.1 503 X\r\ncontent-length: 4\r\n\r\nfour"),
