--- a/nutmeglead/routing/servers.py
+++ b/nutmeglead/routing/servers.py
@@ -1,6 +1,6 @@
 """Keep what the router knows of each server: requests in flight, limit, health, service times."""
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 
 from nutmeglead._generated.settings.ttypes import (
     ConcurrencySettings,
@@ -8,9 +8,15 @@
     ServiceSettings,
 )
 from nutmeglead.core.ids import ServerId, ServiceName
-from nutmeglead.routing.concurrency import CONCURRENCY, ConcurrencyLimit, connection_share
+from nutmeglead.routing.concurrency import (
+    CONCURRENCY,
+    ConcurrencyLimit,
+    LentShare,
+    SlotShares,
+    connection_share,
+)
 from nutmeglead.routing.ejection import EJECTION, EjectionPolicy
-from nutmeglead.routing.errors import AnswerLate, RequestError, is_server_fault
+from nutmeglead.routing.errors import AnswerLate, RequestError, ServerRefused, is_server_fault
 from nutmeglead.routing.estimates import SmoothedTime
 from nutmeglead.routing.sources import AddressBook
 
@@ -44,7 +50,13 @@
 class ServiceServers:
     """Hold the servers of one service."""
 
-    def __init__(self, service: ServiceSettings, addresses: AddressBook) -> None:
+    def __init__(
+        self,
+        service: ServiceSettings,
+        addresses: AddressBook,
+        shares: Callable[[ServerId], SlotShares],
+    ) -> None:
+        self._shares = shares
         self._service = service
         self._name = ServiceName(service.name)
         self._addresses = addresses
@@ -59,12 +71,22 @@
         state = self._states.get(server_id)
         if state is None:
             limit = self._limits(self._service, self._addresses.router_count())
+            if isinstance(limit, LentShare):
+                limit.shares = self._shares(server_id)
             state = self._states[server_id] = ServerState(limit)
-            self.refresh()
+            self._learn_domains()
         return state
 
     def refresh(self) -> None:
         """Take over the known servers and forget idle ones that are gone."""
+        self._learn_domains()
+        self._states = {
+            server_id: state
+            for server_id, state in self._states.items()
+            if server_id in self._known or state.in_flight
+        }
+
+    def _learn_domains(self) -> None:
         domains = {}
         for server_id in self._addresses.servers(self._name):
             address = self._addresses.address(self._name, server_id)
@@ -73,11 +95,6 @@
         if domains != self._known:
             self._known = dict(domains)
             self.ejection.set_servers(domains)
-        self._states = {
-            server_id: state
-            for server_id, state in self._states.items()
-            if server_id in domains or state.in_flight
-        }
 
     def allowed(self, server_id: ServerId, now_ms: int) -> int:
         """Return how many requests may be in flight to a server."""
@@ -91,6 +108,11 @@
         """Tell whether a server gets no requests at present."""
         return self.ejection.share(server_id, now_ms) <= 0
 
+    def in_flight(self, server_id: ServerId) -> int:
+        """Count the requests in flight to a server."""
+        state = self._states.get(server_id)
+        return state.in_flight if state else 0
+
     def take_slot(self, server_id: ServerId, now_ms: int) -> bool:
         """Count a request in flight if the limit allows one more."""
         state = self.state(server_id)
@@ -111,10 +133,11 @@
         now_ms: int,
         cancelled: bool,
     ) -> None:
-        """Count the end of a request in flight and learn from it, unless its caller left."""
+        """Count the end of a request in flight and learn from it, unless its caller ended it."""
         state = self.state(server_id)
         state.in_flight -= 1
-        if cancelled:
+        says_nothing = error and not isinstance(error, ServerRefused) and not is_server_fault(error)
+        if cancelled or says_nothing:
             return
         state.limit.observe(duration_ms, error is None, state.in_flight + 1)
         if error is None:
