controller: disseminate server addresses in a directory page, accept overtaken releases as proof

Cause: routers had no source for the addresses of owners; a release that a newer grant set overtook was refused and repeated after 100 ms, which left pinned keys without an owner for that time. Change: directory page per service (table row, pushed and compared like other pages); the holder answers a release of the same role epoch whatever its sequence.

--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -147,6 +147,104 @@
         return not (self == other)
 
 
+class ServerEntry(object):
+    """
+    Attributes:
+     - server_id
+     - address
+     - failure_domain
+     - gate
+
+    """
+
+
+    def __init__(self, server_id=None, address=None, failure_domain=None, gate=None,):
+        self.server_id = server_id
+        self.address = address
+        self.failure_domain = failure_domain
+        self.gate = gate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.address = nutmeglead._generated.common.ttypes.Address()
+                    self.address.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.gate = nutmeglead._generated.common.ttypes.Address()
+                    self.gate.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerEntry')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRUCT, 2)
+            self.address.write(oprot)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 3)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.gate is not None:
+            oprot.writeFieldBegin('gate', TType.STRUCT, 4)
+            self.gate.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.server_id is None:
+            raise TProtocolException(message='Required field server_id is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.failure_domain is None:
+            raise TProtocolException(message='Required field failure_domain is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlacementPage(object):
     """
     Attributes:
@@ -162,11 +260,12 @@
      - previous
      - units
      - epoch_floor
+     - directory
 
     """
 
 
-    def __init__(self, service_name=None, pins=None, page_number=None, version=None, role_epoch=None, ticket_number=None, servers=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=0,):
+    def __init__(self, service_name=None, pins=None, page_number=None, version=None, role_epoch=None, ticket_number=None, servers=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=0, directory=None,):
         self.service_name = service_name
         self.pins = pins
         self.page_number = page_number
@@ -179,6 +278,7 @@
         self.previous = previous
         self.units = units
         self.epoch_floor = epoch_floor
+        self.directory = directory
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -282,6 +382,17 @@
                     self.epoch_floor = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.directory = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = ServerEntry()
+                        _elem42.read(iprot)
+                        self.directory.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -319,46 +430,53 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.servers))
-            for iter37 in self.servers:
-                oprot.writeString(iter37.encode('utf-8') if sys.version_info[0] == 2 else iter37)
+            for iter43 in self.servers:
+                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owners is not None:
             oprot.writeFieldBegin('owners', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.owners))
-            for iter38 in self.owners:
-                oprot.writeI32(iter38)
+            for iter44 in self.owners:
+                oprot.writeI32(iter44)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epochs is not None:
             oprot.writeFieldBegin('epochs', TType.LIST, 9)
             oprot.writeListBegin(TType.I64, len(self.epochs))
-            for iter39 in self.epochs:
-                oprot.writeI64(iter39)
+            for iter45 in self.epochs:
+                oprot.writeI64(iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.previous is not None:
             oprot.writeFieldBegin('previous', TType.MAP, 10)
             oprot.writeMapBegin(TType.I32, TType.LIST, len(self.previous))
-            for kiter40, viter41 in self.previous.items():
-                oprot.writeI32(kiter40)
-                oprot.writeListBegin(TType.STRUCT, len(viter41))
-                for iter42 in viter41:
-                    iter42.write(oprot)
+            for kiter46, viter47 in self.previous.items():
+                oprot.writeI32(kiter46)
+                oprot.writeListBegin(TType.STRUCT, len(viter47))
+                for iter48 in viter47:
+                    iter48.write(oprot)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter43 in self.units:
-                iter43.write(oprot)
+            for iter49 in self.units:
+                iter49.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epoch_floor is not None:
             oprot.writeFieldBegin('epoch_floor', TType.I64, 12)
             oprot.writeI64(self.epoch_floor)
             oprot.writeFieldEnd()
+        if self.directory is not None:
+            oprot.writeFieldBegin('directory', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.directory))
+            for iter50 in self.directory:
+                iter50.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -404,17 +522,15 @@
      - node_id
      - incarnation
      - epoch
-     - planned_ticket_number
 
     """
 
 
-    def __init__(self, service_name=None, node_id=None, incarnation=None, epoch=None, planned_ticket_number=0,):
+    def __init__(self, service_name=None, node_id=None, incarnation=None, epoch=None,):
         self.service_name = service_name
         self.node_id = node_id
         self.incarnation = incarnation
         self.epoch = epoch
-        self.planned_ticket_number = planned_ticket_number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -445,11 +561,6 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I64:
-                    self.planned_ticket_number = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -476,10 +587,6 @@
             oprot.writeFieldBegin('epoch', TType.I64, 4)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
-        if self.planned_ticket_number is not None:
-            oprot.writeFieldBegin('planned_ticket_number', TType.I64, 5)
-            oprot.writeI64(self.planned_ticket_number)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -540,20 +647,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.node_ids = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.node_ids.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.node_ids.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.incarnations = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.incarnations.append(_elem55)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.incarnations.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -579,15 +686,15 @@
         if self.node_ids is not None:
             oprot.writeFieldBegin('node_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.node_ids))
-            for iter56 in self.node_ids:
-                oprot.writeString(iter56.encode('utf-8') if sys.version_info[0] == 2 else iter56)
+            for iter63 in self.node_ids:
+                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.incarnations is not None:
             oprot.writeFieldBegin('incarnations', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.incarnations))
-            for iter57 in self.incarnations:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter64 in self.incarnations:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.role_epoch is not None:
@@ -670,11 +777,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.former = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = RenewerSet()
-                        _elem63.read(iprot)
-                        self.former.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = RenewerSet()
+                        _elem70.read(iprot)
+                        self.former.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -712,8 +819,8 @@
         if self.former is not None:
             oprot.writeFieldBegin('former', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.former))
-            for iter64 in self.former:
-                iter64.write(oprot)
+            for iter71 in self.former:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gate_node_id is not None:
@@ -797,10 +904,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.renewer_node_ids = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.renewer_node_ids.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewer_node_ids.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -839,8 +946,8 @@
         if self.renewer_node_ids is not None:
             oprot.writeFieldBegin('renewer_node_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.renewer_node_ids))
-            for iter71 in self.renewer_node_ids:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter78 in self.renewer_node_ids:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_end_ms is not None:
@@ -1128,10 +1235,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.renewer_node_ids = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.renewer_node_ids.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewer_node_ids.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1143,22 +1250,22 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = Grant()
-                        _elem83.read(iprot)
-                        self.grants.append(_elem83)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = Grant()
+                        _elem90.read(iprot)
+                        self.grants.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.carve_outs = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem89.read(iprot)
-                        self.carve_outs.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem96.read(iprot)
+                        self.carve_outs.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1195,8 +1302,8 @@
         if self.renewer_node_ids is not None:
             oprot.writeFieldBegin('renewer_node_ids', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.renewer_node_ids))
-            for iter90 in self.renewer_node_ids:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter97 in self.renewer_node_ids:
+                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hash_buckets is not None:
@@ -1206,15 +1313,15 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter91 in self.grants:
-                iter91.write(oprot)
+            for iter98 in self.grants:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.carve_outs is not None:
             oprot.writeFieldBegin('carve_outs', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.carve_outs))
-            for iter92 in self.carve_outs:
-                iter92.write(oprot)
+            for iter99 in self.carve_outs:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1429,11 +1536,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.units = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = Grant()
-                        _elem98.read(iprot)
-                        self.units.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = Grant()
+                        _elem105.read(iprot)
+                        self.units.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1466,8 +1573,8 @@
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter99 in self.units:
-                iter99.write(oprot)
+            for iter106 in self.units:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1539,22 +1646,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.released = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem105.read(iprot)
-                        self.released.append(_elem105)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem112.read(iprot)
+                        self.released.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.draining = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem111.read(iprot)
-                        self.draining.append(_elem111)
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem118.read(iprot)
+                        self.draining.append(_elem118)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1584,15 +1691,15 @@
         if self.released is not None:
             oprot.writeFieldBegin('released', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.released))
-            for iter112 in self.released:
-                iter112.write(oprot)
+            for iter119 in self.released:
+                iter119.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.draining is not None:
             oprot.writeFieldBegin('draining', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.draining))
-            for iter113 in self.draining:
-                iter113.write(oprot)
+            for iter120 in self.draining:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.role_epoch is not None:
@@ -2365,22 +2472,22 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.role_epochs = {}
-                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
-                    for _i118 in range(_size114):
-                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val120 = iprot.readI64()
-                        self.role_epochs[_key119] = _val120
+                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
+                    for _i125 in range(_size121):
+                        _key126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val127 = iprot.readI64()
+                        self.role_epochs[_key126] = _val127
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.map_digests = {}
-                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
-                    for _i125 in range(_size121):
-                        _key126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val127 = iprot.readI64()
-                        self.map_digests[_key126] = _val127
+                    (_ktype129, _vtype130, _size128) = iprot.readMapBegin()
+                    for _i132 in range(_size128):
+                        _key133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val134 = iprot.readI64()
+                        self.map_digests[_key133] = _val134
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2393,11 +2500,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = MemberNews()
-                        _elem133.read(iprot)
-                        self.news.append(_elem133)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = MemberNews()
+                        _elem140.read(iprot)
+                        self.news.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2440,17 +2547,17 @@
         if self.role_epochs is not None:
             oprot.writeFieldBegin('role_epochs', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.role_epochs))
-            for kiter134, viter135 in self.role_epochs.items():
-                oprot.writeString(kiter134.encode('utf-8') if sys.version_info[0] == 2 else kiter134)
-                oprot.writeI64(viter135)
+            for kiter141, viter142 in self.role_epochs.items():
+                oprot.writeString(kiter141.encode('utf-8') if sys.version_info[0] == 2 else kiter141)
+                oprot.writeI64(viter142)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.map_digests is not None:
             oprot.writeFieldBegin('map_digests', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.map_digests))
-            for kiter136, viter137 in self.map_digests.items():
-                oprot.writeString(kiter136.encode('utf-8') if sys.version_info[0] == 2 else kiter136)
-                oprot.writeI64(viter137)
+            for kiter143, viter144 in self.map_digests.items():
+                oprot.writeString(kiter143.encode('utf-8') if sys.version_info[0] == 2 else kiter143)
+                oprot.writeI64(viter144)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.relay_address is not None:
@@ -2460,8 +2567,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter138 in self.news:
-                iter138.write(oprot)
+            for iter145 in self.news:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.passive is not None:
@@ -2517,11 +2624,12 @@
      - units
      - epoch_floor
      - page_digest
+     - directory
 
     """
 
 
-    def __init__(self, role_epoch=None, ticket_number=None, unit_count=None, servers=None, new_servers=None, positions=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=None, page_digest=None,):
+    def __init__(self, role_epoch=None, ticket_number=None, unit_count=None, servers=None, new_servers=None, positions=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=None, page_digest=None, directory=None,):
         self.role_epoch = role_epoch
         self.ticket_number = ticket_number
         self.unit_count = unit_count
@@ -2534,6 +2642,7 @@
         self.units = units
         self.epoch_floor = epoch_floor
         self.page_digest = page_digest
+        self.directory = directory
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2562,78 +2671,78 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = iprot.readI32()
-                        self.servers.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = iprot.readI32()
+                        self.servers.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.new_servers = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.new_servers.append(_elem150)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.new_servers.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.positions = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = iprot.readI32()
-                        self.positions.append(_elem156)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = iprot.readI32()
+                        self.positions.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.owners = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = iprot.readI32()
-                        self.owners.append(_elem162)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = iprot.readI32()
+                        self.owners.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.epochs = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = iprot.readI64()
-                        self.epochs.append(_elem168)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = iprot.readI64()
+                        self.epochs.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.MAP:
                     self.previous = {}
-                    (_ktype170, _vtype171, _size169) = iprot.readMapBegin()
-                    for _i173 in range(_size169):
-                        _key174 = iprot.readI32()
-                        _val175 = []
-                        (_etype179, _size176) = iprot.readListBegin()
-                        for _i180 in range(_size176):
-                            _elem181 = PreviousHolder()
-                            _elem181.read(iprot)
-                            _val175.append(_elem181)
+                    (_ktype177, _vtype178, _size176) = iprot.readMapBegin()
+                    for _i180 in range(_size176):
+                        _key181 = iprot.readI32()
+                        _val182 = []
+                        (_etype186, _size183) = iprot.readListBegin()
+                        for _i187 in range(_size183):
+                            _elem188 = PreviousHolder()
+                            _elem188.read(iprot)
+                            _val182.append(_elem188)
                         iprot.readListEnd()
-                        self.previous[_key174] = _val175
+                        self.previous[_key181] = _val182
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.units = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem187.read(iprot)
-                        self.units.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem194.read(iprot)
+                        self.units.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2647,6 +2756,17 @@
                     self.page_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.directory = []
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = ServerEntry()
+                        _elem200.read(iprot)
+                        self.directory.append(_elem200)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2672,54 +2792,54 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.servers))
-            for iter188 in self.servers:
-                oprot.writeI32(iter188)
+            for iter201 in self.servers:
+                oprot.writeI32(iter201)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.new_servers is not None:
             oprot.writeFieldBegin('new_servers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.new_servers))
-            for iter189 in self.new_servers:
-                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
+            for iter202 in self.new_servers:
+                oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.positions is not None:
             oprot.writeFieldBegin('positions', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.positions))
-            for iter190 in self.positions:
-                oprot.writeI32(iter190)
+            for iter203 in self.positions:
+                oprot.writeI32(iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owners is not None:
             oprot.writeFieldBegin('owners', TType.LIST, 7)
             oprot.writeListBegin(TType.I32, len(self.owners))
-            for iter191 in self.owners:
-                oprot.writeI32(iter191)
+            for iter204 in self.owners:
+                oprot.writeI32(iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epochs is not None:
             oprot.writeFieldBegin('epochs', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.epochs))
-            for iter192 in self.epochs:
-                oprot.writeI64(iter192)
+            for iter205 in self.epochs:
+                oprot.writeI64(iter205)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.previous is not None:
             oprot.writeFieldBegin('previous', TType.MAP, 9)
             oprot.writeMapBegin(TType.I32, TType.LIST, len(self.previous))
-            for kiter193, viter194 in self.previous.items():
-                oprot.writeI32(kiter193)
-                oprot.writeListBegin(TType.STRUCT, len(viter194))
-                for iter195 in viter194:
-                    iter195.write(oprot)
+            for kiter206, viter207 in self.previous.items():
+                oprot.writeI32(kiter206)
+                oprot.writeListBegin(TType.STRUCT, len(viter207))
+                for iter208 in viter207:
+                    iter208.write(oprot)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter196 in self.units:
-                iter196.write(oprot)
+            for iter209 in self.units:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epoch_floor is not None:
@@ -2730,6 +2850,13 @@
             oprot.writeFieldBegin('page_digest', TType.I64, 12)
             oprot.writeI64(self.page_digest)
             oprot.writeFieldEnd()
+        if self.directory is not None:
+            oprot.writeFieldBegin('directory', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.directory))
+            for iter210 in self.directory:
+                iter210.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3148,11 +3275,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = PageVersion()
-                        _elem202.read(iprot)
-                        self.versions.append(_elem202)
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = PageVersion()
+                        _elem216.read(iprot)
+                        self.versions.append(_elem216)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3186,8 +3313,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter203 in self.versions:
-                iter203.write(oprot)
+            for iter217 in self.versions:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3260,11 +3387,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype207, _size204) = iprot.readListBegin()
-                    for _i208 in range(_size204):
-                        _elem209 = PageVersion()
-                        _elem209.read(iprot)
-                        self.known.append(_elem209)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = PageVersion()
+                        _elem223.read(iprot)
+                        self.known.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3289,8 +3416,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter210 in self.known:
-                iter210.write(oprot)
+            for iter224 in self.known:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3350,11 +3477,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.pages = []
-                    (_etype214, _size211) = iprot.readListBegin()
-                    for _i215 in range(_size211):
-                        _elem216 = PlacementPage()
-                        _elem216.read(iprot)
-                        self.pages.append(_elem216)
+                    (_etype228, _size225) = iprot.readListBegin()
+                    for _i229 in range(_size225):
+                        _elem230 = PlacementPage()
+                        _elem230.read(iprot)
+                        self.pages.append(_elem230)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3380,8 +3507,8 @@
         if self.pages is not None:
             oprot.writeFieldBegin('pages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.pages))
-            for iter217 in self.pages:
-                iter217.write(oprot)
+            for iter231 in self.pages:
+                iter231.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3539,22 +3666,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = UnitLoad()
-                        _elem223.read(iprot)
-                        self.loads.append(_elem223)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = UnitLoad()
+                        _elem237.read(iprot)
+                        self.loads.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = UnitLoad()
-                        _elem229.read(iprot)
-                        self.hot_keys.append(_elem229)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = UnitLoad()
+                        _elem243.read(iprot)
+                        self.hot_keys.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3587,15 +3714,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter230 in self.loads:
-                iter230.write(oprot)
+            for iter244 in self.loads:
+                iter244.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter231 in self.hot_keys:
-                iter231.write(oprot)
+            for iter245 in self.hot_keys:
+                iter245.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3780,15 +3907,17 @@
      - ticket_number
      - in_force
      - missing
+     - service_names
 
     """
 
 
-    def __init__(self, sender=None, ticket_number=None, in_force=None, missing=None,):
+    def __init__(self, sender=None, ticket_number=None, in_force=None, missing=None, service_names=None,):
         self.sender = sender
         self.ticket_number = ticket_number
         self.in_force = in_force
         self.missing = missing
+        self.service_names = service_names
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3818,11 +3947,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype235, _size232) = iprot.readListBegin()
-                    for _i236 in range(_size232):
-                        _elem237 = MissingParty()
-                        _elem237.read(iprot)
-                        self.missing.append(_elem237)
+                    (_etype249, _size246) = iprot.readListBegin()
+                    for _i250 in range(_size246):
+                        _elem251 = MissingParty()
+                        _elem251.read(iprot)
+                        self.missing.append(_elem251)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.service_names = []
+                    (_etype255, _size252) = iprot.readListBegin()
+                    for _i256 in range(_size252):
+                        _elem257 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.service_names.append(_elem257)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3851,8 +3990,15 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.missing))
-            for iter238 in self.missing:
-                iter238.write(oprot)
+            for iter258 in self.missing:
+                iter258.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.service_names is not None:
+            oprot.writeFieldBegin('service_names', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.service_names))
+            for iter259 in self.service_names:
+                oprot.writeString(iter259.encode('utf-8') if sys.version_info[0] == 2 else iter259)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4463,6 +4609,14 @@
     (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
 )
+all_structs.append(ServerEntry)
+ServerEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 2
+    (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
+    (4, TType.STRUCT, 'gate', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 4
+)
 all_structs.append(PlacementPage)
 PlacementPage.thrift_spec = (
     None,  # 0
@@ -4478,6 +4632,7 @@
     (10, TType.MAP, 'previous', (TType.I32, None, TType.LIST, (TType.STRUCT, [PreviousHolder, None], False), False), None, ),  # 10
     (11, TType.LIST, 'units', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 11
     (12, TType.I64, 'epoch_floor', None, 0, ),  # 12
+    (13, TType.LIST, 'directory', (TType.STRUCT, [ServerEntry, None], False), None, ),  # 13
 )
 all_structs.append(RoleRow)
 RoleRow.thrift_spec = (
@@ -4486,7 +4641,6 @@
     (2, TType.STRING, 'node_id', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
     (4, TType.I64, 'epoch', None, None, ),  # 4
-    (5, TType.I64, 'planned_ticket_number', None, 0, ),  # 5
 )
 all_structs.append(RenewerSet)
 RenewerSet.thrift_spec = (
@@ -4655,6 +4809,7 @@
     (10, TType.LIST, 'units', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 10
     (11, TType.I64, 'epoch_floor', None, None, ),  # 11
     (12, TType.I64, 'page_digest', None, None, ),  # 12
+    (13, TType.LIST, 'directory', (TType.STRUCT, [ServerEntry, None], False), None, ),  # 13
 )
 all_structs.append(PageDelta)
 PageDelta.thrift_spec = (
@@ -4741,6 +4896,7 @@
     (2, TType.I64, 'ticket_number', None, None, ),  # 2
     (3, TType.BOOL, 'in_force', None, None, ),  # 3
     (4, TType.LIST, 'missing', (TType.STRUCT, [MissingParty, None], False), None, ),  # 4
+    (5, TType.LIST, 'service_names', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(LendSlots)
 LendSlots.thrift_spec = (
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -43,6 +43,7 @@
 from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.ids import NodeId, RoleEpoch, RowKey, ServerId, ServiceName, TicketNumber
 from nutmeglead.dissemination.digests import VersionDigest
+from nutmeglead.dissemination.page_ids import PageId
 from nutmeglead.ownership.handover import HandoverTable, Suspicion
 from nutmeglead.ownership.handover import SendStop as StopDecision
 from nutmeglead.ownership.pages import role_key, server_key
@@ -259,6 +260,7 @@
         unproven = [
             MissingParty(server_id, "has not acknowledged its grants")
             for server_id in self.grants.unacknowledged()
+            if not self._has_lapsed(server_id)
         ]
         progress = self.writer.progress
         unproven += [MissingParty(reason, "move postponed") for reason in progress.postponed]
@@ -271,11 +273,16 @@
         unique = {(party.id, party.reason): party for party in unproven}
         return self.in_force.missing(ticket_number, live_nodes, unique.values())
 
+    def _has_lapsed(self, server_id: ServerId) -> bool:
+        """Tell whether a server is known to hold nothing."""
+        lease = self.leases.servers.get(server_id)
+        return lease is None or lease.row is None or lease.has_ended
+
     def map_digest(self) -> int:
         """Return a digest of the page versions."""
         digest = VersionDigest()
         for place, version in self.placer.unit_map.versions().items():
-            digest.replace(place, 0, version)
+            digest.replace(PageId(*place), 0, version)
         return digest.value
 
     # ---- private ----
--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from nutmeglead._generated.messages.ttypes import AuditRecord
+from nutmeglead._generated.messages.ttypes import AuditRecord, ServerEntry
 from nutmeglead._generated.settings.ttypes import ServiceSettings
 from nutmeglead._generated.tickets.ttypes import ServerState
 from nutmeglead.controller.audit_trail import AuditTrail
@@ -89,8 +89,8 @@
         """Return the transaction that is due, if none is in flight."""
         if self.in_flight is not None or budget.available(now_ms) < 1:
             return None
-        commit = None
-        if now_ms >= self._plan_ms:
+        commit = self._write_directory(budget, now_ms)
+        if commit is None and now_ms >= self._plan_ms:
             commit = self._write_moves(leases, budget, now_ms)
         if commit is None and proven and now_ms >= self._clear_ms:
             self._clear_ms = now_ms + CLEAR_INTERVAL_MS
@@ -138,6 +138,17 @@
             )
         return records
 
+    def _write_directory(self, budget: WriteBudget, now_ms: int) -> Commit | None:
+        """Write the addresses of the ticket's servers before any unit moves to them."""
+        entries = [
+            ServerEntry(server.server_id, server.address, server.failure_domain or "")
+            for server in self.plan_input.desired.servers.values()
+            if server.address is not None and server.state != ServerState.REMOVED
+        ]
+        if not entries:
+            return None
+        return self._commit(self._placer.directory(entries, self._stamp()), (), budget, now_ms)
+
     def _write_moves(
         self, leases: Mapping[ServerId, ServerLease], budget: WriteBudget, now_ms: int
     ) -> Commit | None:
--- a/nutmeglead/controller/placer.py
+++ b/nutmeglead/controller/placer.py
@@ -6,9 +6,10 @@
 from result import Err, Ok, Result
 
 from nutmeglead._generated.common.ttypes import UnitKind
-from nutmeglead._generated.messages.ttypes import PlacementPage
+from nutmeglead._generated.messages.ttypes import PlacementPage, ServerEntry
 from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.ids import RowKey, ServerId, ServiceName
+from nutmeglead.ownership.directory import directory_key, directory_page
 from nutmeglead.ownership.errors import OwnershipError
 from nutmeglead.ownership.keys import PAGE_UNITS, Unit
 from nutmeglead.ownership.pages import (
@@ -109,6 +110,16 @@
             batch.edits[key] = PageEdit(key, page, self._row_versions.get(key, 0))
         return batch
 
+    def directory(self, entries: Sequence[ServerEntry], stamp: WriteStamp) -> EditBatch:
+        """Prepare the transaction that writes the servers' addresses, if they have changed."""
+        key = directory_key(self.service_name)
+        present = self.pages.get(key)
+        batch = EditBatch()
+        if present is None or list(present.directory or []) != list(entries):
+            page = directory_page(self.service_name, entries, present, stamp)
+            batch.edits[key] = PageEdit(key, page, self._row_versions.get(key, 0))
+        return batch
+
     def move(self, moves: Sequence[Move], stamp: WriteStamp, max_pages: int) -> EditBatch:
         """Prepare a transaction with as many of the moves as fit, the first ones first."""
         batch = EditBatch()
--- a/nutmeglead/controller/tests/rig.py
+++ b/nutmeglead/controller/tests/rig.py
@@ -1,6 +1,5 @@
 """Run a controller machine against grant holders, renewers and a table in virtual time."""
 
-
 import heapq
 import itertools
 import random
@@ -106,7 +105,9 @@
             for number in range(self.options.nodes_per_domain):
                 self._add_node(f"entry-{index}-{number}", domain)
         for index in range(self.options.server_count):
-            self.add_server(f"lb-{index:02}", self.options.domains[index % len(self.options.domains)])
+            self.add_server(
+                f"lb-{index:02}", self.options.domains[index % len(self.options.domains)]
+            )
         self.number = 0
         self.claims = {}
         self.leaving = set()
@@ -291,9 +292,7 @@
         renewer = node.renewer
 
         def on_reply(_, reply, __):
-            renewer.on_reply(
-                order.service_name, order.server_id, order.message, reply, self.now_ms
-            )
+            renewer.on_reply(order.service_name, order.server_id, order.message, reply, self.now_ms)
 
         self._call_server(node.node_id, order.server_id, "renew", order.message, on_reply)
 
--- a/nutmeglead/dissemination/deltas.py
+++ b/nutmeglead/dissemination/deltas.py
@@ -61,6 +61,7 @@
         units=[new.units[position] for position in changed] if new.pins else None,
         epoch_floor=new.epoch_floor,
         page_digest=page_digest(encode_page(new)),
+        directory=new.directory,
     )
     _set_servers(changes, old.servers if old else [], new.servers)
     return PageDelta(
@@ -158,6 +159,7 @@
         epochs=_resize(page.epochs if page else [], changes.unit_count, 0),
         previous={p: h for p, h in _previous(page).items() if p < changes.unit_count},
         epoch_floor=changes.epoch_floor,
+        directory=changes.directory,
     )
     if delta.pins:
         changed.units = _resize((page.units if page else None) or [], changes.unit_count, None)
--- a/nutmeglead/ownership/holder.py
+++ b/nutmeglead/ownership/holder.py
@@ -300,8 +300,10 @@
         order = (message.role_epoch, message.sequence)
         if message.holder_incarnation != self.incarnation:
             return OrderStatus.WRONG_INCARNATION
-        if order < self._order:
+        if message.role_epoch < self._order[0]:
             return OrderStatus.STALE_ROLE_EPOCH
+        # A release that a newer grant set of the same role overtook changes nothing, but its answer
+        # is as good a proof: that grant set came from the table after the move was written.
         if order > self._order:
             self._order = order
             self._installed = None  # a repetition of the last SetGrants is no longer in effect
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -9,6 +9,14 @@
   2: required i64 epoch,
 }
 
+// Where a server is reached. `gate` is set for servers that do not check grants: requests go to that router.
+struct ServerEntry {
+  1: required string server_id,
+  2: required common.Address address,
+  3: required string failure_domain,
+  4: optional common.Address gate,
+}
+
 // One row of at most 256 units. For a hash page, position p is bucket page_number * 256 + p and `units` is
 // absent; for a pin page, `units` names them. `owners` indexes `servers`; -1 is no owner.
 struct PlacementPage {
@@ -25,6 +33,8 @@
   11: optional list<common.UnitId> units,
   // Highest epoch of a unit removed from this pin page; a unit that is added gets a higher one.
   12: optional i64 epoch_floor = 0,
+  // Set on a service's directory page only, which has no units.
+  13: optional list<ServerEntry> directory,
 }
 
 struct RoleRow {
@@ -32,7 +42,6 @@
   2: required string node_id,
   3: required string incarnation,
   4: required i64 epoch,
-  5: optional i64 planned_ticket_number = 0,
 }
 
 // `incarnations` is parallel to `node_ids`: a renewer that restarted has forgotten its stop statements and must
@@ -228,6 +237,7 @@
   10: optional list<common.UnitId> units,
   11: optional i64 epoch_floor,
   12: required i64 page_digest,
+  13: optional list<ServerEntry> directory,
 }
 
 struct PageDelta {
@@ -303,6 +313,8 @@
   2: required i64 ticket_number,
   3: required bool in_force,
   4: required list<MissingParty> missing,
+  // Services for which the sender acts and for which it answers.
+  5: optional list<string> service_names,
 }
 
 struct LendSlots {
