--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -8,7 +8,7 @@
 from nutmeglead._generated.common.ttypes import Sender
 from nutmeglead._generated.messages.ttypes import (
     AssignReply,
-    AuditKind,
+    AuditRecord,
     GrantReply,
     MissingParty,
     OrderStatus,
@@ -41,7 +41,15 @@
 from nutmeglead.controller.page_writer import PageWriter, TicketProgress
 from nutmeglead.controller.placer import PagePlacer
 from nutmeglead.core.codec import decode, encode
-from nutmeglead.core.ids import NodeId, RoleEpoch, RowKey, ServerId, ServiceName, TicketNumber
+from nutmeglead.core.ids import (
+    LeaseEpoch,
+    NodeId,
+    RoleEpoch,
+    RowKey,
+    ServerId,
+    ServiceName,
+    TicketNumber,
+)
 from nutmeglead.dissemination.digests import VersionDigest
 from nutmeglead.dissemination.page_ids import PageId
 from nutmeglead.ownership.handover import HandoverTable, Suspicion
@@ -94,6 +102,13 @@
         self._to_read: set[RowKey] = set()
         self._outbox: list[Decision] = []
         self._node_incarnations: dict[NodeId, str] = {}
+        self._record(self._trail.role_taken(f"role epoch {role_epoch} was written to the table"))
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a handover, a grant or a ticket is under way."""
+        is_waiting = bool(self.grants.unacknowledged()) or not self.writer.progress.is_planned
+        return is_waiting or any(True for _ in self.placer.unit_map.pending())
 
     # ---- state from the table ----
 
@@ -124,6 +139,7 @@
         self.writer.plan_input.desired = desired
         if number > self.writer.progress.ticket_number:
             self.writer.progress = TicketProgress(number)
+            self._trail.ticket_number = number
         self.leases.set_servers(
             (server.server_id, server.address, server.failure_domain or "")
             for server in desired.servers.values()
@@ -132,7 +148,7 @@
         self.writer.replan(now_ms)
         for server in desired.servers.values():
             if server.state == ServerState.LEAVING and server.ticket_number == number:
-                self._audit(AuditKind.SERVER_LEAVING, server.server_id, f"ticket {number}")
+                self._record(self._trail.server_leaving(server.server_id))
 
     def set_load(self, load: LoadSnapshot) -> None:
         """Take over measured load."""
@@ -217,7 +233,8 @@
             key = server_key(self.service_name, row.server_id)
             self.load_servers([Row(key, versions[key], encode(row))])
             evidence = f"lease epoch {row.current.lease_epoch} by {', '.join(row.current.node_ids)}"
-            self._audit(AuditKind.LEASE_BEGUN, row.server_id, evidence)
+            epoch = LeaseEpoch(row.current.lease_epoch)
+            self._record(self._trail.lease_begun(ServerId(row.server_id), epoch, evidence))
 
     def on_commit_failed(self, tag: CommitTag, now_ms: int) -> None:
         """Read the rows of a transaction again, because it conflicted or its answer was lost."""
@@ -314,8 +331,8 @@
             if proof is None or lease.has_ended:
                 continue
             lease.has_ended = True
-            evidence = f"{proof.value}, lease epoch {lease.lease_epoch}"
-            self._audit(AuditKind.LEASE_ENDED, lease.server_id, evidence)
+            epoch = LeaseEpoch(lease.lease_epoch)
+            self._record(self._trail.lease_ended(lease.server_id, epoch, proof.value))
             self._mark_proven()
 
     def _mark_proven(self) -> None:
@@ -364,7 +381,8 @@
         self.handover.require_lapse(server_id)
         self.writer.plan_input.present_since_ms[server_id] = now_ms
         self.writer.replan(now_ms)
-        self._audit(AuditKind.LEASE_ENDED, server_id, f"lost: {evidence}")
+        epoch = LeaseEpoch(self.leases.servers[server_id].lease_epoch)
+        self._record(self._trail.lease_ended(server_id, epoch, f"lost: {evidence}"))
 
     def _note_restarted_nodes(self, nodes: Mapping[NodeId, EntryNode], now_ms: int) -> None:
         """Tell the handover table of renewers whose earlier incarnation is gone."""
@@ -374,9 +392,8 @@
             if known is not None and known != node.incarnation:
                 self.handover.on_renewer_gone(node_id, now_ms)
 
-    def _audit(self, kind: AuditKind, subject: str, evidence: str) -> None:
-        ticket_number = self.writer.progress.ticket_number
-        self._outbox.append(RecordAudit(self._trail.record(kind, ticket_number, subject, evidence)))
+    def _record(self, record: AuditRecord) -> None:
+        self._outbox.append(RecordAudit(record))
 
 
 def _after_lapse_ms(service: ServiceSettings) -> int:
--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -13,7 +13,7 @@
 from nutmeglead.controller.placer import EditBatch, PagePlacer, unit_of_move
 from nutmeglead.controller.planning import PlanInput, build_request
 from nutmeglead.core.codec import encode
-from nutmeglead.core.ids import RoleEpoch, RowKey, ServerId, TicketNumber
+from nutmeglead.core.ids import Epoch, RoleEpoch, RowKey, ServerId, TicketNumber
 from nutmeglead.ownership.keys import Unit
 from nutmeglead.ownership.pages import WriteStamp
 from nutmeglead.ownership.units import Holder
@@ -126,15 +126,10 @@
         for move in self.in_flight.moves:
             unit = unit_of_move(move)
             present = self._placer.unit_map.record(unit)
+            epoch = Epoch(present.epoch + 1 if present else 1)
+            evidence = f"{move.reason.name.lower()}, load {move.load:.1f}/s"
             records.append(
-                self._trail.move(
-                    unit,
-                    move.from_server,
-                    move.to_server,
-                    self.progress.ticket_number,
-                    f"{move.reason.name.lower()}, load {move.load:.1f}/s",
-                    present.epoch + 1 if present else None,
-                )
+                self._trail.moved(unit, move.from_server, move.to_server, epoch, evidence)
             )
         return records
 
