settings: check the push strategy, convert structs to plain values

Change: plain_struct; the policy check covers dissemination.push_strategy; counts in messages have a singular; TicketFiling.examine compares without writing.

--- a/nutmeglead/audit/explain.py
+++ b/nutmeglead/audit/explain.py
@@ -12,6 +12,7 @@
 from nutmeglead.core.ids import Epoch, ServerId, ServiceName, TicketNumber
 from nutmeglead.ownership.keys import Unit, bucket_shift, hash_key, unit_from_id
 from nutmeglead.ownership.units import Holder, UnitMap
+from nutmeglead.settings.errors import describe_count
 from nutmeglead.tickets.state import Claim, ServiceState
 
 __all__ = ["Evidence", "Explanation", "describe_record", "describe_unit", "explain"]
@@ -57,7 +58,7 @@
         since = "unknown" if self.since_ticket is None else f"ticket {self.since_ticket}"
         yield f"since: {since}"
         yield f"reason: {self.reason}"
-        yield f"history: {len(self.history)} records"
+        yield f"history: {describe_count(len(self.history), 'record')}"
         for record in self.history:
             yield f"  {describe_record(record)}"
         for text in self.missing:
--- a/nutmeglead/audit/records.py
+++ b/nutmeglead/audit/records.py
@@ -11,8 +11,9 @@
 from nutmeglead._generated.tickets.ttypes import Ticket
 from nutmeglead.audit.errors import AuditRecordMalformed
 from nutmeglead.core.ids import Epoch, LeaseEpoch, RoleEpoch, ServerId, ServiceName, TicketNumber
+from nutmeglead.settings.errors import describe_count
 from nutmeglead.settings.loader import load_struct
-from nutmeglead.settings.structs import ENUM_FIELDS
+from nutmeglead.settings.structs import plain_struct
 
 __all__ = [
     "AuditContext",
@@ -150,7 +151,7 @@
 
 def records_lost(context: AuditContext, lost: LostRange, reason: str) -> AuditRecord:
     """Record that the sender's records with the given sequence numbers are lost."""
-    evidence = f"{lost.count} records lost: {reason}"
+    evidence = f"{describe_count(lost.count, 'record')} lost: {reason}"
     return _record(AuditKind.GAP, context, f"{lost.first}-{lost.last}", evidence)
 
 
@@ -164,7 +165,7 @@
 
 def to_json_line(record: AuditRecord) -> bytes:
     """Return a record as one line of JSON."""
-    return json.dumps(_to_plain(record)).encode() + b"\n"
+    return json.dumps(plain_struct(record)).encode() + b"\n"
 
 
 def from_json_line(line: str, place: str) -> Result[AuditRecord, AuditRecordMalformed]:
@@ -173,18 +174,3 @@
     if isinstance(loaded, Err):
         return Err(AuditRecordMalformed(place, str(loaded.err_value.faults[0])))
     return Ok(loaded.ok_value)
-
-
-def _to_plain(value: Any) -> Any:
-    """Return a struct as nested dicts; unset fields are left out and enums become names."""
-    if not hasattr(value, "thrift_spec"):
-        return value
-    plain = {}
-    for spec in value.thrift_spec:
-        entry = getattr(value, spec[2]) if spec else None
-        if entry is None:
-            continue
-        name = spec[2]
-        enum_type = ENUM_FIELDS.get((type(value), name))
-        plain[name] = enum_type(entry).name.lower() if enum_type else _to_plain(entry)
-    return plain
--- a/nutmeglead/audit/trail.py
+++ b/nutmeglead/audit/trail.py
@@ -12,6 +12,7 @@
 from nutmeglead.audit.records import LostRange, from_json_line, lost_range
 from nutmeglead.platform.errors import ObjectStoreUnavailable
 from nutmeglead.platform.ports import ObjectStore
+from nutmeglead.settings.errors import describe_count
 
 __all__ = ["MissingKind", "MissingRecords", "Trail", "Writer", "read_trail"]
 
@@ -47,7 +48,8 @@
         if self.lost is None:
             return f"{name}: {self.kind.value}: {self.detail}"
         numbers = f"records {self.lost.first} to {self.lost.last}"
-        return f"{name}: {self.lost.count} records missing, {numbers}: {self.kind.value}"
+        count = describe_count(self.lost.count, "record")
+        return f"{name}: {count} missing, {numbers}: {self.kind.value}"
 
 
 @dataclass(frozen=True)
--- a/nutmeglead/settings/checks.py
+++ b/nutmeglead/settings/checks.py
@@ -140,11 +140,14 @@
 
 @SETTINGS_CHECKS.register("policies")
 def _check_policies(settings: Settings, policies: Policies) -> Iterator[Fault]:
+    push = settings.dissemination.push_strategy
+    named = [("push", "dissemination.push_strategy", push)]
     for position, service in enumerate(settings.services):
-        for kind, path, name in _policy_names(service, f"services[{position}]"):
-            if kind in policies and name not in policies[kind].names():
-                expected = "one of " + ", ".join(policies[kind].names())
-                yield Fault(path, expected, describe_value(name))
+        named += _policy_names(service, f"services[{position}]")
+    for kind, path, name in named:
+        if kind in policies and name not in policies[kind].names():
+            expected = "one of " + ", ".join(policies[kind].names())
+            yield Fault(path, expected, describe_value(name))
 
 
 def _policy_names(service: ServiceSettings, path: str) -> Iterator[tuple[str, str, str]]:
--- a/nutmeglead/settings/errors.py
+++ b/nutmeglead/settings/errors.py
@@ -5,7 +5,7 @@
 
 from nutmeglead.core.errors import NutmegleadError
 
-__all__ = ["Fault", "FileUnreadable", "SettingsFaults", "describe_value"]
+__all__ = ["Fault", "FileUnreadable", "SettingsFaults", "describe_count", "describe_value"]
 
 # A fault quotes at most this much of a value, so that one wrong value does not fill the screen.
 _MAX_QUOTED_CHARACTERS = 60
@@ -33,7 +33,7 @@
 
     def __str__(self) -> str:
         lines = "\n".join(f"  {fault}" for fault in self.faults)
-        return f"{self.source}: {len(self.faults)} faults\n{lines}"
+        return f"{self.source}: {describe_count(len(self.faults), 'fault')}\n{lines}"
 
 
 @dataclass
@@ -47,10 +47,15 @@
         return f"{self.source}: expected a readable UTF-8 file, got {self.reason}"
 
 
+def describe_count(count: int, noun: str) -> str:
+    """Return a number with its noun in the singular or plural."""
+    return f"{count} {noun}" if count == 1 else f"{count} {noun}s"
+
+
 def describe_value(value: object) -> str:
     """Return a value as it stands in JSON, cut to a readable length."""
     if isinstance(value, dict):
-        return f"an object with {len(value)} fields"
+        return f"an object with {describe_count(len(value), 'field')}"
     if isinstance(value, list):
         return f"a list of {len(value)}"
     text = json.dumps(value, ensure_ascii=False, default=str)
--- a/nutmeglead/settings/structs.py
+++ b/nutmeglead/settings/structs.py
@@ -12,12 +12,12 @@
 from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState
 from nutmeglead.settings.errors import Fault, describe_value
 
-__all__ = ["ENUM_FIELDS", "DuplicateField", "fill_struct", "join_path", "required_fields"]
+__all__ = ["DuplicateField", "fill_struct", "join_path", "plain_struct", "required_fields"]
 
 _INTEGER_BITS = {TType.BYTE: 8, TType.I16: 16, TType.I32: 32, TType.I64: 64}
 
 # `thrift_spec` gives an enum field the type I32 and does not name the enum.
-ENUM_FIELDS: dict[tuple[type, str], type[IntEnum]] = {
+_ENUM_FIELDS: dict[tuple[type, str], type[IntEnum]] = {
     (ServerItem, "state"): ServerState,
     (AuditRecord, "kind"): AuditKind,
     (UnitId, "kind"): UnitKind,
@@ -53,6 +53,22 @@
     return frozenset(required)
 
 
+def plain_struct(value: Any) -> Any:
+    """Return a struct as the nested dicts that `fill_struct` reads; unset fields are left out."""
+    if isinstance(value, list):
+        return [plain_struct(item) for item in value]
+    if not hasattr(value, "thrift_spec"):
+        return value
+    plain = {}
+    for spec in value.thrift_spec:
+        entry = getattr(value, spec[2]) if spec else None
+        if entry is None:
+            continue
+        enum_type = _ENUM_FIELDS.get((type(value), spec[2]))
+        plain[spec[2]] = enum_type(entry).name.lower() if enum_type else plain_struct(entry)
+    return plain
+
+
 def fill_struct(struct_type: type, value: object, path: str, faults: list[Fault]) -> Any:
     """Return a struct filled from a parsed object; add each fault to `faults`.
 
@@ -93,7 +109,7 @@
 def _fill_field(
     struct_type: type, spec: tuple[Any, ...], value: object, path: str, faults: list[Fault]
 ) -> Any:
-    enum_type = ENUM_FIELDS.get((struct_type, spec[2]))
+    enum_type = _ENUM_FIELDS.get((struct_type, spec[2]))
     if enum_type is not None:
         return _read_enum(enum_type, value, path, faults)
     return _read_value(spec[1], spec[3], value, path, faults)
--- a/nutmeglead/settings/tests/settings.feature
+++ b/nutmeglead/settings/tests/settings.feature
@@ -32,6 +32,7 @@
       | services[0].hash_buckets is set to 1000         | services[0].hash_buckets: expected a power of two, got 1000                        | the top bits of the hash name a bucket that does not exist  |
       | services[0].placement.policy is set to "stedy"  | services[0].placement.policy: expected one of balanced, steady, got "stedy"        | an unknown policy fails at the first planning round         |
       | services[0].selection is set to "random"        | services[0].selection: expected one of least_in_flight, got "random"               | an unknown policy fails at the first request                |
+      | dissemination is set to {"push_strategy": "flood"} | dissemination.push_strategy: expected one of domain_tree, got "flood" | an unknown strategy fails at the first delta |
       | services[1].name is set to "schnitt/auftrag"    | services[1].name: expected a name of the form *, got "schnitt/auftrag"             | a slash splits a row key or URL path in the wrong place     |
       | ownership is set to {"renew_interval_ms": 600}  | ownership.renew_interval_ms: expected at most 1/2 of lease_ttl_ms (1000), got 600  | one lost renewal ends a lease                               |
       | ownership is set to {"renewers_per_server": 4}  | ownership.renewers_per_server: expected an odd number, got 4                       | a majority of four tolerates no more losses than of three   |
--- a/nutmeglead/settings/tests/steps/settings_steps.py
+++ b/nutmeglead/settings/tests/steps/settings_steps.py
@@ -25,6 +25,7 @@
     "ejection": ("stepwise",),
     "placement": ("balanced", "steady"),
     "selection": ("least_in_flight",),
+    "push": ("domain_tree",),
 }
 
 
--- a/nutmeglead/tickets/errors.py
+++ b/nutmeglead/tickets/errors.py
@@ -4,7 +4,7 @@
 
 from nutmeglead.core.errors import NutmegleadError
 from nutmeglead.core.ids import RowKey
-from nutmeglead.settings.errors import Fault
+from nutmeglead.settings.errors import Fault, describe_count
 
 __all__ = [
     "BaseAhead",
@@ -34,7 +34,7 @@
 
     def __str__(self) -> str:
         lines = "\n".join(f"  {fault}" for fault in self.faults)
-        return f"{self.source}: not filed, {len(self.faults)} faults\n{lines}"
+        return f"{self.source}: not filed, {describe_count(len(self.faults), 'fault')}\n{lines}"
 
 
 @dataclass(frozen=True)
@@ -61,9 +61,10 @@
 
     def __str__(self) -> str:
         lines = "\n".join(f"  {collision}" for collision in self.collisions)
+        count = describe_count(len(self.collisions), "collision")
         return (
             f"not filed: expected no change of its items after base {self.base_number},"
-            f" got {len(self.collisions)} collisions up to head {self.head_number}\n{lines}"
+            f" got {count} up to head {self.head_number}\n{lines}"
         )
 
 
--- a/nutmeglead/tickets/filing.py
+++ b/nutmeglead/tickets/filing.py
@@ -124,6 +124,25 @@
             ticket, HeadContention(attempt + 1, moved.head_number), moved.lost
         )
 
+    async def examine(self, ticket: Ticket) -> Result[TicketNumber, FilingError]:
+        """Return the head that the ticket could follow now, or why it could not; write nothing.
+
+        A ticket that is filed already gives the head before it.
+        """
+        faults = check_ticket(ticket, self._settings)
+        if faults:
+            return Err(TicketFaults(ticket.filing_id, faults))
+        earlier = await self._find_earlier(ticket)
+        if isinstance(earlier, Err):
+            return earlier
+        if earlier.ok_value is not None:
+            return Ok(TicketNumber(earlier.ok_value - 1))
+        prepared = await self._prepare(ticket)
+        if isinstance(prepared, Err):
+            return prepared
+        number = prepared.head_number if isinstance(prepared, _Moved) else prepared.ok_value.number
+        return Ok(TicketNumber(number))
+
     async def _attempt(self, ticket: Ticket, attempt: int) -> "Result[Filed, FilingError] | _Moved":
         earlier = await self._find_earlier(ticket)
         if isinstance(earlier, Err):
