--- /dev/null
+++ b/nutmeglead/programs/audit.py
@@ -0,0 +1,69 @@
+"""Print the audit trail and explain owners: the program nutmeglead-audit."""
+
+import argparse
+import asyncio
+import random
+import sys
+
+from result import Err
+
+from nutmeglead._generated.settings.ttypes import Settings
+from nutmeglead.programs import audit_commands as commands
+from nutmeglead.programs.common import build_parser, start
+from nutmeglead.programs.connect import Connections
+from nutmeglead.programs.exit_codes import ExitCode
+from nutmeglead.programs.output import Output
+from nutmeglead.programs.policies import known_policies
+
+__all__ = ["audit_parser", "main", "run_command"]
+
+PROGRAM = "nutmeglead-audit"
+
+
+def audit_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = build_parser(PROGRAM, "Print the audit trail and explain who owns a key.")
+    parser.add_argument("--json", action="store_true", help="print results and errors as JSON")
+    parser.add_argument("--service", metavar="NAME", help="only this service; default: all")
+    found = parser.add_subparsers(dest="command", metavar="COMMAND")
+    trail = found.add_parser("trail", help="print the records in order of time; the default")
+    trail.add_argument(
+        "--day", action="append", metavar="YYYY-MM-DD", help="only this day (UTC); repeatable"
+    )
+    explain = found.add_parser("explain", help="print who owns a key, since when and why")
+    explain.add_argument("key", metavar="KEY")
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the program and return its exit code."""
+    parser = audit_parser()
+    options = parser.parse_args(arguments)
+    output = Output(as_json=options.json)
+    started = start(options, known_policies(), output)
+    if isinstance(started, Err):
+        return started.err_value
+    names = [service.name for service in started.ok_value.services]
+    if options.service is not None and options.service not in names:
+        parser.error(f"--service: expected one of {', '.join(names)}, got {options.service!r}")
+    return asyncio.run(_run(options, started.ok_value, output))
+
+
+async def _run(options: argparse.Namespace, settings: Settings, output: Output) -> ExitCode:
+    connections = Connections.open(settings, "audit", random.Random())
+    tools = commands.AuditTools(settings, connections.table, connections.objects, output)
+    try:
+        return await run_command(options, tools)
+    finally:
+        await connections.close()
+
+
+async def run_command(options: argparse.Namespace, tools: commands.AuditTools) -> ExitCode:
+    """Run the command that the options name; without one, print the trail."""
+    if options.command == "explain":
+        return await commands.explain_key(tools, options.key, options.service)
+    return await commands.trail(tools, getattr(options, "day", None), options.service)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/nutmeglead/programs/common.py
@@ -0,0 +1,91 @@
+"""Share the options, settings, logging and exit codes of all programs."""
+
+import argparse
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from nutmeglead import __version__
+from nutmeglead._generated.settings.ttypes import Settings
+from nutmeglead.admin.process import Service, run_until_signal
+from nutmeglead.core.events import Event, configure_logging, log_event
+from nutmeglead.core.registry import Registry
+from nutmeglead.programs.exit_codes import ExitCode
+from nutmeglead.programs.output import Output
+from nutmeglead.settings.errors import FileUnreadable, SettingsFaults
+from nutmeglead.settings.loader import load_settings
+
+__all__ = ["build_parser", "run_service", "start"]
+
+logger = logging.getLogger(__name__)
+
+Policies = Mapping[str, Registry[Any]]
+
+
+def build_parser(program: str, description: str) -> argparse.ArgumentParser:
+    """Return a parser with the options that all programs have."""
+    parser = argparse.ArgumentParser(
+        prog=program,
+        description=description,
+        epilog="Exit codes: docs/operators/exit-codes.md.",
+    )
+    parser.add_argument("--version", action="version", version=f"{program} {__version__}")
+    parser.add_argument(
+        "--settings", type=Path, required=True, metavar="FILE", help="JSON with comments"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings, print their faults and exit"
+    )
+    return parser
+
+
+def start(
+    options: argparse.Namespace, policies: Policies, output: Output
+) -> Result[Settings, ExitCode]:
+    """Load the settings and set up logging; Err if the program has to exit at once.
+
+    A settings file with any fault starts nothing.
+    """
+    loaded = load_settings(options.settings, policies)
+    if isinstance(loaded, Err):
+        return Err(_refuse(loaded.err_value, options, output))
+    settings = loaded.ok_value
+    if options.check:
+        output.result(f"{options.settings}: the settings are valid", valid=True)
+        return Err(ExitCode.DONE)
+    configure_logging(settings.log.level, settings.log.format, output.errors)
+    return Ok(settings)
+
+
+def run_service(
+    program: str,
+    description: str,
+    policies: Policies,
+    build: Callable[[Settings], Service],
+    arguments: list[str] | None = None,
+) -> int:
+    """Run a service until SIGTERM or SIGINT and return the exit code."""
+    options = build_parser(program, description).parse_args(arguments)
+    started = start(options, policies, Output())
+    if isinstance(started, Err):
+        return started.err_value
+    asyncio.run(_run(build, started.ok_value))
+    return ExitCode.DONE
+
+
+async def _run(build: Callable[[Settings], Service], settings: Settings) -> None:
+    # Services bind asyncio objects when they are built, so the loop runs already.
+    await run_until_signal(build(settings))
+
+
+def _refuse(
+    error: SettingsFaults | FileUnreadable, options: argparse.Namespace, output: Output
+) -> ExitCode:
+    if not options.check:
+        configure_logging("INFO", "json", output.errors)
+        log_event(logger, Event.SETTINGS_REFUSED, file=str(options.settings))
+    return output.error(error)
--- /dev/null
+++ b/nutmeglead/programs/output.py
@@ -0,0 +1,63 @@
+"""Print results and errors for people, or as JSON for scripts."""
+
+import dataclasses
+import json
+import sys
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TextIO
+
+from nutmeglead.core.errors import NutmegleadError
+from nutmeglead.programs.exit_codes import ExitCode, exit_code_of
+from nutmeglead.settings.structs import plain_struct
+
+__all__ = ["Output"]
+
+
+@dataclass
+class Output:
+    """Write results to one stream and errors to another.
+
+    With `as_json`, each result or error is one line of JSON on the first stream.
+    """
+
+    as_json: bool = False
+    results: TextIO = dataclasses.field(default_factory=lambda: sys.stdout)
+    errors: TextIO = dataclasses.field(default_factory=lambda: sys.stderr)
+
+    def result(self, text: str, **values: Any) -> None:
+        """Print a result: its text, or its values as JSON."""
+        if self.as_json:
+            self._print_json(values)
+        else:
+            print(text, file=self.results)
+
+    def warning(self, text: str) -> None:
+        """Print a warning for people; it is no result."""
+        print(text, file=self.errors)
+
+    def error(self, error: NutmegleadError) -> ExitCode:
+        """Print an error and return its exit code."""
+        if self.as_json:
+            details = {f.name: getattr(error, f.name) for f in _fields(error)}
+            entry = {"type": type(error).__name__, "message": str(error)} | details
+            self._print_json({"error": entry})
+        else:
+            print(error, file=self.errors)
+        return exit_code_of(error)
+
+    def _print_json(self, values: dict[str, Any]) -> None:
+        print(json.dumps(values, default=_plain), file=self.results)
+
+
+def _fields(value: object) -> tuple[dataclasses.Field[Any], ...]:
+    return dataclasses.fields(value) if dataclasses.is_dataclass(value) else ()
+
+
+def _plain(value: Any) -> Any:
+    """Return a value that JSON has a form for."""
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return dataclasses.asdict(value)
+    if isinstance(value, Enum):
+        return value.name.lower()
+    return plain_struct(value) if hasattr(value, "thrift_spec") else str(value)
--- /dev/null
+++ b/nutmeglead/programs/ticket_commands.py
@@ -0,0 +1,227 @@
+"""Carry out the commands of nutmeglead-ticket through the ports."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from nutmeglead._generated.common.ttypes import Address
+from nutmeglead._generated.messages.ttypes import InForceReply
+from nutmeglead._generated.settings.ttypes import Settings
+from nutmeglead._generated.tickets.ttypes import Ticket
+from nutmeglead.audit.buffer import AuditBuffer
+from nutmeglead.audit.records import AuditContext, ticket_accepted
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.errors import NutmegleadError
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.ids import ServiceName, TicketNumber
+from nutmeglead.platform.ports import TableStore, VmEntry, VmList, VmState
+from nutmeglead.programs.exit_codes import ExitCode
+from nutmeglead.programs.output import Output
+from nutmeglead.settings.errors import FileUnreadable, describe_count
+from nutmeglead.settings.loader import read_text
+from nutmeglead.settings.structs import plain_struct
+from nutmeglead.tickets.checks import load_ticket
+from nutmeglead.tickets.errors import TicketFaults
+from nutmeglead.tickets.filing import Filed, TicketFiling
+from nutmeglead.tickets.rows import HEAD_ROW, read_header, read_ticket
+
+__all__ = ["TicketTools", "check", "file", "list_tickets", "show", "watch"]
+
+logger = logging.getLogger(__name__)
+
+# A ticket is in force within 3 s; an operator who watches sees each step.
+WATCH_INTERVAL_MS = 250
+
+Ask = Callable[[Address, TicketNumber], Awaitable[Result[InForceReply, NutmegleadError]]]
+
+
+@dataclass(frozen=True)
+class TicketTools:
+    """Hold what the commands use of the world."""
+
+    settings: Settings
+    store: TableStore
+    vms: VmList
+    audit: AuditBuffer
+    context: AuditContext
+    ask: Ask
+    clock: Clock
+    pause_ms: Callable[[int], Awaitable[None]]
+    output: Output
+
+    def filing(self) -> TicketFiling:
+        """Return what files a ticket."""
+
+        async def pause(attempt: int) -> None:
+            await self.pause_ms(20 * 2**attempt)
+
+        return TicketFiling(self.store, self.settings, pause)
+
+
+def _load(tools: TicketTools, path: Path) -> Result[Ticket, FileUnreadable | TicketFaults]:
+    text = read_text(path)
+    if isinstance(text, Err):
+        return text
+    return load_ticket(text.ok_value, tools.settings, str(path))
+
+
+async def check(tools: TicketTools, path: Path, with_head: bool) -> ExitCode:
+    """Check a ticket, and on request whether it could be filed now; write nothing."""
+    loaded = _load(tools, path)
+    if isinstance(loaded, Err):
+        return tools.output.error(loaded.err_value)
+    ticket = loaded.ok_value
+    count = len(ticket.servers or []) + len(ticket.claims or [])
+    text = f"{path}: a valid ticket with {describe_count(count, 'item')}"
+    if not with_head:
+        tools.output.result(text, items=count)
+        return ExitCode.DONE
+    examined = await tools.filing().examine(ticket)
+    if isinstance(examined, Err):
+        return tools.output.error(examined.err_value)
+    head = examined.ok_value
+    text += f"; it could follow the head {head}"
+    tools.output.result(text, items=count, head_number=head)
+    return ExitCode.DONE
+
+
+async def file(tools: TicketTools, path: Path) -> ExitCode:
+    """File a ticket and print its number."""
+    loaded = _load(tools, path)
+    if isinstance(loaded, Err):
+        return tools.output.error(loaded.err_value)
+    filed = await tools.filing().file(loaded.ok_value)
+    if isinstance(filed, Err):
+        return tools.output.error(filed.err_value)
+    await _record(tools, loaded.ok_value, filed.ok_value)
+    number, repeated = filed.ok_value.number, filed.ok_value.repeated
+    verb = "was filed before as" if repeated else "is filed as"
+    tools.output.result(f"{path}: {verb} ticket {number}", number=number, repeated=repeated)
+    return ExitCode.DONE
+
+
+async def _record(tools: TicketTools, ticket: Ticket, filed: Filed) -> None:
+    """Add the acceptance to the audit trail; the ticket is in the table whether or not it works."""
+    names = {item.service_name for item in [*(ticket.servers or []), *(ticket.claims or [])]}
+    for name in sorted(names):
+        context = replace(
+            tools.context,
+            service_name=ServiceName(name),
+            ticket_number=filed.number,
+            wall_time_ms=tools.clock.wall_ms(),
+        )
+        tools.audit.append(ticket_accepted(context, ticket))
+    closed = await tools.audit.close()
+    if isinstance(closed, Err):
+        log_event(logger, Event.AUDIT_DELAYED, reason=str(closed.err_value))
+        tools.output.warning("the audit trail lacks this filing; file the ticket again to add it")
+
+
+async def show(tools: TicketTools, number: int) -> ExitCode:
+    """Print a filed ticket."""
+    read = await read_ticket(tools.store, number)
+    if isinstance(read, Err):
+        return tools.output.error(read.err_value)
+    ticket = read.ok_value
+    tools.output.result("\n".join(_describe(ticket)), ticket=plain_struct(ticket))
+    return ExitCode.DONE
+
+
+def _describe(ticket: Ticket) -> list[str]:
+    lines = [_headline(ticket), f"filing id {ticket.filing_id}, base {ticket.base_number}"]
+    for server in ticket.servers or []:
+        plain = plain_struct(server)
+        address = plain.get("address", {"ip": "-", "port": "-"})
+        place = f"{address['ip']}:{address['port']} in {plain.get('failure_domain', '-')}"
+        name = f"{server.service_name} {server.server_id}"
+        lines.append(f"  server {name}: {plain['state']}, {place}, weight {server.weight}")
+    for claim in ticket.claims or []:
+        plain = plain_struct(claim)
+        target = plain.pop("server_id", "the placement policy")
+        service = plain.pop("service_name")
+        form = ", ".join(f"{name} {value}" for name, value in plain.items())
+        lines.append(f"  claim {service} {form}: {target}")
+    return lines
+
+
+def _headline(ticket: Ticket) -> str:
+    reason = f": {ticket.reason}" if ticket.reason else ""
+    return f"ticket {ticket.number} by {ticket.filed_by}{reason}"
+
+
+async def list_tickets(tools: TicketTools, last: int) -> ExitCode:
+    """Print the head number and the last tickets, newest first."""
+    read = await read_header(tools.store, HEAD_ROW)
+    if isinstance(read, Err):
+        return tools.output.error(read.err_value)
+    header, _ = read.ok_value
+    head = header.number if header else 0
+    found = []
+    for number in range(head, max(0, head - last), -1):
+        ticket = await read_ticket(tools.store, number)
+        if isinstance(ticket, Err):
+            return tools.output.error(ticket.err_value)
+        found.append(ticket.ok_value)
+    lines = [f"head {head}", *(_headline(ticket) for ticket in found)]
+    tools.output.result(
+        "\n".join(lines), head_number=head, tickets=[plain_struct(ticket) for ticket in found]
+    )
+    return ExitCode.DONE
+
+
+async def watch(tools: TicketTools, number: int, timeout_ms: int) -> ExitCode:
+    """Ask every entry VM until the ticket is in force everywhere, or until the timeout."""
+    read = await read_ticket(tools.store, number)
+    if isinstance(read, Err):
+        return tools.output.error(read.err_value)
+    begin_ms = tools.clock.now_ms()
+    while True:
+        missing = await _missing(tools, TicketNumber(number))
+        waited_ms = tools.clock.now_ms() - begin_ms
+        if isinstance(missing, Err):
+            return tools.output.error(missing.err_value)
+        if not missing.ok_value:
+            text = f"ticket {number} is in force everywhere"
+            tools.output.result(text, number=number, in_force=True, missing=[])
+            return ExitCode.DONE
+        if waited_ms >= timeout_ms:
+            text = f"ticket {number} is not in force after {waited_ms} ms"
+            lines = [text, *(f"  {party}" for party in missing.ok_value)]
+            tools.output.result(
+                "\n".join(lines), number=number, in_force=False, missing=missing.ok_value
+            )
+            return ExitCode.NOT_IN_FORCE
+        await tools.pause_ms(WATCH_INTERVAL_MS)
+
+
+async def _missing(tools: TicketTools, number: TicketNumber) -> Result[list[str], NutmegleadError]:
+    """Name who keeps the ticket from being in force; an entry VM without an answer counts."""
+    listed = await tools.vms.read()
+    if isinstance(listed, Err):
+        return listed
+    nodes = [vm for vm in listed.ok_value if vm.role == "entry" and vm.state != VmState.GONE]
+    if not nodes:
+        return Ok(["the VM list names no entry VM"])
+    # Asked one after the other, a few VMs without an answer would take longer than the 3 s bound.
+    answers = await asyncio.gather(
+        *(tools.ask(Address(node.ip, node.port), number) for node in nodes)
+    )
+    missing: list[str] = []
+    for node, answer in zip(nodes, answers, strict=True):
+        missing += _missing_of(node, answer)
+    return Ok(list(dict.fromkeys(missing)))
+
+
+def _missing_of(node: VmEntry, answer: Result[InForceReply, NutmegleadError]) -> Sequence[str]:
+    if isinstance(answer, Err):
+        return [f"{node.vm_id}: no answer: {answer.err_value}"]
+    reply = answer.ok_value
+    if reply.in_force:
+        return []
+    if not reply.missing:
+        return [f"{node.vm_id}: not in force there"]
+    return [f"{party.id}: {party.reason}" for party in reply.missing]
