--- a/nutmeglead/routing/tests/fake_server.py
+++ b/nutmeglead/routing/tests/fake_server.py
@@ -9,7 +9,7 @@
 from nutmeglead.http.client import ClientConnection
 from nutmeglead.http.errors import ConnectFailed
 
-from .memory_wire import join
+from .memory_wire import join, settle
 
 
 class ReceivedRequest:
@@ -19,12 +19,11 @@
         self.method = event.method.decode()
         self.target = event.target.decode()
         self.headers = dict(event.headers)
+        epochs = [value for name, value in event.headers if name == b"nutmeglead-epoch"]
+        assert len(epochs) == 1, epochs
+        self.epoch = int(epochs[0])
         self.body = b""
 
-    @property
-    def epoch(self):
-        return int(self.headers[b"nutmeglead-epoch"])
-
 
 class ServerSide:
     """Be the server's end of one connection."""
@@ -115,10 +114,18 @@
         self.runs = []
         self.connect_failures = 0
         self.connect_gate = None
+        self.connecting = 0
         self.dies_before_first_byte = False
+        self.settles_after_connect = False
+        self.thawed = None
         self._tasks = set()
 
+    def make_thaw(self):
+        """Create the event that scripts wait for; it belongs to the running loop."""
+        self.thawed = asyncio.Event()
+
     async def connect(self, address):
+        self.connecting += 1
         if self.connect_gate is not None:
             await self.connect_gate.wait()
         if self.connect_failures:
@@ -137,6 +144,8 @@
             task = asyncio.ensure_future(script(side))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+            if self.settles_after_connect:
+                await settle()
         return Ok(ClientConnection(near))
 
     @property
