ownership: release removed pins together with the unit below them

Change: ReleaseUnits names all pins that the holder keeps; the holder drops the others and waits for their runs. A refused assignment names the stopped lease epoch, so that a new controller does not wait for ever for a lease that its predecessor stopped.

--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -1378,16 +1378,18 @@
      - sequence
      - holder_incarnation
      - units
+     - kept
 
     """
 
 
-    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, units=None,):
+    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, units=None, kept=None,):
         self.sender = sender
         self.role_epoch = role_epoch
         self.sequence = sequence
         self.holder_incarnation = holder_incarnation
         self.units = units
+        self.kept = kept
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1430,6 +1432,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.kept = []
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = Grant()
+                        _elem104.read(iprot)
+                        self.kept.append(_elem104)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1459,8 +1472,15 @@
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter99 in self.units:
-                iter99.write(oprot)
+            for iter105 in self.units:
+                iter105.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.kept is not None:
+            oprot.writeFieldBegin('kept', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.kept))
+            for iter106 in self.kept:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1532,22 +1552,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.released = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem105.read(iprot)
-                        self.released.append(_elem105)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem112.read(iprot)
+                        self.released.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.draining = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem111.read(iprot)
-                        self.draining.append(_elem111)
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem118.read(iprot)
+                        self.draining.append(_elem118)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1577,15 +1597,15 @@
         if self.released is not None:
             oprot.writeFieldBegin('released', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.released))
-            for iter112 in self.released:
-                iter112.write(oprot)
+            for iter119 in self.released:
+                iter119.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.draining is not None:
             oprot.writeFieldBegin('draining', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.draining))
-            for iter113 in self.draining:
-                iter113.write(oprot)
+            for iter120 in self.draining:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.role_epoch is not None:
@@ -2239,22 +2259,22 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.role_epochs = {}
-                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
-                    for _i118 in range(_size114):
-                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val120 = iprot.readI64()
-                        self.role_epochs[_key119] = _val120
+                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
+                    for _i125 in range(_size121):
+                        _key126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val127 = iprot.readI64()
+                        self.role_epochs[_key126] = _val127
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.map_digests = {}
-                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
-                    for _i125 in range(_size121):
-                        _key126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val127 = iprot.readI64()
-                        self.map_digests[_key126] = _val127
+                    (_ktype129, _vtype130, _size128) = iprot.readMapBegin()
+                    for _i132 in range(_size128):
+                        _key133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val134 = iprot.readI64()
+                        self.map_digests[_key133] = _val134
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2293,17 +2313,17 @@
         if self.role_epochs is not None:
             oprot.writeFieldBegin('role_epochs', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.role_epochs))
-            for kiter128, viter129 in self.role_epochs.items():
-                oprot.writeString(kiter128.encode('utf-8') if sys.version_info[0] == 2 else kiter128)
-                oprot.writeI64(viter129)
+            for kiter135, viter136 in self.role_epochs.items():
+                oprot.writeString(kiter135.encode('utf-8') if sys.version_info[0] == 2 else kiter135)
+                oprot.writeI64(viter136)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.map_digests is not None:
             oprot.writeFieldBegin('map_digests', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.map_digests))
-            for kiter130, viter131 in self.map_digests.items():
-                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
-                oprot.writeI64(viter131)
+            for kiter137, viter138 in self.map_digests.items():
+                oprot.writeString(kiter137.encode('utf-8') if sys.version_info[0] == 2 else kiter137)
+                oprot.writeI64(viter138)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.relay_address is not None:
@@ -2722,11 +2742,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = PageVersion()
-                        _elem137.read(iprot)
-                        self.versions.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = PageVersion()
+                        _elem144.read(iprot)
+                        self.versions.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2760,8 +2780,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter138 in self.versions:
-                iter138.write(oprot)
+            for iter145 in self.versions:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2834,11 +2854,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = PageVersion()
-                        _elem144.read(iprot)
-                        self.known.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = PageVersion()
+                        _elem151.read(iprot)
+                        self.known.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2863,8 +2883,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter145 in self.known:
-                iter145.write(oprot)
+            for iter152 in self.known:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2924,11 +2944,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.pages = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = PlacementPage()
-                        _elem151.read(iprot)
-                        self.pages.append(_elem151)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = PlacementPage()
+                        _elem158.read(iprot)
+                        self.pages.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2954,8 +2974,8 @@
         if self.pages is not None:
             oprot.writeFieldBegin('pages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.pages))
-            for iter152 in self.pages:
-                iter152.write(oprot)
+            for iter159 in self.pages:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3113,22 +3133,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = UnitLoad()
-                        _elem158.read(iprot)
-                        self.loads.append(_elem158)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = UnitLoad()
+                        _elem165.read(iprot)
+                        self.loads.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = UnitLoad()
-                        _elem164.read(iprot)
-                        self.hot_keys.append(_elem164)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = UnitLoad()
+                        _elem171.read(iprot)
+                        self.hot_keys.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3161,15 +3181,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter165 in self.loads:
-                iter165.write(oprot)
+            for iter172 in self.loads:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter166 in self.hot_keys:
-                iter166.write(oprot)
+            for iter173 in self.hot_keys:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3392,11 +3412,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = MissingParty()
-                        _elem172.read(iprot)
-                        self.missing.append(_elem172)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = MissingParty()
+                        _elem179.read(iprot)
+                        self.missing.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3425,8 +3445,8 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.missing))
-            for iter173 in self.missing:
-                iter173.write(oprot)
+            for iter180 in self.missing:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4136,6 +4156,7 @@
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.STRING, 'holder_incarnation', 'UTF8', None, ),  # 4
     (5, TType.LIST, 'units', (TType.STRUCT, [Grant, None], False), None, ),  # 5
+    (6, TType.LIST, 'kept', (TType.STRUCT, [Grant, None], False), None, ),  # 6
 )
 all_structs.append(ReleaseReply)
 ReleaseReply.thrift_spec = (
--- a/nutmeglead/ownership/handover.py
+++ b/nutmeglead/ownership/handover.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from nutmeglead._generated.messages.ttypes import (
+    AssignReply,
     OrderStatus,
     ReleaseReply,
     ReleaseUnits,
@@ -159,13 +160,21 @@
             self._note_gone(server, now_ms)
             return Suspicion.RESTARTED
         if message.silent_ms < self._settings.suspect_after_ms:
-            return Suspicion.LEASE_ENDED
+            return Suspicion.NONE if server.is_stopping else Suspicion.LEASE_ENDED
         server.reports_ms[node_id] = now_ms
         recent_ms = now_ms - self._settings.suspect_after_ms
         recent = [time for time in server.reports_ms.values() if time >= recent_ms]
         majority = len(server.row.current.node_ids) // 2 + 1
         return Suspicion.SILENT if len(recent) >= majority else Suspicion.NONE
 
+    def on_assign_reply(self, server_id: ServerId, reply: AssignReply) -> Suspicion:
+        """Find a lease epoch that an earlier controller stopped; the server needs the next one."""
+        server = self._servers.get(server_id)
+        if server is None or server.is_stopping or reply.accepted:
+            return Suspicion.NONE
+        was_stopped = reply.lease_epoch >= server.row.current.lease_epoch
+        return Suspicion.LEASE_ENDED if was_stopped else Suspicion.NONE
+
     def on_release_reply(
         self, server_id: ServerId, request: ReleaseUnits, reply: ReleaseReply, now_ms: int
     ) -> None:
--- a/nutmeglead/ownership/holder.py
+++ b/nutmeglead/ownership/holder.py
@@ -305,10 +305,22 @@
         if order > self._order:
             self._order = order
             self._installed = None  # a repetition of the last SetGrants is no longer in effect
+            self._drop_removed_pins(message)
             for grant in message.units:
                 self._drop_unit(unit_from_id(grant.unit), Epoch(grant.epoch))
         return OrderStatus.DONE
 
+    def _drop_removed_pins(self, message: ReleaseUnits) -> None:
+        """Drop pins that the table no longer gives to this server.
+
+        The key of a removed pin belongs to the unit below. Released alone, that unit would leave
+        the pin granted here while its key is granted elsewhere.
+        """
+        kept = {(unit_from_id(grant.unit), grant.epoch) for grant in message.kept or ()}
+        for unit, epoch in list(self._grants.items()):
+            if unit.kind != UnitKind.HASH_BUCKET and (unit, epoch) not in kept:
+                self._drop_unit(unit, epoch)
+
     def _drop_unit(self, unit: Unit, epoch: Epoch) -> None:
         granted = self._grants.get(unit)
         if granted is not None and granted > epoch:
--- a/nutmeglead/ownership/renewer.py
+++ b/nutmeglead/ownership/renewer.py
@@ -78,11 +78,15 @@
         self._role_epochs: dict[str, RoleEpoch] = {}
 
     def assign(self, message: AssignRenewer, now_ms: int) -> AssignReply:
-        """Take over a lease epoch if it is newer than all known ones and was not stopped."""
+        """Take over a lease epoch if it is newer than all known ones and was not stopped.
+
+        The reply to a refused assignment names the highest epoch that was stopped, so that a
+        controller that has just taken the role learns of its predecessor's stop orders.
+        """
         place = (message.service_name, message.server_id)
-        accepted = self._take(message, place, now_ms)
-        target = self._targets.get(place)
-        return AssignReply(self._sender, accepted, target.lease_epoch if target else 0)
+        if self._take(message, place, now_ms):
+            return AssignReply(self._sender, True, self._targets[place].lease_epoch)
+        return AssignReply(self._sender, False, self._stopped_epochs.get(place, LeaseEpoch(0)))
 
     def due(self, now_ms: int) -> list[RenewalOrder]:
         """List the renewals to send now and note them as sent."""
--- a/nutmeglead/ownership/units.py
+++ b/nutmeglead/ownership/units.py
@@ -144,7 +144,11 @@
             return []
         buckets = [Unit.of_bucket(bucket) for bucket in self._buckets_of(index)]
         records = [record for record in map(self.record, buckets) if record is not None]
-        return records + [record for record in self.pins() if record.owner == server_id]
+        return records + self.pins_of(server_id)
+
+    def pins_of(self, server_id: ServerId) -> list[UnitRecord]:
+        """List the exact and prefix units that a server owns."""
+        return [record for record in self.pins() if record.owner == server_id]
 
     def grant_set(self, server_id: ServerId, proven: Callable[[Unit, Holder], bool]) -> GrantSet:
         """Compute a server's grants and carve-outs.
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -120,13 +120,16 @@
   6: required i64 lease_epoch,
 }
 
-// Asks the holder to drain and drop the units at the given epochs or lower.
+// Asks the holder to drain and drop the units at the given epochs or lower, and every exact or prefix unit that
+// is not in `kept`: a pin that was removed from the table belongs to the unit below it and must not outlive it.
 struct ReleaseUnits {
   1: required common.Sender sender,
   2: required i64 role_epoch,
   3: required i64 sequence,
   4: required string holder_incarnation,
   5: required list<Grant> units,
+  // All exact and prefix units that the holder owns according to the table.
+  6: optional list<Grant> kept,
 }
 
 struct ReleaseReply {
