--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -1492,16 +1492,18 @@
      - sequence
      - holder_incarnation
      - units
+     - kept
 
     """
 
 
-    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, units=None,):
+    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, units=None, kept=None,):
         self.sender = sender
         self.role_epoch = role_epoch
         self.sequence = sequence
         self.holder_incarnation = holder_incarnation
         self.units = units
+        self.kept = kept
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1544,6 +1546,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.kept = []
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = Grant()
+                        _elem111.read(iprot)
+                        self.kept.append(_elem111)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1573,8 +1586,15 @@
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter106 in self.units:
-                iter106.write(oprot)
+            for iter112 in self.units:
+                iter112.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.kept is not None:
+            oprot.writeFieldBegin('kept', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.kept))
+            for iter113 in self.kept:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1646,22 +1666,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.released = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem112.read(iprot)
-                        self.released.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem119.read(iprot)
+                        self.released.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.draining = []
-                    (_etype116, _size113) = iprot.readListBegin()
-                    for _i117 in range(_size113):
-                        _elem118 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem118.read(iprot)
-                        self.draining.append(_elem118)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem125.read(iprot)
+                        self.draining.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1691,15 +1711,15 @@
         if self.released is not None:
             oprot.writeFieldBegin('released', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.released))
-            for iter119 in self.released:
-                iter119.write(oprot)
+            for iter126 in self.released:
+                iter126.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.draining is not None:
             oprot.writeFieldBegin('draining', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.draining))
-            for iter120 in self.draining:
-                iter120.write(oprot)
+            for iter127 in self.draining:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.role_epoch is not None:
@@ -2472,22 +2492,22 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.role_epochs = {}
-                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
-                    for _i125 in range(_size121):
-                        _key126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val127 = iprot.readI64()
-                        self.role_epochs[_key126] = _val127
+                    (_ktype129, _vtype130, _size128) = iprot.readMapBegin()
+                    for _i132 in range(_size128):
+                        _key133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val134 = iprot.readI64()
+                        self.role_epochs[_key133] = _val134
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.map_digests = {}
-                    (_ktype129, _vtype130, _size128) = iprot.readMapBegin()
-                    for _i132 in range(_size128):
-                        _key133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val134 = iprot.readI64()
-                        self.map_digests[_key133] = _val134
+                    (_ktype136, _vtype137, _size135) = iprot.readMapBegin()
+                    for _i139 in range(_size135):
+                        _key140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val141 = iprot.readI64()
+                        self.map_digests[_key140] = _val141
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2500,11 +2520,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = MemberNews()
-                        _elem140.read(iprot)
-                        self.news.append(_elem140)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = MemberNews()
+                        _elem147.read(iprot)
+                        self.news.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2547,17 +2567,17 @@
         if self.role_epochs is not None:
             oprot.writeFieldBegin('role_epochs', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.role_epochs))
-            for kiter141, viter142 in self.role_epochs.items():
-                oprot.writeString(kiter141.encode('utf-8') if sys.version_info[0] == 2 else kiter141)
-                oprot.writeI64(viter142)
+            for kiter148, viter149 in self.role_epochs.items():
+                oprot.writeString(kiter148.encode('utf-8') if sys.version_info[0] == 2 else kiter148)
+                oprot.writeI64(viter149)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.map_digests is not None:
             oprot.writeFieldBegin('map_digests', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.map_digests))
-            for kiter143, viter144 in self.map_digests.items():
-                oprot.writeString(kiter143.encode('utf-8') if sys.version_info[0] == 2 else kiter143)
-                oprot.writeI64(viter144)
+            for kiter150, viter151 in self.map_digests.items():
+                oprot.writeString(kiter150.encode('utf-8') if sys.version_info[0] == 2 else kiter150)
+                oprot.writeI64(viter151)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.relay_address is not None:
@@ -2567,8 +2587,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter145 in self.news:
-                iter145.write(oprot)
+            for iter152 in self.news:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.passive is not None:
@@ -2671,78 +2691,78 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = iprot.readI32()
-                        self.servers.append(_elem151)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = iprot.readI32()
+                        self.servers.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.new_servers = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.new_servers.append(_elem157)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.new_servers.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.positions = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = iprot.readI32()
-                        self.positions.append(_elem163)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = iprot.readI32()
+                        self.positions.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.owners = []
-                    (_etype167, _size164) = iprot.readListBegin()
-                    for _i168 in range(_size164):
-                        _elem169 = iprot.readI32()
-                        self.owners.append(_elem169)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = iprot.readI32()
+                        self.owners.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.epochs = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = iprot.readI64()
-                        self.epochs.append(_elem175)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = iprot.readI64()
+                        self.epochs.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.MAP:
                     self.previous = {}
-                    (_ktype177, _vtype178, _size176) = iprot.readMapBegin()
-                    for _i180 in range(_size176):
-                        _key181 = iprot.readI32()
-                        _val182 = []
-                        (_etype186, _size183) = iprot.readListBegin()
-                        for _i187 in range(_size183):
-                            _elem188 = PreviousHolder()
-                            _elem188.read(iprot)
-                            _val182.append(_elem188)
+                    (_ktype184, _vtype185, _size183) = iprot.readMapBegin()
+                    for _i187 in range(_size183):
+                        _key188 = iprot.readI32()
+                        _val189 = []
+                        (_etype193, _size190) = iprot.readListBegin()
+                        for _i194 in range(_size190):
+                            _elem195 = PreviousHolder()
+                            _elem195.read(iprot)
+                            _val189.append(_elem195)
                         iprot.readListEnd()
-                        self.previous[_key181] = _val182
+                        self.previous[_key188] = _val189
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.units = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem194.read(iprot)
-                        self.units.append(_elem194)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem201.read(iprot)
+                        self.units.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2759,11 +2779,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.directory = []
-                    (_etype198, _size195) = iprot.readListBegin()
-                    for _i199 in range(_size195):
-                        _elem200 = ServerEntry()
-                        _elem200.read(iprot)
-                        self.directory.append(_elem200)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = ServerEntry()
+                        _elem207.read(iprot)
+                        self.directory.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2792,54 +2812,54 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.servers))
-            for iter201 in self.servers:
-                oprot.writeI32(iter201)
+            for iter208 in self.servers:
+                oprot.writeI32(iter208)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.new_servers is not None:
             oprot.writeFieldBegin('new_servers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.new_servers))
-            for iter202 in self.new_servers:
-                oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
+            for iter209 in self.new_servers:
+                oprot.writeString(iter209.encode('utf-8') if sys.version_info[0] == 2 else iter209)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.positions is not None:
             oprot.writeFieldBegin('positions', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.positions))
-            for iter203 in self.positions:
-                oprot.writeI32(iter203)
+            for iter210 in self.positions:
+                oprot.writeI32(iter210)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owners is not None:
             oprot.writeFieldBegin('owners', TType.LIST, 7)
             oprot.writeListBegin(TType.I32, len(self.owners))
-            for iter204 in self.owners:
-                oprot.writeI32(iter204)
+            for iter211 in self.owners:
+                oprot.writeI32(iter211)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epochs is not None:
             oprot.writeFieldBegin('epochs', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.epochs))
-            for iter205 in self.epochs:
-                oprot.writeI64(iter205)
+            for iter212 in self.epochs:
+                oprot.writeI64(iter212)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.previous is not None:
             oprot.writeFieldBegin('previous', TType.MAP, 9)
             oprot.writeMapBegin(TType.I32, TType.LIST, len(self.previous))
-            for kiter206, viter207 in self.previous.items():
-                oprot.writeI32(kiter206)
-                oprot.writeListBegin(TType.STRUCT, len(viter207))
-                for iter208 in viter207:
-                    iter208.write(oprot)
+            for kiter213, viter214 in self.previous.items():
+                oprot.writeI32(kiter213)
+                oprot.writeListBegin(TType.STRUCT, len(viter214))
+                for iter215 in viter214:
+                    iter215.write(oprot)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter209 in self.units:
-                iter209.write(oprot)
+            for iter216 in self.units:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epoch_floor is not None:
@@ -2853,8 +2873,8 @@
         if self.directory is not None:
             oprot.writeFieldBegin('directory', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.directory))
-            for iter210 in self.directory:
-                iter210.write(oprot)
+            for iter217 in self.directory:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3275,11 +3295,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype214, _size211) = iprot.readListBegin()
-                    for _i215 in range(_size211):
-                        _elem216 = PageVersion()
-                        _elem216.read(iprot)
-                        self.versions.append(_elem216)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = PageVersion()
+                        _elem223.read(iprot)
+                        self.versions.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3313,8 +3333,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter217 in self.versions:
-                iter217.write(oprot)
+            for iter224 in self.versions:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3387,11 +3407,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = PageVersion()
-                        _elem223.read(iprot)
-                        self.known.append(_elem223)
+                    (_etype228, _size225) = iprot.readListBegin()
+                    for _i229 in range(_size225):
+                        _elem230 = PageVersion()
+                        _elem230.read(iprot)
+                        self.known.append(_elem230)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3416,8 +3436,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter224 in self.known:
-                iter224.write(oprot)
+            for iter231 in self.known:
+                iter231.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3477,11 +3497,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.pages = []
-                    (_etype228, _size225) = iprot.readListBegin()
-                    for _i229 in range(_size225):
-                        _elem230 = PlacementPage()
-                        _elem230.read(iprot)
-                        self.pages.append(_elem230)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = PlacementPage()
+                        _elem237.read(iprot)
+                        self.pages.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3507,8 +3527,8 @@
         if self.pages is not None:
             oprot.writeFieldBegin('pages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.pages))
-            for iter231 in self.pages:
-                iter231.write(oprot)
+            for iter238 in self.pages:
+                iter238.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3666,22 +3686,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype235, _size232) = iprot.readListBegin()
-                    for _i236 in range(_size232):
-                        _elem237 = UnitLoad()
-                        _elem237.read(iprot)
-                        self.loads.append(_elem237)
+                    (_etype242, _size239) = iprot.readListBegin()
+                    for _i243 in range(_size239):
+                        _elem244 = UnitLoad()
+                        _elem244.read(iprot)
+                        self.loads.append(_elem244)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype241, _size238) = iprot.readListBegin()
-                    for _i242 in range(_size238):
-                        _elem243 = UnitLoad()
-                        _elem243.read(iprot)
-                        self.hot_keys.append(_elem243)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = UnitLoad()
+                        _elem250.read(iprot)
+                        self.hot_keys.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3714,15 +3734,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter244 in self.loads:
-                iter244.write(oprot)
+            for iter251 in self.loads:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter245 in self.hot_keys:
-                iter245.write(oprot)
+            for iter252 in self.hot_keys:
+                iter252.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3947,21 +3967,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype249, _size246) = iprot.readListBegin()
-                    for _i250 in range(_size246):
-                        _elem251 = MissingParty()
-                        _elem251.read(iprot)
-                        self.missing.append(_elem251)
+                    (_etype256, _size253) = iprot.readListBegin()
+                    for _i257 in range(_size253):
+                        _elem258 = MissingParty()
+                        _elem258.read(iprot)
+                        self.missing.append(_elem258)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.service_names = []
-                    (_etype255, _size252) = iprot.readListBegin()
-                    for _i256 in range(_size252):
-                        _elem257 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.service_names.append(_elem257)
+                    (_etype262, _size259) = iprot.readListBegin()
+                    for _i263 in range(_size259):
+                        _elem264 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.service_names.append(_elem264)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3990,15 +4010,15 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.missing))
-            for iter258 in self.missing:
-                iter258.write(oprot)
+            for iter265 in self.missing:
+                iter265.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_names is not None:
             oprot.writeFieldBegin('service_names', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.service_names))
-            for iter259 in self.service_names:
-                oprot.writeString(iter259.encode('utf-8') if sys.version_info[0] == 2 else iter259)
+            for iter266 in self.service_names:
+                oprot.writeString(iter266.encode('utf-8') if sys.version_info[0] == 2 else iter266)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4716,6 +4736,7 @@
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.STRING, 'holder_incarnation', 'UTF8', None, ),  # 4
     (5, TType.LIST, 'units', (TType.STRUCT, [Grant, None], False), None, ),  # 5
+    (6, TType.LIST, 'kept', (TType.STRUCT, [Grant, None], False), None, ),  # 6
 )
 all_structs.append(ReleaseReply)
 ReleaseReply.thrift_spec = (
