--- a/nutmeglead/dissemination/membership.py
+++ b/nutmeglead/dissemination/membership.py
@@ -186,6 +186,7 @@
         if node_id == self.identity.node_id:
             is_contrary = news.status != MemberStatus.ALIVE or news.member != self.identity.sender
             if is_contrary and news.sequence >= self._announced_sequence:
+                self._sequence = max(self._sequence, news.sequence)
                 self._announce_self()
             return
         member = self._members.get(node_id)
