demo: run the whole path on loopback and check its promises

Cause: nothing showed a ticket going in and a caller's answer coming out. The first run cut 190 of 4,533 small answers: the HTTP server closed the connection after each GET whose handler read no body, and a caller that reused it at that moment lost its request.

--- a/nutmeglead/controller/service.py
+++ b/nutmeglead/controller/service.py
@@ -66,21 +66,21 @@
         incarnation = Incarnation(f"{node.node_id}-{clock.wall_ms():x}-{rng.getrandbits(32):08x}")
         self._settings = settings
         self._clock = clock
-        self._sender = Sender(node.node_id, incarnation)
-        self._address = Address(node.ip, node.controller_rpc_port)
+        self.sender = Sender(node.node_id, incarnation)
+        self.address = Address(node.ip, node.controller_rpc_port)
         self._fetcher = HttpFetcher()
         self._rpc = RpcClient(clock, rng)
         platform, timeout_ms = settings.platform, settings.platform.request_timeout_ms
         self._table = HttpTable(platform.table_service, timeout_ms, self._fetcher)
         objects = HttpObjectStore(platform.object_store, timeout_ms, self._fetcher)
         self._vms = HttpVmList(platform.vm_list, timeout_ms, self._fetcher)
-        self._audit = AuditBuffer(objects, settings.audit, self._sender, clock)
+        self._audit = AuditBuffer(objects, settings.audit, self.sender, clock)
         self._backend = HttpBackendControl(BACKEND_TIMEOUT_MS, HttpFetcher(max_idle_count=2))
         identity = Identity(
             NodeId(node.node_id),
             incarnation,
             FailureDomainName(node.failure_domain),
-            self._address,
+            self.address,
             Address(node.ip, node.router_rpc_port),
         )
         names = [ServiceName(service.name) for service in settings.services]
@@ -107,7 +107,7 @@
             ServiceName(service.name): ActingService(
                 service,
                 settings,
-                self._sender,
+                self.sender,
                 parts,
                 self.dissemination,
                 self._tickets,
@@ -177,34 +177,34 @@
         service = self.services.get(ServiceName(message.service_name))
         if service is not None:
             service.on_suspect(message)
-        return Acknowledged(self._sender)
+        return Acknowledged(self.sender)
 
     async def _handle_load(self, message: LoadReport) -> Acknowledged:
         """Merge a report, or pass it on to the acting controller."""
         service = self.services.get(ServiceName(message.service_name))
         if service is not None and service.machine is not None:
             service.on_load(message)
-        elif message.sender.node_id == f"{self._sender.node_id}/router":
+        elif message.sender.node_id == f"{self.sender.node_id}/router":
             address = self._acting_address(ServiceName(message.service_name))
-            if address is not None and address != self._address:
+            if address is not None and address != self.address:
                 await self._rpc.call(
                     address, MessageType.LOAD_REPORT, message, Acknowledged, RPC_TIMEOUT_MS
                 )
-        return Acknowledged(self._sender)
+        return Acknowledged(self.sender)
 
     async def _handle_in_force(self, message: InForceRequest) -> InForceReply:
         number = TicketNumber(message.ticket_number)
         acting = [service for service in self.services.values() if service.machine is not None]
         missing = [party for service in acting for party in service.missing(number)]
         names = [str(service.name) for service in acting]
-        return InForceReply(self._sender, number, not missing, missing, names)
+        return InForceReply(self.sender, number, not missing, missing, names)
 
     # ---- membership ----
 
     def _entry_nodes(self) -> dict[NodeId, EntryNode]:
         node = self._settings.node
         own = EntryNode(
-            NodeId(node.node_id), self._sender.incarnation, node.failure_domain, self._address, True
+            NodeId(node.node_id), self.sender.incarnation, node.failure_domain, self.address, True
         )
         nodes = {own.node_id: own}
         for member in self.dissemination.members():
--- /dev/null
+++ b/nutmeglead/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Run the whole system in one process on loopback and check its promises."""
--- a/nutmeglead/http/server.py
+++ b/nutmeglead/http/server.py
@@ -22,11 +22,18 @@
 class ServerExchange:
     """Read one request and send its response."""
 
-    def __init__(self, channel: ByteChannel, connection: h11.Connection, head: RequestHead) -> None:
+    def __init__(
+        self,
+        channel: ByteChannel,
+        connection: h11.Connection,
+        head: RequestHead,
+        is_stopping: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.head = head
         self.channel = channel
         self.response_started = False
         self._connection = connection
+        self._is_stopping = is_stopping
 
     @property
     def caller_gone(self) -> asyncio.Event:
@@ -48,7 +55,7 @@
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the head of the response."""
         self.response_started = True
-        await self._send(h11.Response(status_code=status, headers=headers))
+        await self._send(h11.Response(status_code=status, headers=headers + self._closing()))
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the response body."""
@@ -60,13 +67,17 @@
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole response."""
-        length = [(b"content-length", str(len(body)).encode())]
+        framing = [(b"content-length", str(len(body)).encode()), *self._closing()]
         self.response_started = True
-        head = self._connection.send(h11.Response(status_code=status, headers=headers + length))
+        head = self._connection.send(h11.Response(status_code=status, headers=headers + framing))
         data = self._connection.send(h11.Data(data=body)) if body else b""
         end = self._connection.send(h11.EndOfMessage())
         await self.channel.write((head or b"") + (data or b"") + (end or b""))
 
+    def _closing(self) -> Headers:
+        """Tell the peer not to reuse the connection of a server that stops."""
+        return [(b"connection", b"close")] if self._is_stopping() else []
+
     def abort(self) -> None:
         """Cut the connection, so that the caller cannot take a partial answer for a whole one."""
         self.channel.abort()
@@ -152,7 +163,7 @@
         if head is None:
             return False
         self._busy.add(channel)
-        exchange = ServerExchange(channel, connection, head)
+        exchange = ServerExchange(channel, connection, head, lambda: self._stopping)
         try:
             await self._handler(exchange)
         except MalformedMessage as error:
@@ -161,6 +172,7 @@
             await _refuse(channel, connection, error)
         finally:
             self._busy.discard(channel)
+        _drain_request(connection)
         done = connection.our_state is h11.DONE and connection.their_state is h11.DONE
         return done and not self._stopping
 
@@ -186,6 +198,21 @@
         connection.receive_data(await channel.read())
 
 
+def _drain_request(connection: h11.Connection) -> None:
+    """Consume what has arrived of a request that the handler did not read to its end.
+
+    Otherwise the connection of every GET whose handler reads no body would be closed after the
+    answer, and a caller that reuses it at that moment would lose a request.
+    """
+    while connection.their_state is h11.SEND_BODY:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return
+
+
 async def _read_head(channel: ByteChannel, connection: h11.Connection) -> RequestHead | None:
     event = await _next_event(channel, connection)
     if not isinstance(event, h11.Request):
--- a/nutmeglead/http/tests/edge.feature
+++ b/nutmeglead/http/tests/edge.feature
@@ -6,6 +6,12 @@
     Then the answers are "one" and "two"
     And the client opened 1 connection
 
+  Scenario: A handler that reads no body leaves the connection open for the next request
+    # Guards against closing after every GET, which loses a request that is sent at that moment.
+    Given an HTTP server that answers without reading
+    When the client sends "" and then "" on one connection
+    Then the client opened 1 connection
+
   Scenario Outline: A malformed request is refused as not run
     Given an HTTP server that echoes bodies
     When a caller sends the raw request <request>
@@ -41,6 +47,6 @@
     Given an HTTP server whose handler waits for a signal
     When a request is running and the server is told to stop
     And the handler is signalled
-    Then the running request gets its whole answer
+    Then the running request gets its whole answer and is told that the connection closes
     And a new connection is refused
     And the server reports 0 cut off exchanges
--- a/nutmeglead/http/tests/steps/edge_steps.py
+++ b/nutmeglead/http/tests/steps/edge_steps.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from nutmeglead.http.client import HttpFetcher, connect
-from nutmeglead.http.messages import RequestHead
+from nutmeglead.http.messages import RequestHead, header_value
 from nutmeglead.http.server import HttpServer
 
 # A hung exchange fails the scenario instead of stalling the run; no step judges elapsed time.
@@ -46,6 +46,9 @@
             await self.signal.wait()
         await exchange.respond(200, [], body)
 
+    async def answer_only(self, exchange):
+        await exchange.respond(200, [], b"")
+
     async def start(self):
         self.server = HttpServer(self.handler)
         self.port = await self.server.start("127.0.0.1", 0)
@@ -59,7 +62,8 @@
             length = str(len(body)).encode()
             headers = [(b"host", b"a"), (b"content-length", length)]
             await opened.send_head(RequestHead(b"POST", b"/", headers))
-            await opened.send_body(body)
+            if body:
+                await opened.send_body(body)
             await opened.finish_request()
             await opened.read_head()
             received = b""
@@ -129,6 +133,12 @@
     context.edge = EdgeScenario()
 
 
+@given("an HTTP server that answers without reading")
+def step_answers_only(context):
+    context.edge = EdgeScenario()
+    context.edge.handler = context.edge.answer_only
+
+
 @given("a raw server that answers with {answer}")
 def step_raw_server(context, answer):
     context.edge = EdgeScenario()
@@ -140,6 +150,11 @@
     context.edge = EdgeScenario()
 
 
+@when('the client sends "" and then "" on one connection')
+def step_two_empty(context):
+    context.answers = run(context.edge.echo_twice([b"", b""]))
+
+
 @when('the client sends "{first}" and then "{second}" on one connection')
 def step_two(context, first, second):
     context.answers = run(context.edge.echo_twice([first.encode(), second.encode()]))
@@ -203,9 +218,11 @@
     assert context.edge.idle == 0
 
 
-@then("the running request gets its whole answer")
+@then("the running request gets its whole answer and is told that the connection closes")
 def step_whole(context):
-    assert context.edge.answer.unwrap()[1] == b"body"
+    head, body = context.edge.answer.unwrap()
+    assert body == b"body"
+    assert header_value(head.headers, b"connection") == b"close", head
 
 
 @then("a new connection is refused")
--- a/nutmeglead/standin/backend.py
+++ b/nutmeglead/standin/backend.py
@@ -72,6 +72,11 @@
         """Drain and stop; return how many exchanges were cut off."""
         return await self._server.stop(grace_ms)
 
+    @property
+    def is_frozen(self) -> bool:
+        """Tell whether the server answers nothing."""
+        return not self._thawed.is_set()
+
     def freeze(self) -> None:
         """Stop answering; time goes on."""
         self._thawed.clear()
