--- a/nutmeglead/tickets/merge.py
+++ b/nutmeglead/tickets/merge.py
@@ -10,7 +10,7 @@
 from nutmeglead.tickets.errors import Collision, TicketConflict
 from nutmeglead.tickets.items import ServerItemId, TouchedItem, overlaps, touched_items
 
-__all__ = ["CONFLICT_RULES", "ConflictRule", "head_only", "per_item"]
+__all__ = ["CONFLICT_RULES", "ConflictRule", "collide", "head_only", "per_item"]
 
 # The second argument holds all tickets after the base, in order.
 ConflictRule = Callable[[Ticket, Sequence[Ticket]], TicketConflict | None]
@@ -39,7 +39,7 @@
         for other in later
         for two in touched_items(other)
         for one in mine
-        if _collide(one, two)
+        if collide(one, two)
     ]
     return _conflict(ticket, later, collisions)
 
@@ -52,7 +52,8 @@
     return TicketConflict(ticket.base_number, later[-1].number, tuple(collisions))
 
 
-def _collide(one: TouchedItem, two: TouchedItem) -> bool:
+def collide(one: TouchedItem, two: TouchedItem) -> bool:
+    """Tell whether two items of different tickets exclude each other."""
     if overlaps(one.item_id, two.item_id):
         return True
     # Each ticket alone is sound, both together would claim keys for a server that takes none.
