programs: ask entry VMs over rpc in a test, check the push strategy

Cause: watch was only run with injected answers; records of pure machines carry no wall time. Change: one scenario runs the programs over loopback HTTP and rpc; known_policies has the push strategies; the audit buffer sets a wall time that is 0.

--- a/nutmeglead/audit/buffer.py
+++ b/nutmeglead/audit/buffer.py
@@ -136,6 +136,8 @@
     def _keep(self, record: AuditRecord) -> None:
         self._sequence += 1
         record.sequence = self._sequence
+        # Pure machines have no clock and leave the wall time at 0.
+        record.wall_time_ms = record.wall_time_ms or self._clock.wall_ms()
         self._entries.append(_Entry(self._sequence, record.wall_time_ms, to_json_line(record)))
 
     def _record_loss(self, lost: LostRange) -> None:
--- a/nutmeglead/audit/tests/buffer.feature
+++ b/nutmeglead/audit/tests/buffer.feature
@@ -76,3 +76,8 @@
     Given a buffer for 20 records in batches of 20
     When one record of every kind is written and the buffer is closed
     Then the trail holds them with equal fields
+
+  Scenario: A record of a pure machine gets the wall time at which it is written
+    Given a buffer for 20 records in batches of 20
+    When a record without a wall time is written at 5000 ms and the buffer is closed
+    Then the trail holds one record of 5000 ms
--- a/nutmeglead/audit/tests/steps/buffer_steps.py
+++ b/nutmeglead/audit/tests/steps/buffer_steps.py
@@ -230,3 +230,17 @@
 def step_read_outage(context):
     read = asyncio.run(read_trail(context.audit.store))
     assert isinstance(read.err_value, ObjectStoreUnavailable), read
+
+
+@when("a record without a wall time is written at {time:d} ms and the buffer is closed")
+def step_no_time(context, time):
+    scenario = context.audit
+    scenario.clock.advance(time - scenario.clock.now_ms())
+    without = AuditContext(scenario.sender, 0, "lagerblick")
+    scenario.buffer.append(records.server_leaving(without, "lb-01", "ticket 4"))
+    scenario.close()
+
+
+@then("the trail holds one record of {time:d} ms")
+def step_one_record(context, time):
+    assert [record.wall_time_ms for record in context.audit.trail().records] == [time]
--- a/nutmeglead/programs/policies.py
+++ b/nutmeglead/programs/policies.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from nutmeglead.core.registry import Registry
+from nutmeglead.dissemination.fanout import FANOUTS
 from nutmeglead.placement.policies import POLICIES
 from nutmeglead.routing.admission import ADMISSION
 from nutmeglead.routing.concurrency import CONCURRENCY
@@ -21,6 +22,7 @@
         "concurrency": CONCURRENCY,
         "ejection": EJECTION,
         "placement": POLICIES,
+        "push": FANOUTS,
         "retries": RETRIES,
         "selection": SELECTION,
     }
--- a/nutmeglead/programs/tests/steps/ticket_steps.py
+++ b/nutmeglead/programs/tests/steps/ticket_steps.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import io
 import json
 import signal
 
 from behave import given, then, when
 
+from nutmeglead._generated.common.ttypes import Sender
+from nutmeglead._generated.messages.ttypes import InForceReply, InForceRequest, MessageType
 from nutmeglead.platform.ports import VmState
 from nutmeglead.programs import audit, ticket
 from nutmeglead.programs.common import run_service, start
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.output import Output
 from nutmeglead.programs.tests.rig import ROOT, SETTINGS, Platform, entry_vm
+from nutmeglead.rpc.server import HandlerRegistry, RpcServer
 from nutmeglead.standin.platform import PlatformStandin
 
 
@@ -131,19 +135,31 @@
 
 
 class LoopbackScenario:
-    """Run the programs through their own HTTP adapters."""
+    """Run the programs through their own HTTP and rpc adapters."""
+
+    def __init__(self):
+        self.asked = []
 
     async def run(self):
-        standin = PlatformStandin()
+        standin, handlers = PlatformStandin(), HandlerRegistry()
+        handlers.add(MessageType.IN_FORCE, InForceRequest, self.answer)
+        entry = RpcServer(handlers)
+        entry_port = await entry.start("127.0.0.1", 0)
+        standin.vms.entries = [dataclasses.replace(entry_vm("entry-1"), port=entry_port)]
         port = await standin.start("127.0.0.1", 0)
         try:
-            self.filed = await self.command(
-                ticket, port, f"file {ROOT}/examples/brunner/ticket-1.jsonc"
-            )
+            path = f"{ROOT}/examples/brunner/ticket-1.jsonc"
+            self.filed = await self.command(ticket, port, f"file {path}")
             self.listed = await self.command(ticket, port, "list")
+            self.watched = await self.command(ticket, port, "watch 1")
             self.trail = await self.command(audit, port, "trail")
         finally:
             await standin.stop()
+            await entry.close(0)
+
+    async def answer(self, request):
+        self.asked.append(request.ticket_number)
+        return InForceReply(Sender("entry-1", "1"), request.ticket_number, True, [])
 
     async def command(self, module, port, line):
         parser = ticket.ticket_parser() if module is ticket else audit.audit_parser()
@@ -157,22 +173,23 @@
         return code, json.loads(output.results.getvalue())
 
 
-@given("the stand-in of the platform on loopback")
+@given("the stand-in of the platform and an entry VM on loopback")
 def step_standin(context):
     context.loopback = LoopbackScenario()
 
 
-@when("the ticket program files examples/brunner/ticket-1.jsonc over HTTP and lists")
+@when("the ticket program files examples/brunner/ticket-1.jsonc, lists and watches it")
 def step_over_http(context):
     asyncio.run(context.loopback.run())
 
 
-@then("both end with DONE and the list shows ticket 1")
+@then("all end with DONE, the list shows ticket 1 and the entry VM was asked for ticket 1")
 def step_listed(context):
-    filed, listed = context.loopback.filed, context.loopback.listed
-    assert filed == (ExitCode.DONE, {"number": 1, "repeated": False}), filed
-    assert listed[0] == ExitCode.DONE
-    assert [found["number"] for found in listed[1]["tickets"]] == [1]
+    loopback = context.loopback
+    assert loopback.filed == (ExitCode.DONE, {"number": 1, "repeated": False}), loopback.filed
+    assert loopback.listed[0] == loopback.watched[0] == ExitCode.DONE, loopback.watched
+    assert [found["number"] for found in loopback.listed[1]["tickets"]] == [1]
+    assert loopback.watched[1]["in_force"] and loopback.asked == [1]
 
 
 @then("the audit trail is read over HTTP with {count:d} records")
--- a/nutmeglead/programs/tests/ticket.feature
+++ b/nutmeglead/programs/tests/ticket.feature
@@ -8,8 +8,8 @@
     Examples: each row names the failure it guards against
       | state                  | command                                       | code             | text                                          | failure                                               |
       | no ticket              | --check                                       | DONE             | the settings are valid                        | a good file is refused                                |
-      | bad settings           | list                                          | SETTINGS_REFUSED | node.ip: expected an IP address               | a program starts half with faulty settings            |
-      | bad settings           | --check                                       | SETTINGS_REFUSED | node.ip: expected an IP address               | a check passes faulty settings                        |
+      | bad settings           | list                                          | SETTINGS_REFUSED | user: expected a string, got 7                | a program starts half with faulty settings            |
+      | bad settings           | --check                                       | SETTINGS_REFUSED | user: expected a string, got 7                | a check passes faulty settings                        |
       | no ticket              | check examples/brunner/ticket-1.jsonc         | DONE             | a valid ticket with 40 items                  | a good ticket is refused                              |
       | no ticket              | check examples/cubo/ticket-1.jsonc            | TICKET_REFUSED   | servers[0].service_name: expected one of      | a ticket of another user is filed                     |
       | no ticket              | check absent.jsonc                            | FILE_UNREADABLE  | absent.jsonc: expected a readable UTF-8 file  | a wrong path ends in a traceback                      |
@@ -92,8 +92,8 @@
       | faulty   | nothing  | SETTINGS_REFUSED | 0     | a program starts half with faulty settings          |
       | faulty   | --check  | SETTINGS_REFUSED | 0     | a check passes faulty settings                      |
 
-  Scenario: The programs work over HTTP against the stand-in
-    Given the stand-in of the platform on loopback
-    When the ticket program files examples/brunner/ticket-1.jsonc over HTTP and lists
-    Then both end with DONE and the list shows ticket 1
+  Scenario: The programs work over HTTP and rpc against the stand-in
+    Given the stand-in of the platform and an entry VM on loopback
+    When the ticket program files examples/brunner/ticket-1.jsonc, lists and watches it
+    Then all end with DONE, the list shows ticket 1 and the entry VM was asked for ticket 1
     And the audit trail is read over HTTP with 3 records
