settings: check that admission shares leave a rest

Cause: admission gives a service with a share below 100% a lane of its own, and the others what is left. The examples gave all three services a lane, 170% in sum. Placement weights stay at their defaults, because the policy names carry the weighing. The old step of examples.feature required the wrong shares; the new one requires a share below 100 for files and exactly 100 for the others.

--- a/nutmeglead/settings/checks.py
+++ b/nutmeglead/settings/checks.py
@@ -190,6 +190,17 @@
         yield Fault(f"{path}.{low}", expected, str(low_value))
 
 
+@SETTINGS_CHECKS.register("shares")
+def _check_shares(settings: Settings, policies: Policies) -> Iterator[Fault]:
+    """Services with a share of 100% use what the shares below 100% leave."""
+    shares = [service.admission.share_percent for service in settings.services]
+    own = [share for share in shares if share < 100]
+    limit = 100 if len(own) == len(shares) else 99
+    if sum(own) > limit:
+        expected = f"admission shares below 100 % with a sum of at most {limit} %"
+        yield Fault("services", expected, f"{sum(own)} %")
+
+
 @SETTINGS_CHECKS.register("renewers")
 def _check_renewers(settings: Settings, policies: Policies) -> Iterator[Fault]:
     """An even number of renewers tolerates no more losses than one renewer less."""
--- a/nutmeglead/settings/tests/examples.feature
+++ b/nutmeglead/settings/tests/examples.feature
@@ -27,7 +27,7 @@
   Scenario Outline: Orders have the highest priority and large files a share of their own
     Given the example directory of <user>
     Then <orders> has a higher priority than every other service
-    And <files> has a smaller share than every other service
+    And <files> has a share of its own and the others have the rest
     And the placement policy of every service is <policy>
 
     Examples: each row names the failure it guards against
--- a/nutmeglead/settings/tests/settings.feature
+++ b/nutmeglead/settings/tests/settings.feature
@@ -41,6 +41,7 @@
       | log is set to {"level": "LOUD"}                 | log.level: expected one of DEBUG, INFO, WARNING, ERROR, CRITICAL, got "LOUD"       | logging raises after the start                              |
       | services[0].ejection is set to {"min_available_percent": 0} | services[0].ejection.min_available_percent: expected a whole number from 1 to 100 %, got 0 | one router's view ejects a whole failure domain |
       | services is set to []                           | services: expected a list of at least 1, got a list of 0                           | a router without services answers 404 to everything         |
+      | services[0].admission is set to {"share_percent": 70} | services: expected admission shares below 100 % with a sum of at most 99 %, got 100 % | orders get no exchanges at all |
 
   Scenario: A name that occurs twice is reported at both places
     Given the example settings of brunner
--- a/nutmeglead/settings/tests/steps/examples_steps.py
+++ b/nutmeglead/settings/tests/steps/examples_steps.py
@@ -86,11 +86,11 @@
     assert all(own > other.admission.priority for other in context.example.others(name))
 
 
-@then("{name} has a smaller share than every other service")
+@then("{name} has a share of its own and the others have the rest")
 def step_share(context, name):
     own = context.example.service(name).admission.share_percent
     shares = [other.admission.share_percent for other in context.example.others(name)]
-    assert all(own < share and own + share <= 100 for share in shares)
+    assert own < 100 and set(shares) == {100}, shares
 
 
 @then("the placement policy of every service is {policy}")
