--- a/nutmeglead/programs/tests/pages.feature
+++ b/nutmeglead/programs/tests/pages.feature
@@ -29,3 +29,7 @@
     Given the page docs/glossary.md
     Then each term has one row with three filled columns
     And the terms VM, failure domain, user, backend server, ticket, unit, lease, pin and gate are among them
+
+  Scenario: The page of settings equals the schema
+    Given the page docs/operators/settings.md
+    Then its table lists every setting with path, default and permitted range
--- a/nutmeglead/programs/tests/steps/pages_steps.py
+++ b/nutmeglead/programs/tests/steps/pages_steps.py
@@ -10,6 +10,7 @@
 from nutmeglead.programs.exit_codes import ExitCode, exit_code_of
 from nutmeglead.programs.tests.console import read_examples, run_examples
 from nutmeglead.programs.tests.rig import ROOT
+from nutmeglead.programs.tests.settings_reference import rows
 from nutmeglead.settings import errors as settings_errors
 from nutmeglead.tickets import errors as ticket_errors
 
@@ -100,3 +101,10 @@
     known = {term for row in context.page.rows() for term in row[0].split(", ")}
     wanted = set(re.split(r", | and ", terms))
     assert wanted <= known, wanted - known
+
+
+@then("its table lists every setting with path, default and permitted range")
+def step_settings(context):
+    found = [tuple(row[:3]) for row in context.page.rows()]
+    assert found == list(rows()), set(found) ^ set(rows())
+    assert all(row[3] for row in context.page.rows())
