ownership: answer an overtaken release as stale while its units are held

Cause: an overtaken release reported units that it had not dropped as draining; nothing drains there, so the controller would wait instead of asking again. Change: the reply is STALE_ROLE_EPOCH while any of the units is held, DONE otherwise.

--- a/nutmeglead/ownership/holder.py
+++ b/nutmeglead/ownership/holder.py
@@ -142,8 +142,12 @@
                 unit, epoch = unit_from_id(grant.unit), Epoch(grant.epoch)
                 done = not self._is_held(unit, epoch) and not self._has_runs(unit, epoch)
                 (released if done else draining).append(grant.unit)
+        if draining:
+            # An overtaken release was not carried out, so what is still held does not drain.
+            is_overtaken = (message.role_epoch, message.sequence) < self._order
+            status = OrderStatus.STALE_ROLE_EPOCH if is_overtaken else OrderStatus.DRAINING
         return ReleaseReply(
-            status=OrderStatus.DRAINING if draining else status,
+            status=status,
             holder_incarnation=self.incarnation,
             released=released,
             draining=draining,
