--- a/nutmeglead/audit/tests/buffer.feature
+++ b/nutmeglead/audit/tests/buffer.feature
@@ -15,11 +15,11 @@
     And the missing records are <missing>
 
     Examples: each row names the failure it guards against
-      | room | batch | count | kept | gaps  | missing                                                       | failure                                      |
-      | 10   | 4     | 10    | 10   | none  | none                                                          | a buffer of 10 keeps 9                       |
-      | 10   | 4     | 11    | 11   | 11-11 | 1 record missing, records 11 to 11: the buffer was full      | a loss leaves no trace                       |
-      | 10   | 4     | 17    | 11   | 11-17 | 7 records missing, records 11 to 17: the buffer was full      | a gap counts only its last record            |
-      | 1    | 1     | 3     | 2    | 2-3   | 2 records missing, records 2 to 3: the buffer was full        | a buffer of 1 never records its gap          |
+      | room | batch | count | kept | gaps  | missing                                                  | failure                             |
+      | 10   | 4     | 10    | 10   | none  | none                                                     | a buffer of 10 keeps 9              |
+      | 10   | 4     | 11    | 11   | 11-11 | 1 record missing, records 11 to 11: the buffer was full  | a loss leaves no trace              |
+      | 10   | 4     | 17    | 11   | 11-17 | 7 records missing, records 11 to 17: the buffer was full | a gap counts only its last record   |
+      | 1    | 1     | 3     | 2    | 2-3   | 2 records missing, records 2 to 3: the buffer was full   | a buffer of 1 never records its gap |
 
   Scenario: Each of two losses is recorded, also while the outage goes on
     Given a buffer for 4 records in batches of 2
@@ -59,13 +59,13 @@
     And the missing records include "<missing>"
 
     Examples: each row names the failure it guards against
-      | damage                          | kept | missing                                                                | failure                                |
-      | the first batch is deleted | 3 | 2 records missing, records 1 to 2: no record names the reason | a missing start goes unnoticed |
-      | the second batch is deleted     | 3    | 2 records missing, records 3 to 4: no record names the reason          | a deleted object goes unnoticed        |
-      | the last batch is deleted       | 4    | 1 record missing, records 5 to 5: no record names the reason          | a missing end goes unnoticed           |
-      | the second batch is cut in half | 4    | 1 record missing, records 4 to 4: no record names the reason          | one bad object hides the whole trail   |
-      | the end is emptied              | 5    | not closed                                                             | an unreadable end counts as closed     |
-      | an unknown object is added      | 5    | unreadable: audit/strange                                              | a strange name ends the reader         |
+      | damage                          | kept | missing                                                       | failure                              |
+      | the first batch is deleted      | 3    | 2 records missing, records 1 to 2: no record names the reason | a missing start goes unnoticed       |
+      | the second batch is deleted     | 3    | 2 records missing, records 3 to 4: no record names the reason | a deleted object goes unnoticed      |
+      | the last batch is deleted       | 4    | 1 record missing, records 5 to 5: no record names the reason  | a missing end goes unnoticed         |
+      | the second batch is cut in half | 4    | 1 record missing, records 4 to 4: no record names the reason  | one bad object hides the whole trail |
+      | the end is emptied              | 5    | not closed                                                    | an unreadable end counts as closed   |
+      | an unknown object is added      | 5    | unreadable: audit/strange                                     | a strange name ends the reader       |
 
   Scenario: An outage while the trail is read is a typed error
     Given a buffer for 10 records in batches of 2
--- a/nutmeglead/programs/audit.py
+++ b/nutmeglead/programs/audit.py
@@ -1,7 +1,6 @@
 """Print the audit trail and explain owners: the program nutmeglead-audit."""
 
 import argparse
-import asyncio
 import random
 import sys
 
@@ -9,7 +8,7 @@
 
 from nutmeglead._generated.settings.ttypes import Settings
 from nutmeglead.programs import audit_commands as commands
-from nutmeglead.programs.common import build_parser, start
+from nutmeglead.programs.common import build_parser, run_command_line, start
 from nutmeglead.programs.connect import Connections
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.output import Output
@@ -27,10 +26,11 @@
     parser.add_argument("--service", metavar="NAME", help="only this service; default: all")
     found = parser.add_subparsers(dest="command", metavar="COMMAND")
     trail = found.add_parser("trail", help="print the records in order of time; the default")
-    trail.add_argument(
-        "--day", action="append", metavar="YYYY-MM-DD", help="only this day (UTC); repeatable"
-    )
     explain = found.add_parser("explain", help="print who owns a key, since when and why")
+    for command in (trail, explain):
+        command.add_argument(
+            "--day", action="append", metavar="YYYY-MM-DD", help="only this day (UTC); repeatable"
+        )
     explain.add_argument("key", metavar="KEY")
     return parser
 
@@ -46,7 +46,7 @@
     names = [service.name for service in started.ok_value.services]
     if options.service is not None and options.service not in names:
         parser.error(f"--service: expected one of {', '.join(names)}, got {options.service!r}")
-    return asyncio.run(_run(options, started.ok_value, output))
+    return run_command_line(_run(options, started.ok_value, output))
 
 
 async def _run(options: argparse.Namespace, settings: Settings, output: Output) -> ExitCode:
@@ -61,7 +61,7 @@
 async def run_command(options: argparse.Namespace, tools: commands.AuditTools) -> ExitCode:
     """Run the command that the options name; without one, print the trail."""
     if options.command == "explain":
-        return await commands.explain_key(tools, options.key, options.service)
+        return await commands.explain_key(tools, options.key, options.service, options.day)
     return await commands.trail(tools, getattr(options, "day", None), options.service)
 
 
--- a/nutmeglead/programs/audit_commands.py
+++ b/nutmeglead/programs/audit_commands.py
@@ -54,13 +54,15 @@
     return ExitCode.DONE
 
 
-async def explain_key(tools: AuditTools, key: str, service_name: str | None) -> ExitCode:
-    """Print who owns a key and why, for one service or for all."""
+async def explain_key(
+    tools: AuditTools, key: str, service_name: str | None, days: Sequence[str] | None = None
+) -> ExitCode:
+    """Print who owns a key and why, for one service or for all; `days` bounds the history."""
     services = [s for s in tools.settings.services if service_name in (None, s.name)]
     desired = await read_desired(tools.store)
     if isinstance(desired, Err):
         return tools.output.error(desired.err_value)
-    records = await read_trail(tools.objects)
+    records = await read_trail(tools.objects, days)
     if isinstance(records, Err):
         # The owner is known from the table; only the history waits for the object store.
         tools.output.warning(f"the history is missing: {records.err_value}")
--- a/nutmeglead/programs/common.py
+++ b/nutmeglead/programs/common.py
@@ -3,7 +3,7 @@
 import argparse
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +19,7 @@
 from nutmeglead.settings.errors import FileUnreadable, SettingsFaults
 from nutmeglead.settings.loader import load_settings
 
-__all__ = ["build_parser", "run_service", "start"]
+__all__ = ["build_parser", "run_command_line", "run_service", "start"]
 
 logger = logging.getLogger(__name__)
 
@@ -77,6 +77,14 @@
     return ExitCode.DONE
 
 
+def run_command_line(command: Coroutine[Any, Any, ExitCode]) -> ExitCode:
+    """Run the command of an operator's program to its end or to its interruption."""
+    try:
+        return asyncio.run(command)
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+
+
 async def _run(build: Callable[[Settings], Service], settings: Settings) -> None:
     # Services bind asyncio objects when they are built, so the loop runs already.
     await run_until_signal(build(settings))
--- a/nutmeglead/programs/exit_codes.py
+++ b/nutmeglead/programs/exit_codes.py
@@ -36,6 +36,8 @@
     NOT_FOUND = 9
     NOT_IN_FORCE = 10
     DATA_CORRUPT = 11
+    # 128 + SIGINT, as shells report it.
+    INTERRUPTED = 130
 
 
 _CODES: dict[type[NutmegleadError], ExitCode] = {
--- a/nutmeglead/programs/tests/pages.feature
+++ b/nutmeglead/programs/tests/pages.feature
@@ -5,10 +5,10 @@
     Then its <count> examples give what the page shows
 
     Examples: each row names the failure it guards against
-      | page              | count | failure                                                  |
-      | file-a-ticket.md  | 7     | an operator follows a command that no longer exists      |
-      | read-a-refusal.md | 9     | an operator looks for a message that no longer exists    |
-      | plan-a-move.md    | 7     | an operator reads an explanation that has another form   |
+      | page              | count | failure                                                |
+      | file-a-ticket.md  | 7     | an operator follows a command that no longer exists    |
+      | read-a-refusal.md | 9     | an operator looks for a message that no longer exists  |
+      | plan-a-move.md    | 7     | an operator reads an explanation that has another form |
 
   Scenario: The catalogue of exit codes equals the code
     Given the page docs/operators/exit-codes.md
--- a/nutmeglead/programs/tests/steps/ticket_steps.py
+++ b/nutmeglead/programs/tests/steps/ticket_steps.py
@@ -13,7 +13,7 @@
 from nutmeglead._generated.messages.ttypes import InForceReply, InForceRequest, MessageType
 from nutmeglead.platform.ports import VmState
 from nutmeglead.programs import audit, ticket
-from nutmeglead.programs.common import run_service, start
+from nutmeglead.programs.common import run_command_line, run_service, start
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.output import Output
 from nutmeglead.programs.tests.rig import ROOT, SETTINGS, Platform, entry_vm
@@ -129,7 +129,20 @@
         context.code = run_service("nutmeglead-test", "A test.", {}, build, arguments)
 
 
-@then("it returns {code} and has built {count:d} services")
+@when("a command line is interrupted")
+def step_interrupted(context):
+    async def command():
+        raise KeyboardInterrupt
+
+    context.code = run_command_line(command())
+
+
+@then("it returns {code:w}")
+def step_returns(context, code):
+    assert context.code == ExitCode[code], context.code
+
+
+@then("it returns {code:w} and has built {count:d} services")
 def step_built(context, code, count):
     assert (context.code, len(context.built)) == (ExitCode[code], count), context.code
 
--- a/nutmeglead/programs/ticket.py
+++ b/nutmeglead/programs/ticket.py
@@ -1,7 +1,6 @@
 """Check, file, show and watch tickets: the program nutmeglead-ticket."""
 
 import argparse
-import asyncio
 import random
 import sys
 from pathlib import Path
@@ -13,7 +12,7 @@
 from nutmeglead.audit.records import AuditContext
 from nutmeglead.core.ids import ServiceName
 from nutmeglead.programs import ticket_commands as commands
-from nutmeglead.programs.common import build_parser, start
+from nutmeglead.programs.common import build_parser, run_command_line, start
 from nutmeglead.programs.connect import Connections, pause_ms
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.output import Output
@@ -58,7 +57,7 @@
     started = start(options, known_policies(), output)
     if isinstance(started, Err):
         return started.err_value
-    return asyncio.run(_run(options, started.ok_value, output))
+    return run_command_line(_run(options, started.ok_value, output))
 
 
 async def _run(options: argparse.Namespace, settings: Settings, output: Output) -> ExitCode:
--- a/nutmeglead/settings/tests/examples.feature
+++ b/nutmeglead/settings/tests/examples.feature
@@ -6,9 +6,9 @@
     And the settings differ only in the node
 
     Examples: each row names the failure it guards against
-      | user    | domains                                  | failure                                           |
-      | brunner | halle-a, halle-b, buero                  | a failure domain starts without a valid file      |
-      | cubo    | recife-a, recife-b, fortaleza-a, salvador-a | entry VMs disagree about a service's settings  |
+      | user    | domains                                     | failure                                       |
+      | brunner | halle-a, halle-b, buero                     | a failure domain starts without a valid file  |
+      | cubo    | recife-a, recife-b, fortaleza-a, salvador-a | entry VMs disagree about a service's settings |
 
   Scenario Outline: Each service has the size and semantics of the design page
     Given the example directory of <user>
@@ -16,13 +16,13 @@
     And the first ticket places <instances> servers of <service> on all failure domains
 
     Examples: design page, section 1
-      | user    | service        | instances | slots | connections | idempotent | failure                             |
-      | brunner | lagerblick     | 24        | 4     | 130         | true       | lookups are never hedged            |
-      | brunner | schnittauftrag | 9         | 4     | 130         | false      | a cutting order is sent twice       |
-      | brunner | konturablage   | 6         | 4     | 130         | true       | a pattern file is not sent again    |
-      | cubo    | catalogo       | 22        | 2     | 130         | true       | catalogue lookups are never hedged  |
-      | cubo    | pedidos        | 9         | 2     | 130         | false      | a payment is sent twice             |
-      | cubo    | guias          | 8         | 2     | 130         | true       | a guide is not sent again           |
+      | user    | service        | instances | slots | connections | idempotent | failure                            |
+      | brunner | lagerblick     | 24        | 4     | 130         | true       | lookups are never hedged           |
+      | brunner | schnittauftrag | 9         | 4     | 130         | false      | a cutting order is sent twice      |
+      | brunner | konturablage   | 6         | 4     | 130         | true       | a pattern file is not sent again   |
+      | cubo    | catalogo       | 22        | 2     | 130         | true       | catalogue lookups are never hedged |
+      | cubo    | pedidos        | 9         | 2     | 130         | false      | a payment is sent twice            |
+      | cubo    | guias          | 8         | 2     | 130         | true       | a guide is not sent again          |
 
   Scenario Outline: Orders have the highest priority and large files a share of their own
     Given the example directory of <user>
--- a/nutmeglead/tickets/tests/merge.feature
+++ b/nutmeglead/tickets/tests/merge.feature
@@ -8,30 +8,30 @@
     And per_item finds the same number with the two tickets exchanged
 
     Examples: each row names the failure it guards against
-      | mine                             | theirs                                   | collisions | failure                                            |
-      | server lb-01                     | server lb-01 leaving                     | 1          | a server's leaving is undone                       |
-      | server lb-01                     | server lb-02                             | 0          | disjoint tickets are refused                       |
-      | server lb-01                     | schnittauftrag server lb-01              | 0          | services with equal server ids block each other    |
-      | key a/b                          | key a/b for lb-02                        | 1          | the later claim silently wins                      |
-      | key a/b                          | key a/b                                  | 1          | a filed change is applied again under a new number |
-      | key a/b                          | key a/c for lb-02                        | 0          | disjoint claims are refused                        |
-      | key a/b                          | schnittauftrag key a/b for sa-02         | 0          | services with equal keys block each other          |
-      | key a/b                          | prefix a/ for lb-02                      | 1          | a prefix claim misses a key claimed since its base |
-      | key b/b                          | prefix a/ for lb-02                      | 0          | disjoint claims are refused                        |
-      | prefix a/b/                      | prefix a/ for lb-02                      | 1          | nested prefixes are taken for disjoint             |
-      | prefix a/b/                      | prefix a/c/ for lb-02                    | 0          | disjoint prefixes are refused                      |
-      | buckets 0-9                      | buckets 9-12 for lb-02                   | 1          | the last bucket is taken for excluded              |
-      | buckets 0-9                      | buckets 10-12 for lb-02                  | 0          | adjacent ranges are refused                        |
-      | buckets 0-9                      | schnittauftrag buckets 0-9 for sa-02     | 0          | services with equal ranges block each other        |
-      | key a/b                          | schnittauftrag prefix a/ for sa-02       | 0          | services with equal prefixes block each other      |
-      | buckets 3-4                      | buckets 0-9 for lb-02                    | 1          | a range inside another is taken for disjoint       |
-      | buckets 0-2047                   | key a/b for lb-02                        | 0          | a pin is refused because of a range, which commute |
-      | buckets 0-2047                   | prefix a/ for lb-02                      | 0          | a prefix is refused because of a range             |
-      | key a/b                          | server lb-01 leaving                     | 1          | keys are claimed for a server that leaves          |
-      | buckets 0-9                      | server lb-01 removed                     | 1          | keys are claimed for a server that is gone         |
-      | key a/b                          | server lb-01 present                     | 0          | a change of weight blocks all claims on a server   |
-      | key a/b for policy               | server lb-01 leaving                     | 0          | a released key blocks a leaving server             |
-      | key a/b; key a/c                 | key a/c for lb-02; key a/b for lb-02     | 2          | only the first of several collisions is named      |
+      | mine               | theirs                               | collisions | failure                                            |
+      | server lb-01       | server lb-01 leaving                 | 1          | a server's leaving is undone                       |
+      | server lb-01       | server lb-02                         | 0          | disjoint tickets are refused                       |
+      | server lb-01       | schnittauftrag server lb-01          | 0          | services with equal server ids block each other    |
+      | key a/b            | key a/b for lb-02                    | 1          | the later claim silently wins                      |
+      | key a/b            | key a/b                              | 1          | a filed change is applied again under a new number |
+      | key a/b            | key a/c for lb-02                    | 0          | disjoint claims are refused                        |
+      | key a/b            | schnittauftrag key a/b for sa-02     | 0          | services with equal keys block each other          |
+      | key a/b            | prefix a/ for lb-02                  | 1          | a prefix claim misses a key claimed since its base |
+      | key b/b            | prefix a/ for lb-02                  | 0          | disjoint claims are refused                        |
+      | prefix a/b/        | prefix a/ for lb-02                  | 1          | nested prefixes are taken for disjoint             |
+      | prefix a/b/        | prefix a/c/ for lb-02                | 0          | disjoint prefixes are refused                      |
+      | buckets 0-9        | buckets 9-12 for lb-02               | 1          | the last bucket is taken for excluded              |
+      | buckets 0-9        | buckets 10-12 for lb-02              | 0          | adjacent ranges are refused                        |
+      | buckets 0-9        | schnittauftrag buckets 0-9 for sa-02 | 0          | services with equal ranges block each other        |
+      | key a/b            | schnittauftrag prefix a/ for sa-02   | 0          | services with equal prefixes block each other      |
+      | buckets 3-4        | buckets 0-9 for lb-02                | 1          | a range inside another is taken for disjoint       |
+      | buckets 0-2047     | key a/b for lb-02                    | 0          | a pin is refused because of a range, which commute |
+      | buckets 0-2047     | prefix a/ for lb-02                  | 0          | a prefix is refused because of a range             |
+      | key a/b            | server lb-01 leaving                 | 1          | keys are claimed for a server that leaves          |
+      | buckets 0-9        | server lb-01 removed                 | 1          | keys are claimed for a server that is gone         |
+      | key a/b            | server lb-01 present                 | 0          | a change of weight blocks all claims on a server   |
+      | key a/b for policy | server lb-01 leaving                 | 0          | a released key blocks a leaving server             |
+      | key a/b; key a/c   | key a/c for lb-02; key a/b for lb-02 | 2          | only the first of several collisions is named      |
 
   Scenario: A collision names both items and the ticket
     Given a ticket with server lb-03; key a/b
