--- a/nutmeglead/controller/acting.py
+++ b/nutmeglead/controller/acting.py
@@ -175,6 +175,7 @@
             machine.set_desired(state.service(self.name), state.number, now_ms)
         if now_ms >= self._due.load_ms:
             self._due.load_ms = now_ms + LOAD_SNAPSHOT_INTERVAL_MS
+            self._load.apply(machine.writer.take_written(), now_ms)
             machine.set_load(self._load.snapshot(now_ms))
 
     async def _follow_ticket(self, machine: ControllerMachine, now_ms: int) -> None:
--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -19,6 +19,7 @@
 from nutmeglead.ownership.units import Holder
 from nutmeglead.placement.model import Move, MoveReason
 from nutmeglead.placement.planner import plan
+from nutmeglead.placement.recent import RecentMoves
 from nutmeglead.platform.ports import Row, RowCheck
 
 __all__ = ["PageWriter", "TicketProgress"]
@@ -74,6 +75,8 @@
         self._balance_ms = 0
         self._clear_ms = 0
         self._first_placement_ms: int | None = None
+        self._recent = RecentMoves(settings.placement.round_interval_ms)
+        self._written: list[Move] = []
 
     def replan(self, at_ms: int) -> None:
         """Plan again at a time, or earlier if that is due already."""
@@ -105,10 +108,17 @@
             return []
         edits, moves = self.in_flight.batch.edits, self.in_flight.moves
         self.in_flight = None
+        self._recent.add(moves, now_ms)
+        self._written += moves
         if moves or not self._placer.has_pages:
             self.replan(now_ms)
         return [Row(key, versions[key], encode(edit.page)) for key, edit in edits.items()]
 
+    def take_written(self) -> list[Move]:
+        """Return the moves written since the last call, so that their load is carried along."""
+        written, self._written = self._written, []
+        return written
+
     def failed(self, now_ms: int) -> list[RowKey]:
         """Return the rows to read again; the plan is made anew from what they hold."""
         if self.in_flight is None:
@@ -162,13 +172,12 @@
 
     def _plan(self, leases: Mapping[ServerId, ServerLease], now_ms: int) -> list[Move]:
         """Return the moves that are due; optional ones only once per round."""
+        self.plan_input.recently_moved = self._recent.units(now_ms)
         request = build_request(self._settings, self._placer, leases, self.plan_input, now_ms)
         moves = plan(request).moves
         if now_ms < self._balance_ms:
             return [move for move in moves if move.reason not in _OPTIONAL_REASONS]
         self._balance_ms = now_ms + self._settings.placement.round_interval_ms
-        chosen = (move.unit for move in moves if move.reason in _OPTIONAL_REASONS)
-        self.plan_input.recently_moved = frozenset(chosen)
         return moves
 
     def _write_first_pages(
--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -28,6 +28,7 @@
     SERVER_SUSPECTED = (2009, logging.WARNING, "a renewer reports a silent server")
     TICKET_PLANNED = (2010, logging.INFO, "all placement pages of a ticket are written")
     TICKET_IN_FORCE = (2011, logging.INFO, "a ticket is in force everywhere")
+    TICKET_UNREADABLE = (2012, logging.ERROR, "a ticket row cannot be read; later tickets wait")
 
     REQUEST_FAILED = (3001, logging.WARNING, "a request got an answer of the router's own")
     SERVER_EJECTED = (3002, logging.WARNING, "the router sends a server fewer or no requests")
