--- a/nutmeglead/routing/ejection.py
+++ b/nutmeglead/routing/ejection.py
@@ -89,18 +89,16 @@
         health.ejected_until_ms = now_ms + min(duration_ms, self._settings.max_ejection_ms)
 
     def _may_eject(self, server_id: ServerId, now_ms: int) -> bool:
-        """Tell whether enough servers stay in use, overall and in the server's failure domain.
+        """Tell whether enough servers of the failure domain stay in use.
 
         One router's view may be wrong about a whole failure domain, for example if only its own
-        links to it are lossy.
+        links to it are lossy. The floor of each domain keeps the floor over all servers too.
         """
         domain = self._domains.get(server_id)
         if domain is None:
             return False
         in_domain = [s for s, d in self._domains.items() if d == domain]
-        return self._keeps_floor(list(self._domains), now_ms) and self._keeps_floor(
-            in_domain, now_ms
-        )
+        return self._keeps_floor(in_domain, now_ms)
 
     def _keeps_floor(self, servers: list[ServerId], now_ms: int) -> bool:
         ejected = sum(1 for server_id in servers if self._is_ejected(server_id, now_ms))
--- a/nutmeglead/routing/lending.py
+++ b/nutmeglead/routing/lending.py
@@ -41,7 +41,6 @@
 class _Asked:
     lender: str
     sent_ms: int
-    slots: int
     duration_ms: int
 
 
@@ -112,7 +111,7 @@
 
     def _message(self, lender: str, slots: int, duration_ms: int, now_ms: int) -> LendSlots:
         self._sequence += 1
-        self._asked[self._sequence] = _Asked(lender, now_ms, slots, duration_ms)
+        self._asked[self._sequence] = _Asked(lender, now_ms, duration_ms)
         self._forget_ended(now_ms)
         return LendSlots(
             sender=self._sender,
@@ -170,7 +169,7 @@
         asked = self._asked.pop(reply.sequence, None)
         if asked is None or reply.sender.node_id != asked.lender:
             return False
-        slots = min(reply.slots, asked.slots)
+        slots = reply.slots
         end_ms = asked.sent_ms + min(asked.duration_ms, MAX_LOAN_MS)
         if slots <= 0 or end_ms <= now_ms:
             return False
