routing: never start a request that cannot be in time

Cause: under overload requests were started with less time left than a request takes; their callers were told "unknown" although refusing them as not run was possible (seen with a server ten times slower and with a hot key).

--- a/nutmeglead/routing/admission.py
+++ b/nutmeglead/routing/admission.py
@@ -1,14 +1,14 @@
 """Queue requests for server slots by priority and deadline, and refuse what cannot be in time."""
 
-from collections.abc import Callable, Hashable, Iterable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Hashable, Iterable
 from typing import Protocol
 
 from result import Err, Ok, Result
 
 from nutmeglead._generated.settings.ttypes import AdmissionSettings, ServiceSettings
-from nutmeglead.core.ids import ServerId, ServiceName
+from nutmeglead.core.ids import ServiceName
 from nutmeglead.core.registry import Registry
+from nutmeglead.routing.bounded_queue import BoundedQueue, Dispatch, QueuedRequest, ServerKey
 from nutmeglead.routing.errors import DeadlinePassed, DeadlineUnreachable, QueueFull
 from nutmeglead.routing.estimates import ServiceTimes
 
@@ -28,33 +28,11 @@
 # A hot key may take a quarter of its service's queue; the rest stays for the other units.
 UNIT_QUEUE_PART = 4
 
-ServerKey = tuple[ServiceName, ServerId]
-QueueError = QueueFull | DeadlineUnreachable | DeadlinePassed
-
-
-@dataclass(frozen=True)
-class QueuedRequest:
-    """Describe one request; `size_bytes` is what its buffered body takes."""
-
-    request_id: int
-    service_name: ServiceName
-    unit: Hashable
-    server_id: ServerId
-    deadline_ms: int
-    size_bytes: int = 0
-
-    @property
-    def server(self) -> ServerKey:
-        """Return the server's key; server ids are unique within a service only."""
-        return self.service_name, self.server_id
-
-
-@dataclass
-class Dispatch:
-    """List the requests that may start now and those whose deadline passed."""
+# The queue is counted again when the service time has grown by a quarter; smaller changes are
+# within the jitter of the links between failure domains.
+GROWTH = 1.25
 
-    started: list[QueuedRequest] = field(default_factory=list)
-    expired: list[QueuedRequest] = field(default_factory=list)
+QueueError = QueueFull | DeadlineUnreachable | DeadlinePassed
 
 
 class AdmissionPolicy(Protocol):
@@ -109,65 +87,6 @@
         return self.running < self.capacity
 
 
-class _BoundedQueue:
-    """Keep waiting requests by server and count them by service and unit."""
-
-    def __init__(self, services: Iterable[ServiceSettings]) -> None:
-        self.settings: dict[ServiceName, AdmissionSettings] = {
-            ServiceName(service.name): service.admission or AdmissionSettings()
-            for service in services
-        }
-        self.waiting: dict[ServerKey, dict[int, QueuedRequest]] = {}
-        self.server_of: dict[int, ServerKey] = {}
-        self.counts: dict[ServiceName, int] = dict.fromkeys(self.settings, 0)
-        self.bytes: dict[ServiceName, int] = dict.fromkeys(self.settings, 0)
-        self.unit_counts: dict[tuple[ServiceName, Hashable], int] = {}
-
-    def check_service_bounds(self, request: QueuedRequest) -> Result[None, QueueError]:
-        settings = self.settings[request.service_name]
-        if self.counts[request.service_name] >= settings.max_queue_count:
-            return Err(QueueFull(f"{settings.max_queue_count} requests of the service wait"))
-        if self.bytes[request.service_name] + request.size_bytes > settings.max_queue_bytes:
-            return Err(QueueFull(f"bodies of {self.bytes[request.service_name]} bytes wait"))
-        return Ok(None)
-
-    def add(self, request: QueuedRequest) -> None:
-        self.waiting.setdefault(request.server, {})[request.request_id] = request
-        self.server_of[request.request_id] = request.server
-        self._count(request, 1)
-
-    def remove(self, request_id: int) -> QueuedRequest | None:
-        server = self.server_of.pop(request_id, None)
-        if server is None:
-            return None
-        queue = self.waiting[server]
-        request = queue.pop(request_id)
-        if not queue:
-            del self.waiting[server]
-        self._count(request, -1)
-        return request
-
-    def _count(self, request: QueuedRequest, step: int) -> None:
-        self.counts[request.service_name] += step
-        self.bytes[request.service_name] += step * request.size_bytes
-        unit = (request.service_name, request.unit)
-        count = self.unit_counts.get(unit, 0) + step
-        if count:
-            self.unit_counts[unit] = count
-        else:
-            del self.unit_counts[unit]
-
-    def servers(self, only: Iterable[ServerKey] | None) -> Iterator[ServerKey]:
-        yield from [s for s in (self.waiting if only is None else only) if s in self.waiting]
-
-    def take_expired(self, server: ServerKey, now_ms: int) -> list[QueuedRequest]:
-        queue = self.waiting.get(server, {})
-        expired = [request for request in queue.values() if request.deadline_ms <= now_ms]
-        for request in expired:
-            self.remove(request.request_id)
-        return sorted(expired, key=lambda request: request.deadline_ms)
-
-
 @ADMISSION.register("deadline")
 class DeadlineAdmission:
     """Start higher priorities first, then the unit with fewest running, then earliest deadlines.
@@ -180,9 +99,12 @@
         self, services: Iterable[ServiceSettings], max_exchanges: int = MAX_EXCHANGES
     ) -> None:
         services = list(services)
-        self._queue = _BoundedQueue(services)
+        self._queue = BoundedQueue(services)
         self._lanes = _make_lanes(self._queue.settings, max_exchanges)
         self._times = ServiceTimes()
+        self._slots: dict[ServerKey, int] = {}
+        # Service time of each server for which the places in its queue were last counted.
+        self._counted_ms: dict[ServerKey, float] = {}
         self._running_by_server: dict[ServerKey, int] = {}
         self._running_by_unit: dict[tuple[ServiceName, Hashable], int] = {}
 
@@ -200,8 +122,9 @@
         unit_count = self._queue.unit_counts.get((request.service_name, request.unit), 0)
         if unit_count >= max_unit_queue_count(settings):
             return Err(QueueFull(f"{unit_count} requests of the unit wait"))
+        self._slots[request.server] = max(1, slots)
         wait_ms = self._expected_ms(request, slots)
-        if now_ms + wait_ms > request.deadline_ms:
+        if now_ms + wait_ms >= request.deadline_ms:
             left_ms = request.deadline_ms - now_ms
             return Err(DeadlineUnreachable(f"needs about {wait_ms} ms, has {left_ms} ms"))
         self._queue.add(request)
@@ -254,6 +177,7 @@
         open_servers = set(self._queue.servers(servers))
         for server in open_servers:
             result.expired += self._queue.take_expired(server, now_ms)
+            result.hopeless += self._take_hopeless(server, now_ms)
         while open_servers:
             head = self._next_request(open_servers)
             if head is None:
@@ -265,6 +189,32 @@
             result.started.append(head)
         return result
 
+    def _take_hopeless(self, server: ServerKey, now_ms: int) -> list[QueuedRequest]:
+        """Take out what can no longer be in time, because its answer would be unknown.
+
+        The places in the queue count only after the service time has grown, for example because the
+        server became slow; otherwise they were counted when the request came.
+        """
+        queue = self._queue.waiting.get(server)
+        if not queue or server not in self._running_by_server:
+            return []
+        service_ms = self._times.expected_ms(server[0], server)
+        has_grown = service_ms > GROWTH * self._counted_ms.get(server, 0.0)
+        if has_grown:
+            self._counted_ms[server] = service_ms
+        kept_count = 0
+        hopeless = []
+        ordered = sorted(queue.values(), key=self._rank) if has_grown else queue.values()
+        for request in ordered:
+            turns_ahead = kept_count / self._slots[server] if has_grown else 0.0
+            if now_ms + service_ms * (turns_ahead + 1) >= request.deadline_ms:
+                hopeless.append(request)
+            else:
+                kept_count += 1
+        for request in hopeless:
+            self._queue.remove(request.request_id)
+        return hopeless
+
     def _next_request(self, servers: Iterable[ServerKey]) -> QueuedRequest | None:
         candidates = [
             request
@@ -319,7 +269,7 @@
     def __init__(
         self, services: Iterable[ServiceSettings], max_exchanges: int = MAX_EXCHANGES
     ) -> None:
-        self._queue = _BoundedQueue(services)
+        self._queue = BoundedQueue(services)
         self._lane = _Lane(max_exchanges)
 
     def offer(self, request: QueuedRequest, slots: int, now_ms: int) -> Result[None, QueueError]:
--- a/nutmeglead/routing/slots.py
+++ b/nutmeglead/routing/slots.py
@@ -8,7 +8,12 @@
 
 from nutmeglead.core.ids import ServiceName
 from nutmeglead.routing.admission import AdmissionPolicy, QueuedRequest, ServerKey
-from nutmeglead.routing.errors import AssignmentChanged, DeadlinePassed, RequestError
+from nutmeglead.routing.errors import (
+    AssignmentChanged,
+    DeadlinePassed,
+    DeadlineUnreachable,
+    RequestError,
+)
 from nutmeglead.routing.servers import ServiceServers
 from nutmeglead.routing.timers import Alarm, Timers
 
@@ -118,6 +123,8 @@
                 self._wake(request, Ok(None))
             for request in result.expired:
                 self._wake(request, Err(DeadlinePassed("while waiting for a slot")))
+            for request in result.hopeless:
+                self._wake(request, Err(DeadlineUnreachable("the server has become too slow")))
 
     def _take_slot(self, server: ServerKey) -> bool:
         service_name, server_id = server
