--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -38,6 +38,13 @@
 
 
 
+class MemberStatus(IntEnum):
+    ALIVE = 1
+    SILENT = 2
+    LEFT = 3
+
+
+
 class AuditKind(IntEnum):
     TICKET_ACCEPTED = 1
     ROLE_TAKEN = 2
@@ -140,6 +147,104 @@
         return not (self == other)
 
 
+class ServerEntry(object):
+    """
+    Attributes:
+     - server_id
+     - address
+     - failure_domain
+     - gate
+
+    """
+
+
+    def __init__(self, server_id=None, address=None, failure_domain=None, gate=None,):
+        self.server_id = server_id
+        self.address = address
+        self.failure_domain = failure_domain
+        self.gate = gate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.address = nutmeglead._generated.common.ttypes.Address()
+                    self.address.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.gate = nutmeglead._generated.common.ttypes.Address()
+                    self.gate.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerEntry')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRUCT, 2)
+            self.address.write(oprot)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 3)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.gate is not None:
+            oprot.writeFieldBegin('gate', TType.STRUCT, 4)
+            self.gate.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.server_id is None:
+            raise TProtocolException(message='Required field server_id is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.failure_domain is None:
+            raise TProtocolException(message='Required field failure_domain is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlacementPage(object):
     """
     Attributes:
@@ -155,11 +260,12 @@
      - previous
      - units
      - epoch_floor
+     - directory
 
     """
 
 
-    def __init__(self, service_name=None, pins=None, page_number=None, version=None, role_epoch=None, ticket_number=None, servers=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=0,):
+    def __init__(self, service_name=None, pins=None, page_number=None, version=None, role_epoch=None, ticket_number=None, servers=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=0, directory=None,):
         self.service_name = service_name
         self.pins = pins
         self.page_number = page_number
@@ -172,6 +278,7 @@
         self.previous = previous
         self.units = units
         self.epoch_floor = epoch_floor
+        self.directory = directory
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -275,6 +382,17 @@
                     self.epoch_floor = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.directory = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = ServerEntry()
+                        _elem42.read(iprot)
+                        self.directory.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -312,46 +430,53 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.servers))
-            for iter37 in self.servers:
-                oprot.writeString(iter37.encode('utf-8') if sys.version_info[0] == 2 else iter37)
+            for iter43 in self.servers:
+                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owners is not None:
             oprot.writeFieldBegin('owners', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.owners))
-            for iter38 in self.owners:
-                oprot.writeI32(iter38)
+            for iter44 in self.owners:
+                oprot.writeI32(iter44)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epochs is not None:
             oprot.writeFieldBegin('epochs', TType.LIST, 9)
             oprot.writeListBegin(TType.I64, len(self.epochs))
-            for iter39 in self.epochs:
-                oprot.writeI64(iter39)
+            for iter45 in self.epochs:
+                oprot.writeI64(iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.previous is not None:
             oprot.writeFieldBegin('previous', TType.MAP, 10)
             oprot.writeMapBegin(TType.I32, TType.LIST, len(self.previous))
-            for kiter40, viter41 in self.previous.items():
-                oprot.writeI32(kiter40)
-                oprot.writeListBegin(TType.STRUCT, len(viter41))
-                for iter42 in viter41:
-                    iter42.write(oprot)
+            for kiter46, viter47 in self.previous.items():
+                oprot.writeI32(kiter46)
+                oprot.writeListBegin(TType.STRUCT, len(viter47))
+                for iter48 in viter47:
+                    iter48.write(oprot)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter43 in self.units:
-                iter43.write(oprot)
+            for iter49 in self.units:
+                iter49.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epoch_floor is not None:
             oprot.writeFieldBegin('epoch_floor', TType.I64, 12)
             oprot.writeI64(self.epoch_floor)
             oprot.writeFieldEnd()
+        if self.directory is not None:
+            oprot.writeFieldBegin('directory', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.directory))
+            for iter50 in self.directory:
+                iter50.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -397,17 +522,15 @@
      - node_id
      - incarnation
      - epoch
-     - planned_ticket_number
 
     """
 
 
-    def __init__(self, service_name=None, node_id=None, incarnation=None, epoch=None, planned_ticket_number=0,):
+    def __init__(self, service_name=None, node_id=None, incarnation=None, epoch=None,):
         self.service_name = service_name
         self.node_id = node_id
         self.incarnation = incarnation
         self.epoch = epoch
-        self.planned_ticket_number = planned_ticket_number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -438,11 +561,6 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I64:
-                    self.planned_ticket_number = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -469,10 +587,6 @@
             oprot.writeFieldBegin('epoch', TType.I64, 4)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
-        if self.planned_ticket_number is not None:
-            oprot.writeFieldBegin('planned_ticket_number', TType.I64, 5)
-            oprot.writeI64(self.planned_ticket_number)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -533,20 +647,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.node_ids = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.node_ids.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.node_ids.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.incarnations = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.incarnations.append(_elem55)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.incarnations.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -572,15 +686,15 @@
         if self.node_ids is not None:
             oprot.writeFieldBegin('node_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.node_ids))
-            for iter56 in self.node_ids:
-                oprot.writeString(iter56.encode('utf-8') if sys.version_info[0] == 2 else iter56)
+            for iter63 in self.node_ids:
+                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.incarnations is not None:
             oprot.writeFieldBegin('incarnations', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.incarnations))
-            for iter57 in self.incarnations:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter64 in self.incarnations:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.role_epoch is not None:
@@ -663,11 +777,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.former = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = RenewerSet()
-                        _elem63.read(iprot)
-                        self.former.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = RenewerSet()
+                        _elem70.read(iprot)
+                        self.former.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -705,8 +819,8 @@
         if self.former is not None:
             oprot.writeFieldBegin('former', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.former))
-            for iter64 in self.former:
-                iter64.write(oprot)
+            for iter71 in self.former:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gate_node_id is not None:
@@ -790,10 +904,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.renewer_node_ids = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.renewer_node_ids.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewer_node_ids.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -832,8 +946,8 @@
         if self.renewer_node_ids is not None:
             oprot.writeFieldBegin('renewer_node_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.renewer_node_ids))
-            for iter71 in self.renewer_node_ids:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter78 in self.renewer_node_ids:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_end_ms is not None:
@@ -1121,10 +1235,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.renewer_node_ids = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.renewer_node_ids.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewer_node_ids.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1136,22 +1250,22 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = Grant()
-                        _elem83.read(iprot)
-                        self.grants.append(_elem83)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = Grant()
+                        _elem90.read(iprot)
+                        self.grants.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.carve_outs = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem89.read(iprot)
-                        self.carve_outs.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem96.read(iprot)
+                        self.carve_outs.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1188,8 +1302,8 @@
         if self.renewer_node_ids is not None:
             oprot.writeFieldBegin('renewer_node_ids', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.renewer_node_ids))
-            for iter90 in self.renewer_node_ids:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter97 in self.renewer_node_ids:
+                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hash_buckets is not None:
@@ -1199,15 +1313,15 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter91 in self.grants:
-                iter91.write(oprot)
+            for iter98 in self.grants:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.carve_outs is not None:
             oprot.writeFieldBegin('carve_outs', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.carve_outs))
-            for iter92 in self.carve_outs:
-                iter92.write(oprot)
+            for iter99 in self.carve_outs:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1378,16 +1492,18 @@
      - sequence
      - holder_incarnation
      - units
+     - kept
 
     """
 
 
-    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, units=None,):
+    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, units=None, kept=None,):
         self.sender = sender
         self.role_epoch = role_epoch
         self.sequence = sequence
         self.holder_incarnation = holder_incarnation
         self.units = units
+        self.kept = kept
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1422,11 +1538,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.units = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = Grant()
-                        _elem98.read(iprot)
-                        self.units.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = Grant()
+                        _elem105.read(iprot)
+                        self.units.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.kept = []
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = Grant()
+                        _elem111.read(iprot)
+                        self.kept.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1459,8 +1586,15 @@
         if self.units is not None:
             oprot.writeFieldBegin('units', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.units))
-            for iter99 in self.units:
-                iter99.write(oprot)
+            for iter112 in self.units:
+                iter112.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.kept is not None:
+            oprot.writeFieldBegin('kept', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.kept))
+            for iter113 in self.kept:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1532,22 +1666,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.released = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem105.read(iprot)
-                        self.released.append(_elem105)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem119.read(iprot)
+                        self.released.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.draining = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = nutmeglead._generated.common.ttypes.UnitId()
-                        _elem111.read(iprot)
-                        self.draining.append(_elem111)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem125.read(iprot)
+                        self.draining.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1577,15 +1711,15 @@
         if self.released is not None:
             oprot.writeFieldBegin('released', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.released))
-            for iter112 in self.released:
-                iter112.write(oprot)
+            for iter126 in self.released:
+                iter126.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.draining is not None:
             oprot.writeFieldBegin('draining', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.draining))
-            for iter113 in self.draining:
-                iter113.write(oprot)
+            for iter127 in self.draining:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.role_epoch is not None:
@@ -2182,6 +2316,119 @@
         return not (self == other)
 
 
+class MemberNews(object):
+    """
+    Attributes:
+     - member
+     - sequence
+     - status
+     - failure_domain
+     - rpc_address
+
+    """
+
+
+    def __init__(self, member=None, sequence=None, status=None, failure_domain=None, rpc_address=None,):
+        self.member = member
+        self.sequence = sequence
+        self.status = status
+        self.failure_domain = failure_domain
+        self.rpc_address = rpc_address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.member = nutmeglead._generated.common.ttypes.Sender()
+                    self.member.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.status = MemberStatus(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.rpc_address = nutmeglead._generated.common.ttypes.Address()
+                    self.rpc_address.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberNews')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRUCT, 1)
+            self.member.write(oprot)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 3)
+            oprot.writeI32(MemberStatus[self.status].value)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.rpc_address is not None:
+            oprot.writeFieldBegin('rpc_address', TType.STRUCT, 5)
+            self.rpc_address.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.member is None:
+            raise TProtocolException(message='Required field member is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        if self.failure_domain is None:
+            raise TProtocolException(message='Required field failure_domain is unset!')
+        if self.rpc_address is None:
+            raise TProtocolException(message='Required field rpc_address is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -2192,11 +2439,14 @@
      - role_epochs
      - map_digests
      - relay_address
+     - news
+     - passive
+     - leaving
 
     """
 
 
-    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None,):
+    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None, news=None, passive=False, leaving=False,):
         self.sender = sender
         self.failure_domain = failure_domain
         self.sequence = sequence
@@ -2204,6 +2454,9 @@
         self.role_epochs = role_epochs
         self.map_digests = map_digests
         self.relay_address = relay_address
+        self.news = news
+        self.passive = passive
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2239,22 +2492,22 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.role_epochs = {}
-                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
-                    for _i118 in range(_size114):
-                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val120 = iprot.readI64()
-                        self.role_epochs[_key119] = _val120
+                    (_ktype129, _vtype130, _size128) = iprot.readMapBegin()
+                    for _i132 in range(_size128):
+                        _key133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val134 = iprot.readI64()
+                        self.role_epochs[_key133] = _val134
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.map_digests = {}
-                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
-                    for _i125 in range(_size121):
-                        _key126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val127 = iprot.readI64()
-                        self.map_digests[_key126] = _val127
+                    (_ktype136, _vtype137, _size135) = iprot.readMapBegin()
+                    for _i139 in range(_size135):
+                        _key140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val141 = iprot.readI64()
+                        self.map_digests[_key140] = _val141
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2264,6 +2517,27 @@
                     self.relay_address.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.news = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = MemberNews()
+                        _elem147.read(iprot)
+                        self.news.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.passive = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2293,23 +2567,38 @@
         if self.role_epochs is not None:
             oprot.writeFieldBegin('role_epochs', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.role_epochs))
-            for kiter128, viter129 in self.role_epochs.items():
-                oprot.writeString(kiter128.encode('utf-8') if sys.version_info[0] == 2 else kiter128)
-                oprot.writeI64(viter129)
+            for kiter148, viter149 in self.role_epochs.items():
+                oprot.writeString(kiter148.encode('utf-8') if sys.version_info[0] == 2 else kiter148)
+                oprot.writeI64(viter149)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.map_digests is not None:
             oprot.writeFieldBegin('map_digests', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.map_digests))
-            for kiter130, viter131 in self.map_digests.items():
-                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
-                oprot.writeI64(viter131)
+            for kiter150, viter151 in self.map_digests.items():
+                oprot.writeString(kiter150.encode('utf-8') if sys.version_info[0] == 2 else kiter150)
+                oprot.writeI64(viter151)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.relay_address is not None:
             oprot.writeFieldBegin('relay_address', TType.STRUCT, 7)
             self.relay_address.write(oprot)
             oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.news))
+            for iter152 in self.news:
+                iter152.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.passive is not None:
+            oprot.writeFieldBegin('passive', TType.BOOL, 9)
+            oprot.writeBool(self.passive)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 10)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2340,6 +2629,290 @@
         return not (self == other)
 
 
+class PageChanges(object):
+    """
+    Attributes:
+     - role_epoch
+     - ticket_number
+     - unit_count
+     - servers
+     - new_servers
+     - positions
+     - owners
+     - epochs
+     - previous
+     - units
+     - epoch_floor
+     - page_digest
+     - directory
+
+    """
+
+
+    def __init__(self, role_epoch=None, ticket_number=None, unit_count=None, servers=None, new_servers=None, positions=None, owners=None, epochs=None, previous=None, units=None, epoch_floor=None, page_digest=None, directory=None,):
+        self.role_epoch = role_epoch
+        self.ticket_number = ticket_number
+        self.unit_count = unit_count
+        self.servers = servers
+        self.new_servers = new_servers
+        self.positions = positions
+        self.owners = owners
+        self.epochs = epochs
+        self.previous = previous
+        self.units = units
+        self.epoch_floor = epoch_floor
+        self.page_digest = page_digest
+        self.directory = directory
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.role_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ticket_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.unit_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = iprot.readI32()
+                        self.servers.append(_elem158)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.new_servers = []
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.new_servers.append(_elem164)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.positions = []
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = iprot.readI32()
+                        self.positions.append(_elem170)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.owners = []
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = iprot.readI32()
+                        self.owners.append(_elem176)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.epochs = []
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = iprot.readI64()
+                        self.epochs.append(_elem182)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.MAP:
+                    self.previous = {}
+                    (_ktype184, _vtype185, _size183) = iprot.readMapBegin()
+                    for _i187 in range(_size183):
+                        _key188 = iprot.readI32()
+                        _val189 = []
+                        (_etype193, _size190) = iprot.readListBegin()
+                        for _i194 in range(_size190):
+                            _elem195 = PreviousHolder()
+                            _elem195.read(iprot)
+                            _val189.append(_elem195)
+                        iprot.readListEnd()
+                        self.previous[_key188] = _val189
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.units = []
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = nutmeglead._generated.common.ttypes.UnitId()
+                        _elem201.read(iprot)
+                        self.units.append(_elem201)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.epoch_floor = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.page_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.directory = []
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = ServerEntry()
+                        _elem207.read(iprot)
+                        self.directory.append(_elem207)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PageChanges')
+        if self.role_epoch is not None:
+            oprot.writeFieldBegin('role_epoch', TType.I64, 1)
+            oprot.writeI64(self.role_epoch)
+            oprot.writeFieldEnd()
+        if self.ticket_number is not None:
+            oprot.writeFieldBegin('ticket_number', TType.I64, 2)
+            oprot.writeI64(self.ticket_number)
+            oprot.writeFieldEnd()
+        if self.unit_count is not None:
+            oprot.writeFieldBegin('unit_count', TType.I32, 3)
+            oprot.writeI32(self.unit_count)
+            oprot.writeFieldEnd()
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.servers))
+            for iter208 in self.servers:
+                oprot.writeI32(iter208)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.new_servers is not None:
+            oprot.writeFieldBegin('new_servers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.new_servers))
+            for iter209 in self.new_servers:
+                oprot.writeString(iter209.encode('utf-8') if sys.version_info[0] == 2 else iter209)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.positions is not None:
+            oprot.writeFieldBegin('positions', TType.LIST, 6)
+            oprot.writeListBegin(TType.I32, len(self.positions))
+            for iter210 in self.positions:
+                oprot.writeI32(iter210)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.owners is not None:
+            oprot.writeFieldBegin('owners', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.owners))
+            for iter211 in self.owners:
+                oprot.writeI32(iter211)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.epochs is not None:
+            oprot.writeFieldBegin('epochs', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.epochs))
+            for iter212 in self.epochs:
+                oprot.writeI64(iter212)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.previous is not None:
+            oprot.writeFieldBegin('previous', TType.MAP, 9)
+            oprot.writeMapBegin(TType.I32, TType.LIST, len(self.previous))
+            for kiter213, viter214 in self.previous.items():
+                oprot.writeI32(kiter213)
+                oprot.writeListBegin(TType.STRUCT, len(viter214))
+                for iter215 in viter214:
+                    iter215.write(oprot)
+                oprot.writeListEnd()
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.units is not None:
+            oprot.writeFieldBegin('units', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.units))
+            for iter216 in self.units:
+                iter216.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.epoch_floor is not None:
+            oprot.writeFieldBegin('epoch_floor', TType.I64, 11)
+            oprot.writeI64(self.epoch_floor)
+            oprot.writeFieldEnd()
+        if self.page_digest is not None:
+            oprot.writeFieldBegin('page_digest', TType.I64, 12)
+            oprot.writeI64(self.page_digest)
+            oprot.writeFieldEnd()
+        if self.directory is not None:
+            oprot.writeFieldBegin('directory', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.directory))
+            for iter217 in self.directory:
+                iter217.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.role_epoch is None:
+            raise TProtocolException(message='Required field role_epoch is unset!')
+        if self.ticket_number is None:
+            raise TProtocolException(message='Required field ticket_number is unset!')
+        if self.unit_count is None:
+            raise TProtocolException(message='Required field unit_count is unset!')
+        if self.new_servers is None:
+            raise TProtocolException(message='Required field new_servers is unset!')
+        if self.positions is None:
+            raise TProtocolException(message='Required field positions is unset!')
+        if self.owners is None:
+            raise TProtocolException(message='Required field owners is unset!')
+        if self.epochs is None:
+            raise TProtocolException(message='Required field epochs is unset!')
+        if self.previous is None:
+            raise TProtocolException(message='Required field previous is unset!')
+        if self.page_digest is None:
+            raise TProtocolException(message='Required field page_digest is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PageDelta(object):
     """
     Attributes:
@@ -2722,11 +3295,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = PageVersion()
-                        _elem137.read(iprot)
-                        self.versions.append(_elem137)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = PageVersion()
+                        _elem223.read(iprot)
+                        self.versions.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2760,8 +3333,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter138 in self.versions:
-                iter138.write(oprot)
+            for iter224 in self.versions:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2834,11 +3407,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = PageVersion()
-                        _elem144.read(iprot)
-                        self.known.append(_elem144)
+                    (_etype228, _size225) = iprot.readListBegin()
+                    for _i229 in range(_size225):
+                        _elem230 = PageVersion()
+                        _elem230.read(iprot)
+                        self.known.append(_elem230)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2863,8 +3436,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter145 in self.known:
-                iter145.write(oprot)
+            for iter231 in self.known:
+                iter231.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2924,11 +3497,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.pages = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = PlacementPage()
-                        _elem151.read(iprot)
-                        self.pages.append(_elem151)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = PlacementPage()
+                        _elem237.read(iprot)
+                        self.pages.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2954,8 +3527,8 @@
         if self.pages is not None:
             oprot.writeFieldBegin('pages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.pages))
-            for iter152 in self.pages:
-                iter152.write(oprot)
+            for iter238 in self.pages:
+                iter238.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3113,22 +3686,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = UnitLoad()
-                        _elem158.read(iprot)
-                        self.loads.append(_elem158)
+                    (_etype242, _size239) = iprot.readListBegin()
+                    for _i243 in range(_size239):
+                        _elem244 = UnitLoad()
+                        _elem244.read(iprot)
+                        self.loads.append(_elem244)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = UnitLoad()
-                        _elem164.read(iprot)
-                        self.hot_keys.append(_elem164)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = UnitLoad()
+                        _elem250.read(iprot)
+                        self.hot_keys.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3161,15 +3734,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter165 in self.loads:
-                iter165.write(oprot)
+            for iter251 in self.loads:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter166 in self.hot_keys:
-                iter166.write(oprot)
+            for iter252 in self.hot_keys:
+                iter252.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3354,15 +3927,17 @@
      - ticket_number
      - in_force
      - missing
+     - service_names
 
     """
 
 
-    def __init__(self, sender=None, ticket_number=None, in_force=None, missing=None,):
+    def __init__(self, sender=None, ticket_number=None, in_force=None, missing=None, service_names=None,):
         self.sender = sender
         self.ticket_number = ticket_number
         self.in_force = in_force
         self.missing = missing
+        self.service_names = service_names
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3392,11 +3967,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = MissingParty()
-                        _elem172.read(iprot)
-                        self.missing.append(_elem172)
+                    (_etype256, _size253) = iprot.readListBegin()
+                    for _i257 in range(_size253):
+                        _elem258 = MissingParty()
+                        _elem258.read(iprot)
+                        self.missing.append(_elem258)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.service_names = []
+                    (_etype262, _size259) = iprot.readListBegin()
+                    for _i263 in range(_size259):
+                        _elem264 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.service_names.append(_elem264)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3425,8 +4010,15 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.missing))
-            for iter173 in self.missing:
-                iter173.write(oprot)
+            for iter265 in self.missing:
+                iter265.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.service_names is not None:
+            oprot.writeFieldBegin('service_names', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.service_names))
+            for iter266 in self.service_names:
+                oprot.writeString(iter266.encode('utf-8') if sys.version_info[0] == 2 else iter266)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4037,6 +4629,14 @@
     (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
 )
+all_structs.append(ServerEntry)
+ServerEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 2
+    (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
+    (4, TType.STRUCT, 'gate', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 4
+)
 all_structs.append(PlacementPage)
 PlacementPage.thrift_spec = (
     None,  # 0
@@ -4052,6 +4652,7 @@
     (10, TType.MAP, 'previous', (TType.I32, None, TType.LIST, (TType.STRUCT, [PreviousHolder, None], False), False), None, ),  # 10
     (11, TType.LIST, 'units', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 11
     (12, TType.I64, 'epoch_floor', None, 0, ),  # 12
+    (13, TType.LIST, 'directory', (TType.STRUCT, [ServerEntry, None], False), None, ),  # 13
 )
 all_structs.append(RoleRow)
 RoleRow.thrift_spec = (
@@ -4060,7 +4661,6 @@
     (2, TType.STRING, 'node_id', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
     (4, TType.I64, 'epoch', None, None, ),  # 4
-    (5, TType.I64, 'planned_ticket_number', None, 0, ),  # 5
 )
 all_structs.append(RenewerSet)
 RenewerSet.thrift_spec = (
@@ -4136,6 +4736,7 @@
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.STRING, 'holder_incarnation', 'UTF8', None, ),  # 4
     (5, TType.LIST, 'units', (TType.STRUCT, [Grant, None], False), None, ),  # 5
+    (6, TType.LIST, 'kept', (TType.STRUCT, [Grant, None], False), None, ),  # 6
 )
 all_structs.append(ReleaseReply)
 ReleaseReply.thrift_spec = (
@@ -4191,6 +4792,15 @@
     (5, TType.I64, 'silent_ms', None, None, ),  # 5
     (6, TType.STRING, 'holder_incarnation', 'UTF8', None, ),  # 6
 )
+all_structs.append(MemberNews)
+MemberNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'member', [nutmeglead._generated.common.ttypes.Sender, None], None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.I32, 'status', None, None, ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
+    (5, TType.STRUCT, 'rpc_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 5
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -4201,6 +4811,26 @@
     (5, TType.MAP, 'role_epochs', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
     (6, TType.MAP, 'map_digests', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
     (7, TType.STRUCT, 'relay_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 7
+    (8, TType.LIST, 'news', (TType.STRUCT, [MemberNews, None], False), None, ),  # 8
+    (9, TType.BOOL, 'passive', None, False, ),  # 9
+    (10, TType.BOOL, 'leaving', None, False, ),  # 10
+)
+all_structs.append(PageChanges)
+PageChanges.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'role_epoch', None, None, ),  # 1
+    (2, TType.I64, 'ticket_number', None, None, ),  # 2
+    (3, TType.I32, 'unit_count', None, None, ),  # 3
+    (4, TType.LIST, 'servers', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'new_servers', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'positions', (TType.I32, None, False), None, ),  # 6
+    (7, TType.LIST, 'owners', (TType.I32, None, False), None, ),  # 7
+    (8, TType.LIST, 'epochs', (TType.I64, None, False), None, ),  # 8
+    (9, TType.MAP, 'previous', (TType.I32, None, TType.LIST, (TType.STRUCT, [PreviousHolder, None], False), False), None, ),  # 9
+    (10, TType.LIST, 'units', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 10
+    (11, TType.I64, 'epoch_floor', None, None, ),  # 11
+    (12, TType.I64, 'page_digest', None, None, ),  # 12
+    (13, TType.LIST, 'directory', (TType.STRUCT, [ServerEntry, None], False), None, ),  # 13
 )
 all_structs.append(PageDelta)
 PageDelta.thrift_spec = (
@@ -4287,6 +4917,7 @@
     (2, TType.I64, 'ticket_number', None, None, ),  # 2
     (3, TType.BOOL, 'in_force', None, None, ),  # 3
     (4, TType.LIST, 'missing', (TType.STRUCT, [MissingParty, None], False), None, ),  # 4
+    (5, TType.LIST, 'service_names', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(LendSlots)
 LendSlots.thrift_spec = (
--- a/nutmeglead/ownership/holder.py
+++ b/nutmeglead/ownership/holder.py
@@ -129,7 +129,7 @@
             holder_now_ms=now_ms,
             role_epoch=role_epoch,
             sequence=sequence,
-            lease_epoch=self._lease.epoch,
+            lease_epoch=self._lease.supporting_epoch(),
         )
 
     def begin_release(self, message: ReleaseUnits, now_ms: int) -> ReleaseReply:
@@ -180,6 +180,18 @@
         """Record that an admitted request has ended."""
         self._runs.pop(ticket.number, None)
 
+    def serves(self, key: str, now_ms: int) -> tuple[Unit, Epoch] | None:
+        """Return the unit and epoch at which a request would be admitted; changes nothing."""
+        unit = self._most_specific(key) if self._lease.is_valid(now_ms) else None
+        return None if unit is None or unit not in self._grants else (unit, self._grants[unit])
+
+    def holds(self, key: str, now_ms: int) -> bool:
+        """Tell whether a request for a key may run or take effect; changes nothing."""
+        if self.serves(key, now_ms) is not None:
+            return True
+        runs = (run for run in self._runs.values() if run.number > self._revoked_count)
+        return self._lease.is_valid(now_ms) and any(run.key == key for run in runs)
+
     def lease_end_ms(self, now_ms: int) -> int | None:
         """Return when the lease ends, or None if it is not in force."""
         return None if self._lease_refusal(now_ms) else self._lease.end_ms()
@@ -288,15 +300,29 @@
         order = (message.role_epoch, message.sequence)
         if message.holder_incarnation != self.incarnation:
             return OrderStatus.WRONG_INCARNATION
-        if order < self._order:
+        if message.role_epoch < self._order[0]:
             return OrderStatus.STALE_ROLE_EPOCH
+        # A release that a newer grant set of the same role overtook changes nothing, but its answer
+        # is as good a proof: that grant set came from the table after the move was written.
         if order > self._order:
             self._order = order
             self._installed = None  # a repetition of the last SetGrants is no longer in effect
+            self._drop_removed_pins(message)
             for grant in message.units:
                 self._drop_unit(unit_from_id(grant.unit), Epoch(grant.epoch))
         return OrderStatus.DONE
 
+    def _drop_removed_pins(self, message: ReleaseUnits) -> None:
+        """Drop pins that the table no longer gives to this server.
+
+        The key of a removed pin belongs to the unit below. Released alone, that unit would leave
+        the pin granted here while its key is granted elsewhere.
+        """
+        kept = {(unit_from_id(grant.unit), grant.epoch) for grant in message.kept or ()}
+        for unit, epoch in list(self._grants.items()):
+            if unit.kind != UnitKind.HASH_BUCKET and (unit, epoch) not in kept:
+                self._drop_unit(unit, epoch)
+
     def _drop_unit(self, unit: Unit, epoch: Epoch) -> None:
         granted = self._grants.get(unit)
         if granted is not None and granted > epoch:
--- a/nutmeglead/settings/tests/settings.feature
+++ b/nutmeglead/settings/tests/settings.feature
@@ -18,6 +18,7 @@
       | node.router_port is set to 4294967296           | node.router_port: expected a whole number of 32 bits, got 4294967296               | a number wraps when it is encoded                           |
       | node.router_port is set to null                 | node.router_port: expected a whole number of 32 bits, got null                     | null replaces a default                                     |
       | services[0].placement.max_imbalance is set to NaN | services[0].placement.max_imbalance: expected a number, got NaN                  | NaN passes every range check that compares with `<`         |
+      | user is set to "\ud800"                          | user: expected a string, got "\ud800"                                              | half of a surrogate pair raises when the ticket is encoded  |
       | failure_domains[0].name is set to null          | failure_domains[0].name: expected a string, got null                               | a domain without a name                                     |
 
     Examples: meaning
@@ -31,6 +32,7 @@
       | services[0].hash_buckets is set to 1000         | services[0].hash_buckets: expected a power of two, got 1000                        | the top bits of the hash name a bucket that does not exist  |
       | services[0].placement.policy is set to "stedy"  | services[0].placement.policy: expected one of balanced, steady, got "stedy"        | an unknown policy fails at the first planning round         |
       | services[0].selection is set to "random"        | services[0].selection: expected one of least_in_flight, got "random"               | an unknown policy fails at the first request                |
+      | dissemination is set to {"push_strategy": "flood"} | dissemination.push_strategy: expected one of domain_tree, got "flood" | an unknown strategy fails at the first delta |
       | services[1].name is set to "schnitt/auftrag"    | services[1].name: expected a name of the form *, got "schnitt/auftrag"             | a slash splits a row key or URL path in the wrong place     |
       | ownership is set to {"renew_interval_ms": 600}  | ownership.renew_interval_ms: expected at most 1/2 of lease_ttl_ms (1000), got 600  | one lost renewal ends a lease                               |
       | ownership is set to {"renewers_per_server": 4}  | ownership.renewers_per_server: expected an odd number, got 4                       | a majority of four tolerates no more losses than of three   |
@@ -39,6 +41,7 @@
       | log is set to {"level": "LOUD"}                 | log.level: expected one of DEBUG, INFO, WARNING, ERROR, CRITICAL, got "LOUD"       | logging raises after the start                              |
       | services[0].ejection is set to {"min_available_percent": 0} | services[0].ejection.min_available_percent: expected a whole number from 1 to 100 %, got 0 | one router's view ejects a whole failure domain |
       | services is set to []                           | services: expected a list of at least 1, got a list of 0                           | a router without services answers 404 to everything         |
+      | services[0].admission is set to {"share_percent": 70} | services: expected admission shares below 100 % with a sum of at most 99 %, got 100 % | orders get no exchanges at all |
 
   Scenario: A name that occurs twice is reported at both places
     Given the example settings of brunner
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -9,6 +9,14 @@
   2: required i64 epoch,
 }
 
+// Where a server is reached. `gate` is set for servers that do not check grants: requests go to that router.
+struct ServerEntry {
+  1: required string server_id,
+  2: required common.Address address,
+  3: required string failure_domain,
+  4: optional common.Address gate,
+}
+
 // One row of at most 256 units. For a hash page, position p is bucket page_number * 256 + p and `units` is
 // absent; for a pin page, `units` names them. `owners` indexes `servers`; -1 is no owner.
 struct PlacementPage {
@@ -25,6 +33,8 @@
   11: optional list<common.UnitId> units,
   // Highest epoch of a unit removed from this pin page; a unit that is added gets a higher one.
   12: optional i64 epoch_floor = 0,
+  // Set on a service's directory page only, which has no units.
+  13: optional list<ServerEntry> directory,
 }
 
 struct RoleRow {
@@ -32,7 +42,6 @@
   2: required string node_id,
   3: required string incarnation,
   4: required i64 epoch,
-  5: optional i64 planned_ticket_number = 0,
 }
 
 // `incarnations` is parallel to `node_ids`: a renewer that restarted has forgotten its stop statements and must
@@ -120,13 +129,16 @@
   6: required i64 lease_epoch,
 }
 
-// Asks the holder to drain and drop the units at the given epochs or lower.
+// Asks the holder to drain and drop the units at the given epochs or lower, and every exact or prefix unit that
+// is not in `kept`: a pin that was removed from the table belongs to the unit below it and must not outlive it.
 struct ReleaseUnits {
   1: required common.Sender sender,
   2: required i64 role_epoch,
   3: required i64 sequence,
   4: required string holder_incarnation,
   5: required list<Grant> units,
+  // All exact and prefix units that the holder owns according to the table.
+  6: optional list<Grant> kept,
 }
 
 struct ReleaseReply {
@@ -182,6 +194,22 @@
 
 // ---- between entry VMs ----
 
+enum MemberStatus {
+  ALIVE = 1,
+  SILENT = 2,
+  LEFT = 3,
+}
+
+// What the sender has heard of another member. Higher sequences of the same incarnation override lower ones.
+struct MemberNews {
+  1: required common.Sender member,
+  2: required i64 sequence,
+  3: required MemberStatus status,
+  4: required string failure_domain,
+  5: required common.Address rpc_address,
+}
+
+// `passive` is set by a process that wants deltas but takes no part in membership. `leaving` announces a planned stop.
 struct Heartbeat {
   1: required common.Sender sender,
   2: required string failure_domain,
@@ -190,6 +218,29 @@
   5: required map<string, i64> role_epochs,
   6: required map<string, i64> map_digests,
   7: optional common.Address relay_address,
+  8: optional list<MemberNews> news,
+  9: optional bool passive = false,
+  10: optional bool leaving = false,
+}
+
+// Content of `PageDelta.changes`. The new page has `unit_count` units; those at `positions` get the given owners
+// (indices into the new page's servers), epochs and previous holders. `servers` lists, for each server of the new
+// page, its index in the old page's servers, or -1 - n for the n-th of `new_servers`; if it is absent, the new
+// servers are appended to the old ones. `page_digest` is the xxh64 of the new page's encoding.
+struct PageChanges {
+  1: required i64 role_epoch,
+  2: required i64 ticket_number,
+  3: required i32 unit_count,
+  4: optional list<i32> servers,
+  5: required list<string> new_servers,
+  6: required list<i32> positions,
+  7: required list<i32> owners,
+  8: required list<i64> epochs,
+  9: required map<i32, list<PreviousHolder>> previous,
+  10: optional list<common.UnitId> units,
+  11: optional i64 epoch_floor,
+  12: required i64 page_digest,
+  13: optional list<ServerEntry> directory,
 }
 
 struct PageDelta {
@@ -265,6 +316,8 @@
   2: required i64 ticket_number,
   3: required bool in_force,
   4: required list<MissingParty> missing,
+  // Services for which the sender acts and for which it answers.
+  5: optional list<string> service_names,
 }
 
 struct LendSlots {
