--- a/nutmeglead/routing/tests/callers.feature
+++ b/nutmeglead/routing/tests/callers.feature
@@ -42,6 +42,12 @@
     When a caller sends its own epoch 99 and a Connection header that names Host
     Then the server got epoch 1 and the whole body
 
+  Scenario: A repeat after "unknown" reaches the owner with the caller's idempotency key
+    Given a router whose first server resets after the request and whose key then moves
+    When a caller sends an order with idempotency key "order-7" twice
+    Then the first sending is told "504 unknown server-failed" and the second "200 whole"
+    And both owners got the idempotency key "order-7"
+
   Scenario Outline: A slow caller is bounded in memory and time
     Given a router with idle servers
     When a caller <behaviour>
--- a/nutmeglead/routing/tests/steps/callers_steps.py
+++ b/nutmeglead/routing/tests/steps/callers_steps.py
@@ -8,6 +8,7 @@
 from nutmeglead.http.errors import PeerClosed
 from nutmeglead.routing.tests.memory_wire import settle, until
 from nutmeglead.routing.tests.rig import FakeAssignment, Rig, make_services, run
+from nutmeglead.routing.tests.server_faults import reset_after_request
 
 FILE_BYTES = 3_000_000
 MIB = 1024 * 1024
@@ -182,6 +183,18 @@
         self.seen = self.server.runs[0]
         await self.rig.close()
 
+    async def repeat(self, idempotency_key):
+        await self.start()
+        self.server.default = reset_after_request
+        headers = [("nutmeglead-idempotency-key", idempotency_key)]
+        first = await self.rig.ask("POST", "/orders/k", b"order", headers)
+        self.rig.placement.change("k", FakeAssignment("unit of k", "s2", 2))
+        second = await self.rig.ask("POST", "/orders/k", b"order", headers)
+        self.told = (first.told, second.told)
+        runs = [server.runs[0] for server in self.rig.servers.values()]
+        self.keys = [run.headers.get(b"nutmeglead-idempotency-key") for run in runs]
+        await self.rig.close()
+
     async def stall(self, behaviour):
         await self.start()
         self.sent_ahead = 0
@@ -242,6 +255,26 @@
     run(context.callers.send_spoofed)
 
 
+@given("a router whose first server resets after the request and whose key then moves")
+def step_resetting(context):
+    context.callers = CallerScenario()
+
+
+@when('a caller sends an order with idempotency key "{key}" twice')
+def step_repeat(context, key):
+    run(context.callers.repeat, key)
+
+
+@then('the first sending is told "{first}" and the second "{second}"')
+def step_told_twice(context, first, second):
+    assert context.callers.told == (first, second), context.callers.told
+
+
+@then('both owners got the idempotency key "{key}"')
+def step_keys(context, key):
+    assert context.callers.keys == [key.encode()] * 2, context.callers.keys
+
+
 @when("a caller does not read its file")
 def step_slow_reader(context):
     run(context.callers.stall, "does not read its file")
--- a/nutmeglead/routing/tests/steps/moves_steps.py
+++ b/nutmeglead/routing/tests/steps/moves_steps.py
@@ -2,7 +2,6 @@
 
 from behave import given, then, when
 
-from nutmeglead.routing.tests.fake_server import serve_healthily
 from nutmeglead.routing.tests.memory_wire import settle, until
 from nutmeglead.routing.tests.rig import FakeAssignment, Rig, make_services, run
 
@@ -170,7 +169,6 @@
         self.put(MOVING)
         await settle()
         self.idle = [self.rig.router.pool.open_count(("orders", s)) for s in ("s1", "s2")]
-        self.server_default = serve_healthily
         await self.rig.close()
 
 
