routing: follow the number of routers and reach them over rpc

Cause: limits and connection shares kept the number of routers seen at first, so routers that started alone exceeded a server's slots for good; each page of a large change repeated the same work. Change: limits ask for the number of routers (counted every 500 ms), surplus connections are closed, map changes are followed once per loop step, RpcRouterPeers carries LendSlots.

--- a/nutmeglead/routing/attempt.py
+++ b/nutmeglead/routing/attempt.py
@@ -97,9 +97,8 @@
         return answered
 
     async def _connect(self) -> Result[BackendConnection, RequestError]:
-        return await self._parts.pool.acquire(
-            self._queued.server, self.target.address, self._servers.max_connections()
-        )
+        max_count = self._servers.max_connections(self._parts.timers.clock.now_ms())
+        return await self._parts.pool.acquire(self._queued.server, self.target.address, max_count)
 
     def _make_head(self) -> RequestHead:
         now_ms = self._parts.timers.clock.now_ms()
@@ -121,11 +120,14 @@
         if not self._has_slot:
             return
         self._has_slot = False
+        now_ms = self._parts.timers.clock.now_ms()
         connection = self.exchange.connection
         if connection is not None:
             clean = self.exchange.finish()
-            self._parts.pool.give_back(self._queued.server, self.target.address, connection, clean)
-        now_ms = self._parts.timers.clock.now_ms()
+            max_count = self._servers.max_connections(now_ms)
+            self._parts.pool.give_back(
+                self._queued.server, self.target.address, connection, clean, max_count
+            )
         duration_ms = now_ms - self._started_ms
         self._servers.finish(self.target.server_id, self._error, duration_ms, now_ms, cancelled)
         is_sample = self._error is None and not cancelled
--- a/nutmeglead/routing/concurrency.py
+++ b/nutmeglead/routing/concurrency.py
@@ -21,8 +21,8 @@
 class ConcurrencyLimit(Protocol):
     """Bound the requests in flight from this router to one server; pure."""
 
-    def limit(self, now_ms: int) -> int:
-        """Return how many requests may be in flight."""
+    def limit(self, now_ms: int, routers: int) -> int:
+        """Return how many requests may be in flight; `routers` share the server at present."""
         ...
 
     def observe(self, latency_ms: float, ok: bool, in_flight: int) -> None:
@@ -53,14 +53,14 @@
 class FixedShare:
     """Give each router the same part of the slots, but at least `min_limit`."""
 
-    def __init__(self, service: ServiceSettings, routers: int) -> None:
-        settings = service.concurrency or ConcurrencySettings()
-        share = math.ceil(service.slots_per_instance / max(1, routers))
-        self._limit = max(1, settings.min_limit, min(share, settings.max_limit))
+    def __init__(self, service: ServiceSettings) -> None:
+        self._settings = service.concurrency or ConcurrencySettings()
+        self._slots = int(service.slots_per_instance)
 
-    def limit(self, now_ms: int) -> int:
+    def limit(self, now_ms: int, routers: int) -> int:
         """Return the share."""
-        return self._limit
+        share = math.ceil(self._slots / max(1, routers))
+        return max(1, self._settings.min_limit, min(share, self._settings.max_limit))
 
     def observe(self, latency_ms: float, ok: bool, in_flight: int) -> None:
         """Learn nothing."""
@@ -79,17 +79,20 @@
 class GradientLimit:
     """Raise the limit while latency is steady; lower it as latency rises above its mean."""
 
-    def __init__(self, service: ServiceSettings, routers: int) -> None:
+    def __init__(self, service: ServiceSettings) -> None:
         settings = service.concurrency or ConcurrencySettings()
+        self._slots = int(service.slots_per_instance)
         self._min = max(1, settings.min_limit)
         self._max = max(self._min, settings.max_limit)
-        share = math.ceil(service.slots_per_instance / max(1, routers))
-        self._limit = float(min(self._max, max(self._min, share)))
+        # The first limit is the fixed share; it is known when the limit is first asked for.
+        self._limit = 0.0
         self._long_ms: float | None = None
         self._short_ms = 0.0
 
-    def limit(self, now_ms: int) -> int:
+    def limit(self, now_ms: int, routers: int) -> int:
         """Return the present limit."""
+        if not self._limit:
+            self._set(math.ceil(self._slots / max(1, routers)))
         return int(self._limit)
 
     def observe(self, latency_ms: float, ok: bool, in_flight: int) -> None:
@@ -122,10 +125,10 @@
     The router sets `shares` to the server's nutmeglead.routing.lending.SlotLedger.
     """
 
-    def __init__(self, service: ServiceSettings, routers: int) -> None:
+    def __init__(self, service: ServiceSettings) -> None:
         self.shares: SlotShares = _NoShares()
 
-    def limit(self, now_ms: int) -> int:
+    def limit(self, now_ms: int, routers: int) -> int:
         """Return own slots minus those lent plus those borrowed."""
         return self.shares.share(now_ms)
 
--- a/nutmeglead/routing/pool.py
+++ b/nutmeglead/routing/pool.py
@@ -85,11 +85,20 @@
         return Ok(opened.ok_value)
 
     def give_back(
-        self, server: Hashable, address: BackendAddress, connection: BackendConnection, clean: bool
+        self,
+        server: Hashable,
+        address: BackendAddress,
+        connection: BackendConnection,
+        clean: bool,
+        max_count: int,
     ) -> None:
-        """Take a connection back after its exchange; one that is not clean is closed."""
+        """Take a connection back after its exchange; one that is not clean is closed.
+
+        One above `max_count` is closed too, because the share falls when a router is added.
+        """
         connections = self._servers[server]
-        if clean and connections.address == address:
+        has_room = connections.open_count <= max_count
+        if clean and has_room and connections.address == address:
             connections.idle.append(connection)
         else:
             self._drop(connections, connection)
@@ -112,7 +121,7 @@
             opened = await self._open(connections, max_count)
             if isinstance(opened, Err):
                 break
-            self.give_back(server, address, opened.ok_value, True)
+            self.give_back(server, address, opened.ok_value, True, max_count)
             opened_count += 1
         return opened_count
 
--- a/nutmeglead/routing/router.py
+++ b/nutmeglead/routing/router.py
@@ -80,6 +80,7 @@
         self._parts = RouterParts(timers, ConnectionPool(connector), slots)
         self._active_count = 0
         self._is_stopping = False
+        self._changed: set[ServiceName] = set()
         self._known: set[tuple[ServiceName, ServerId]] = set()
         self._warming: set[asyncio.Task[int]] = set()
         self._unsubscribe = source.subscribe(self._on_map_change)
@@ -215,9 +216,14 @@
             self._observer.request_finished(record)
 
     def _on_map_change(self, service_name: ServiceName) -> None:
-        route = self._routes.get(service_name)
-        if route is None:
-            return
+        """Follow the map once per loop step: a loss changes thousands of units in one step."""
+        if service_name in self._routes and service_name not in self._changed:
+            self._changed.add(service_name)
+            asyncio.get_running_loop().call_soon(self._follow_map, service_name)
+
+    def _follow_map(self, service_name: ServiceName) -> None:
+        self._changed.discard(service_name)
+        route = self._routes[service_name]
         route.servers.refresh()
         self._parts.slots.recheck(service_name)
         route.waiter.wake_ready()
@@ -229,16 +235,14 @@
 
     def _warm_up(self, service_name: ServiceName) -> None:
         """Open a connection to each server that is new since the last change."""
-        servers = self._routes[service_name].servers
+        max_count = self._routes[service_name].servers.max_connections(self._timers.clock.now_ms())
         known = {(service_name, server_id) for server_id in self._addresses.servers(service_name)}
         for server in known - self._known:
             address = self._addresses.address(*server)
             if address is None:
                 continue
             task = asyncio.ensure_future(
-                self._parts.pool.warm_up(
-                    server, address, WARM_CONNECTION_COUNT, servers.max_connections()
-                )
+                self._parts.pool.warm_up(server, address, WARM_CONNECTION_COUNT, max_count)
             )
             self._warming.add(task)
             task.add_done_callback(self._warming.discard)
--- a/nutmeglead/routing/servers.py
+++ b/nutmeglead/routing/servers.py
@@ -26,6 +26,10 @@
 # short deadlines could eject a healthy server.
 LATE_FACTOR = 4
 
+# Routers come and go a few times a day each; counting thousands of members per request would cost
+# more than the request.
+COUNT_INTERVAL_MS = 500
+
 
 class ServerState:
     """Hold one server's requests in flight and its limit."""
@@ -64,13 +68,15 @@
         ejection = service.ejection or EjectionSettings()
         self.ejection: EjectionPolicy = EJECTION.get(ejection.policy)(ejection)
         self._states: dict[ServerId, ServerState] = {}
+        self._router_count = 1
+        self._counted_ms = -COUNT_INTERVAL_MS
         self._known: dict[ServerId, Hashable] = {}
 
     def state(self, server_id: ServerId) -> ServerState:
         """Return a server's state."""
         state = self._states.get(server_id)
         if state is None:
-            limit = self._limits(self._service, self._addresses.router_count())
+            limit = self._limits(self._service)
             if isinstance(limit, LentShare):
                 limit.shares = self._shares(server_id)
             state = self._states[server_id] = ServerState(limit)
@@ -99,7 +105,7 @@
     def allowed(self, server_id: ServerId, now_ms: int) -> int:
         """Return how many requests may be in flight to a server."""
         share = self.ejection.share(server_id, now_ms)
-        limit = self.state(server_id).limit.limit(now_ms)
+        limit = self.state(server_id).limit.limit(now_ms, self._count_routers(now_ms))
         if share <= 0 or limit <= 0:
             return 0
         return max(1, int(limit * share))
@@ -121,9 +127,15 @@
         state.in_flight += 1
         return True
 
-    def max_connections(self) -> int:
+    def max_connections(self, now_ms: int) -> int:
         """Return how many connections this router may have open to one server."""
-        return connection_share(self._service, self._addresses.router_count())
+        return connection_share(self._service, self._count_routers(now_ms))
+
+    def _count_routers(self, now_ms: int) -> int:
+        if now_ms >= self._counted_ms + COUNT_INTERVAL_MS:
+            self._counted_ms = now_ms
+            self._router_count = self._addresses.router_count()
+        return self._router_count
 
     def finish(
         self,
--- a/nutmeglead/routing/tests/limits.feature
+++ b/nutmeglead/routing/tests/limits.feature
@@ -28,6 +28,21 @@
       | 11      | 11          | the routers together exceed the server's  |
       | 12      | 10          | the routers together exceed the server's  |
 
+  Scenario: Routers are added while connections are open
+    Given a router that alone has 4 requests running on the 4 connections of a server
+    When three more routers share the server and the router gets 4 more requests
+    Then the router runs 1 of them at a time on 1 connection
+
+  Scenario Outline: A request for slots crosses the network
+    Given a router that lends slots over rpc and <state>
+    When another router asks it for 1 slot
+    Then <slots> slots are lent
+
+    Examples: each row names the failure it guards against
+      | state          | slots | failure                                       |
+      | listens        | 1     | the message or its reply is not understood    |
+      | has gone       | no    | an unreachable lender ends the borrower's task |
+
   Scenario: All routers' own slots add up to the slots of each server
     When routers of any number divide the slots of any server
     Then the parts add up to exactly the slots
--- a/nutmeglead/routing/tests/steps/lending_steps.py
+++ b/nutmeglead/routing/tests/steps/lending_steps.py
@@ -1,5 +1,6 @@
 """Steps for slots lent between routers."""
 
+import random
 import re
 
 from behave import given, then, when
@@ -7,12 +8,18 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from nutmeglead._generated.common.ttypes import Sender
+from nutmeglead._generated.common.ttypes import Address, Sender
+from nutmeglead._generated.messages.ttypes import LendSlots, MessageType
 from nutmeglead._generated.settings.ttypes import ConcurrencySettings
+from nutmeglead.core.clock import ManualClock
 from nutmeglead.routing.lending import SlotLedger
+from nutmeglead.routing.router_peers import RpcRouterPeers
 from nutmeglead.routing.slot_exchange import SlotExchange, own_slots
 from nutmeglead.routing.tests.memory_wire import until
 from nutmeglead.routing.tests.rig import Rig, make_services, run
+from nutmeglead.routing.timers import sleep_until
+from nutmeglead.rpc.client import RpcClient
+from nutmeglead.rpc.server import HandlerRegistry, RpcServer
 
 START_MS = 2000
 
@@ -258,6 +265,88 @@
     assert context.borrowed > 100, "the generated courses must lend slots at all"
 
 
+class GrowingScenario:
+    async def play(self):
+        rig = Rig(make_services(slots_per_instance=4, connections_per_instance=4))
+        server = rig.servers["s1"]
+        server.default = self._answer_after_10_ms
+        self.rig, self.in_progress, self.most = rig, 0, 0
+        for routers in (1, 4):
+            rig.placement.routers, self.most = routers, 0
+            callers = [rig.begin("GET", f"/orders/k{routers}-{n}") for n in range(4)]
+            await rig.advance(600)
+            assert all(caller.told == "200 whole" for caller in callers)
+            self.open_count = rig.router.pool.open_count(("orders", "s1"))
+            assert routers > 1 or (self.most, self.open_count) == (4, 4)
+        await rig.close()
+
+    async def _answer_after_10_ms(self, side):
+        while (request := await side.take_request()) is not None:
+            self.in_progress += 1
+            self.most = max(self.most, self.in_progress)
+            await sleep_until(self.rig.timers, self.rig.clock.now_ms() + 10)
+            self.in_progress -= 1
+            side.answer(request.target.encode())
+
+
+class RpcScenario:
+    async def play(self, is_listening):
+        lender = make_ledger("lender", 2, -START_MS)
+        clock = ManualClock()
+
+        async def answer(message):
+            return lender.lend(message, 0, 0)
+
+        handlers = HandlerRegistry()
+        handlers.add(MessageType.LEND_SLOTS, LendSlots, answer)
+        server = RpcServer(handlers)
+        port = await server.start("127.0.0.1", 0)
+        if not is_listening:
+            await server.close()
+        client = RpcClient(clock, random.Random(1))
+        addresses = {"lender": Address("127.0.0.1", port)}
+        peers = RpcRouterPeers(Sender("borrower", "1"), lambda: addresses, client)
+        assert list(peers.router_ids()) == ["borrower", "lender"]
+        message = make_ledger("borrower", 0, 0).ask("lender", 1, 0)
+        self.reply = await peers.lend("lender", message)
+        assert await peers.lend("unknown", message) is None
+        await client.close()
+        if is_listening:
+            await server.close()
+
+
+@given("a router that alone has 4 requests running on the 4 connections of a server")
+def step_alone(context):
+    context.growing = GrowingScenario()
+
+
+@when("three more routers share the server and the router gets 4 more requests")
+def step_grow(context):
+    run(context.growing.play)
+
+
+@then("the router runs 1 of them at a time on 1 connection")
+def step_grown(context):
+    assert (context.growing.most, context.growing.open_count) == (1, 1), vars(context.growing)
+
+
+@given("a router that lends slots over rpc and {state}")
+def step_rpc_router(context, state):
+    context.rpc_listens = state == "listens"
+
+
+@when("another router asks it for 1 slot")
+def step_rpc_ask(context):
+    context.rpc = RpcScenario()
+    run(context.rpc.play, context.rpc_listens)
+
+
+@then("{slots} slots are lent")
+def step_rpc_slots(context, slots):
+    actual = "no" if context.rpc.reply is None else str(context.rpc.reply.slots)
+    assert actual == slots, context.rpc.reply
+
+
 @given("two routers of one server with 1 slot that {state}")
 def step_two_routers(context, state):
     context.is_reachable = state == "can reach each other"
--- a/nutmeglead/routing/tests/steps/limits_steps.py
+++ b/nutmeglead/routing/tests/steps/limits_steps.py
@@ -37,7 +37,8 @@
         self.routers = routers
 
     def see(self, policy, history):
-        self.limit = CONCURRENCY.get(policy)(make_service(), self.routers)
+        self.limit = CONCURRENCY.get(policy)(make_service())
+        self.limit.limit(0, self.routers)
         phases = {
             "nothing": [],
             "200 answers in 10 ms when full": [(200, 10, True)],
@@ -57,7 +58,7 @@
             return
         for count, latency_ms, is_full in phases[history]:
             for _ in range(count):
-                in_flight = self.limit.limit(0) if is_full else 0
+                in_flight = self.limit.limit(0, self.routers) if is_full else 0
                 self.limit.observe(latency_ms, True, in_flight)
 
 
@@ -109,7 +110,7 @@
 
 @then("its limit is {relation} {limit:d}")
 def step_limit(context, relation, limit):
-    actual = context.limits.limit.limit(0)
+    actual = context.limits.limit.limit(0, context.limits.routers)
     holds = {"exactly": actual == limit, "above": actual > limit, "below": actual < limit}
     assert holds[relation], actual
 
