--- a/nutmeglead/routing/tests/steps/moves_steps.py
+++ b/nutmeglead/routing/tests/steps/moves_steps.py
@@ -2,7 +2,6 @@
 
 from behave import given, then, when
 
-from nutmeglead.routing.tests.fake_server import serve_healthily
 from nutmeglead.routing.tests.memory_wire import settle, until
 from nutmeglead.routing.tests.rig import FakeAssignment, Rig, make_services, run
 
@@ -120,6 +119,18 @@
         self.new.thawed.set()
         await self.rig.advance(900)
 
+    async def _has_the_address_of_its_gate(self):
+        await self._send_unchecked(True)
+
+    async def _has_the_address_of_the_server(self):
+        await self._send_unchecked(False)
+
+    async def _send_unchecked(self, gates):
+        self.rig = Rig(make_services(checks_grants=False))
+        self.rig.placement.gates = gates
+        await self.send_orders()
+        await self.rig.advance(600)
+
     async def _has_no_owner_for_a_while(self):
         self.put(FakeAssignment("unit of k", None, 1))
         await self.send_orders()
@@ -170,7 +181,6 @@
         self.put(MOVING)
         await settle()
         self.idle = [self.rig.router.pool.open_count(("orders", s)) for s in ("s1", "s2")]
-        self.server_default = serve_healthily
         await self.rig.close()
 
 
@@ -179,6 +189,11 @@
     context.move = MoveScenario(situation)
 
 
+@given("orders for a server without checks whose address is that of {address}")
+def step_unchecked(context, address):
+    context.move = MoveScenario(f"has the address of {address}")
+
+
 @given("a unit that is moving and a bound on the {bound}")
 def step_bound(context, bound):
     context.move = MoveScenario(None)
