--- a/nutmeglead/ownership/tests/model_controller.py
+++ b/nutmeglead/ownership/tests/model_controller.py
@@ -154,7 +154,8 @@
         if not self.world.has_faults or rng.random() > 0.03:
             return
         if rng.random() < 0.05:
-            self.evict(rng.choice(SERVERS))
+            changing = [server for server, row in self.rows.items() if row.former]
+            self.evict(rng.choice(changing or SERVERS))
             return
         unit, owner = rng.choice(PINS), rng.choice(SERVERS)
         if rng.random() < 0.5:
@@ -212,7 +213,7 @@
                     row.current.node_ids, row.current.incarnations, strict=True
                 )
             )
-            swap = self.world.has_faults and self.world.random.random() < 0.002
+            swap = self.world.has_faults and self.world.random.random() < 0.004
             calm = now - self.changed_ms > 1000
             if proof or swap or server in self.needs_lease or (stale and calm):
                 renewers = self.renewers()
--- a/nutmeglead/ownership/tests/pages.feature
+++ b/nutmeglead/ownership/tests/pages.feature
@@ -31,6 +31,7 @@
     Examples: refusals
       | changes                                                                                         | change            | error                  | failure                                                    |
       | add abc to s1                                                                                   | remove abc        | PinNotRemovable        | removing a pin changes the owner of its key                |
+      | add abc to s1; prove abc s0@1                                                                   | remove abc        | PinNotRemovable        | a proven pin is removed although its key would change owner |
       | add abc to s1; move abc to s0                                                                   | remove abc        | PinNotRemovable        | removing a pin forgets its unproven holder                 |
       | add abc to s0; move bucket to s1; move bucket to s0                                             | remove abc        | PinNotRemovable        | removing a pin forgets the unproven holder of its bucket   |
       | add abc to s1                                                                                   | add abc to s2     | UnitExists             | one key gets two pins                                      |
--- a/nutmeglead/ownership/tests/steps/holder_steps.py
+++ b/nutmeglead/ownership/tests/steps/holder_steps.py
@@ -20,6 +20,7 @@
 class HolderScenario:
     def __init__(self, history):
         self.now_ms, self.holder, self.ticket = 0, GrantHolder("h1"), None
+        self.addressed = "h1"
         for event in history.split("; "):
             verb, *words = event.split()
             getattr(self, "do_" + verb)(*words)
@@ -30,11 +31,14 @@
     def do_restart(self):
         self.holder = GrantHolder("h2")
 
+    def do_readdress(self):
+        self.addressed = self.holder.incarnation
+
     def do_renew(self, node_id, lease_epoch, end_ms, role="role0"):
-        message = RenewLease(
-            Sender(node_id, "i"), "h1", int(lease_epoch[1:]), RENEWERS, int(end_ms), int(role[4:])
-        )
-        self.renew_reply = self.holder.renew(message, self.now_ms)
+        nodes = [*RENEWERS, "x4"] if node_id == "x4" else RENEWERS
+        sender, epoch = Sender(node_id, "i"), int(lease_epoch[1:])
+        message = RenewLease(sender, self.addressed, epoch, nodes, int(end_ms), int(role[4:]))
+        self.reply = self.holder.renew(message, self.now_ms)
 
     def do_lease(self, lease_epoch):
         for node_id in RENEWERS[:2]:
@@ -46,9 +50,17 @@
         carve_outs = [UNITS[word[1:]].to_id() for word in words if word[0] == "-"]
         lease = int(lease_epoch[1:])
         message = SetGrants(
-            Sender("c", "i"), role_epoch, sequence, "h1", lease, RENEWERS, 1, grants, carve_outs
+            Sender("c", "i"),
+            role_epoch,
+            sequence,
+            self.addressed,
+            lease,
+            RENEWERS,
+            1,
+            grants,
+            carve_outs,
         )
-        self.holder.set_grants(message, self.now_ms)
+        self.reply = self.holder.set_grants(message, self.now_ms)
 
     def do_release(self, order, *words):
         role_epoch, sequence = map(int, order.split("."))
@@ -108,4 +120,9 @@
 
 @then("its replies name lease epoch {epoch:d}")
 def step_reply_epoch(context, epoch):
-    assert context.holder.renew_reply.lease_epoch == epoch, context.holder.renew_reply
+    assert context.holder.reply.lease_epoch == epoch, context.holder.reply
+
+
+@then("the last reply has status {status}")
+def step_status(context, status):
+    assert context.holder.reply.status.name == status, context.holder.reply
