--- a/nutmeglead/ownership/handover.py
+++ b/nutmeglead/ownership/handover.py
@@ -83,6 +83,11 @@
     last_asked: tuple[tuple[Unit, Epoch], ...] = ()
     heard_ms: int | None = None
 
+    def is_ending(self) -> bool:
+        """Tell whether the end of the lease is sought and not proven yet."""
+        sought = self.is_stopping or self.gone_at_ms is not None or bool(self.expired_at_ms)
+        return sought and self.ended is None
+
     def stop_times_ms(self, renewers: RenewerSet) -> list[int]:
         """List when each stopped renewer's renewals of this set have expired."""
         times = []
@@ -123,11 +128,17 @@
         self._after_lapse_ms = after_lapse_ms
         self._servers: dict[ServerId, _Server] = {}
         self._pending: dict[Unit, tuple[Holder, ...]] = {}
+        # The same by server; most of thousands of servers have nothing to hand over.
+        self._waiting: dict[ServerId, list[tuple[Unit, Holder]]] = {}
         self._proofs: dict[tuple[Unit, ServerId], tuple[Epoch, Proof]] = {}
 
     def set_pending(self, records: Iterable[UnitRecord]) -> None:
         """Take over the units with previous holders as the table lists them."""
         self._pending = {record.unit: record.previous for record in records}
+        self._waiting = {}
+        for unit, holders in self._pending.items():
+            for holder in holders:
+                self._waiting.setdefault(holder.server_id, []).append((unit, holder))
         listed = {(unit, h.server_id) for unit, holders in self._pending.items() for h in holders}
         self._proofs = {place: proof for place, proof in self._proofs.items() if place in listed}
 
@@ -218,7 +229,11 @@
     def decide(self, now_ms: int) -> list[Decision]:
         """Note lapses and list the messages to send now."""
         decisions: list[Decision] = []
-        for server_id, server in self._servers.items():
+        ending = (i for i, server in self._servers.items() if server.is_ending())
+        for server_id in dict.fromkeys((*self._waiting, *ending)):
+            server = self._servers.get(server_id)
+            if server is None:
+                continue
             self._note_end(server, now_ms)
             if server.ended is None:
                 decisions += self._release(server_id, server, now_ms)
@@ -253,9 +268,8 @@
         """List the units that a server may still hold, with the epochs."""
         return [
             (unit, holder.epoch)
-            for unit, holders in self._pending.items()
-            for holder in holders
-            if holder.server_id == server_id and not self.is_proven(unit, holder)
+            for unit, holder in self._waiting.get(server_id, ())
+            if not self.is_proven(unit, holder)
         ]
 
     def _prove(self, unit: Unit, holder: Holder, proof: Proof) -> None:
@@ -266,10 +280,8 @@
     def _record_end(self, server_id: ServerId, server: _Server) -> None:
         if server.ended is None:
             return
-        for unit, holders in self._pending.items():
-            for holder in holders:
-                if holder.server_id == server_id:
-                    self._prove(unit, holder, server.ended)
+        for unit, holder in self._waiting.get(server_id, ()):
+            self._prove(unit, holder, server.ended)
 
     def _note_gone(self, server: _Server, now_ms: int) -> None:
         if server.gone_at_ms is None:
--- a/nutmeglead/ownership/tests/model.py
+++ b/nutmeglead/ownership/tests/model.py
@@ -35,6 +35,7 @@
     "answer lost, not applied",
     "cut node",
     "cut pair",
+    "cut controllers",
 )
 
 
@@ -191,12 +192,17 @@
         elif fault == "table outage":
             self.outage_until = self.time_ms + duration_ms
         elif fault.startswith("cut"):
-            others = SERVERS + NODES if fault == "cut node" else (self.random.choice(NODES),)
-            self.cut = {frozenset((process.name, other)) for other in others}
+            self.cut = self._cut_links(fault, process.name)
             self.cut_until = self.time_ms + duration_ms
         else:
             self.table.next_commit_faults = [TableFault(fault)]
 
+    def _cut_links(self, fault, name):
+        if fault == "cut controllers":
+            return {frozenset((one, two)) for one in NODES[:2] for two in NODES[2:]}
+        others = SERVERS + NODES if fault == "cut node" else (self.random.choice(NODES),)
+        return {frozenset((name, other)) for other in others}
+
     def step(self):
         self.time_ms += STEP_MS
         out = self.has_faults and self.time_ms < self.outage_until
--- a/nutmeglead/ownership/tests/model_controller.py
+++ b/nutmeglead/ownership/tests/model_controller.py
@@ -99,7 +99,7 @@
             self.take_row(row.key, row.version, decode(ServerRow, row.value).unwrap())
         self.handover.set_pending(self.map.pending())
         self.moved, self.needs_lease, self.acted_ms = set(), set(), now
-        self.changed_ms = now
+        self.changed_ms = {}
         self.stage = "acting"
 
     def take_page(self, key, version, page):
@@ -153,9 +153,10 @@
             self.move_all(server)
         if not self.world.has_faults or rng.random() > 0.03:
             return
-        if rng.random() < 0.05:
-            changing = [server for server, row in self.rows.items() if row.former]
-            self.evict(rng.choice(changing or SERVERS))
+        if rng.random() < 0.1:
+            # Most faults of a lapse show soon after a change of renewers.
+            changed = [server for server in SERVERS if now - self.changed_ms.get(server, 0) < 500]
+            self.evict(rng.choice(changed or SERVERS))
             return
         unit, owner = rng.choice(PINS), rng.choice(SERVERS)
         if rng.random() < 0.5:
@@ -214,12 +215,12 @@
                 )
             )
             swap = self.world.has_faults and self.world.random.random() < 0.004
-            calm = now - self.changed_ms > 1000
+            calm = now - self.changed_ms.get(server, 0) > 1000
             if proof or swap or server in self.needs_lease or (stale and calm):
                 renewers = self.renewers()
                 args = (incarnation, renewers, self.role_epoch, proof is not None)
                 if self.write_row(server_rows.next_lease(row, *args)):
-                    self.changed_ms = now
+                    self.changed_ms[server] = now
                     self.moved.discard(server)
                     self.needs_lease.discard(server)
 
--- a/nutmeglead/ownership/tests/steps/placement_steps.py
+++ b/nutmeglead/ownership/tests/steps/placement_steps.py
@@ -59,7 +59,10 @@
         return None
 
     def grant_set(self, server, proof):
-        return self.map.grant_set(server, lambda unit, holder: proof == "proof")
+        found = self.map.grant_set(server, lambda unit, holder: proof == "proof")
+        all_sets = self.map.grant_sets(["s0", "s1"], lambda unit, holder: proof == "proof")
+        assert all_sets[server] == found, all_sets
+        return found
 
 
 @given("the pages after: {changes}")
--- a/nutmeglead/ownership/units.py
+++ b/nutmeglead/ownership/units.py
@@ -1,7 +1,7 @@
 """Find the owner of a key in a copy of a service's placement pages."""
 
 from array import array
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -155,7 +155,34 @@
 
         A unit is granted when `proven` holds for each previous holder of it.
         """
-        owned = self.units_of(server_id)
+        return self._grant_set(self.units_of(server_id), proven)
+
+    def grant_sets(
+        self, server_ids: Iterable[ServerId], proven: Callable[[Unit, Holder], bool]
+    ) -> dict[ServerId, GrantSet]:
+        """Compute the grant sets of many servers in one pass over the buckets.
+
+        After the loss of a failure domain thousands of servers get units at once.
+        """
+        owned: dict[ServerId | None, list[UnitRecord]] = {server: [] for server in server_ids}
+        wanted = {index for server, index in self._server_index.items() if server in owned}
+        for bucket, index in enumerate(self._owners):
+            if index in wanted:
+                record = self.record(Unit.of_bucket(bucket))
+                if record is not None:
+                    owned[record.owner].append(record)
+        for record in self.pins():
+            if record.owner in owned:
+                owned[record.owner].append(record)
+        return {
+            server: self._grant_set(records, proven)
+            for server, records in owned.items()
+            if server is not None
+        }
+
+    def _grant_set(
+        self, owned: list[UnitRecord], proven: Callable[[Unit, Holder], bool]
+    ) -> GrantSet:
         granted = {
             record.unit: record.epoch
             for record in owned
