--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -4403,12 +4403,14 @@
     """
     Attributes:
      - sender
+     - sequence
 
     """
 
 
-    def __init__(self, sender=None,):
+    def __init__(self, sender=None, sequence=None,):
         self.sender = sender
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4425,6 +4427,11 @@
                     self.sender.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4439,6 +4446,10 @@
             oprot.writeFieldBegin('sender', TType.STRUCT, 1)
             self.sender.write(oprot)
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4788,6 +4799,7 @@
 Acknowledged.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'sender', [nutmeglead._generated.common.ttypes.Sender, None], None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/nutmeglead/dissemination/feeder.py
+++ b/nutmeglead/dissemination/feeder.py
@@ -31,25 +31,29 @@
         self._started_ms = now_ms
         self._heard_ms: dict[str, float] = {}
         self._other: Feeder | None = None
+        self._failed_id = ""
 
     def hear(self, node_id: str, now_ms: int) -> None:
         """Note an answer of a controller."""
         if node_id == self._local.node_id or self._is_other(node_id):
             self._heard_ms[node_id] = now_ms
-        if node_id == self._local.node_id:
-            self._drop_other()
 
     def fail(self, node_id: str) -> None:
         """Note a missing answer; another entry VM is then tried at once."""
         if self._is_other(node_id):
-            self._drop_other()
+            self._failed_id = node_id
+            self._heard_ms.pop(node_id, None)
+            self._other = None
 
     def targets(self, others: Sequence[Feeder], now_ms: int) -> list[Feeder]:
         """Return the controllers to send heartbeats to now."""
         if not self._is_local_silent(now_ms):
             return [self._local]
-        if self._other is None and others:
-            self._other = self._rng.choice(others)
+        if self._other is None:
+            avoided = (self._local.node_id, self._failed_id)
+            candidates = [feeder for feeder in others if feeder.node_id not in avoided]
+            self._other = self._rng.choice(candidates) if candidates else None
+            self._failed_id = ""
         return [self._local] if self._other is None else [self._local, self._other]
 
     def current(self, now_ms: int) -> Feeder | None:
@@ -64,11 +68,6 @@
     def _is_other(self, node_id: str) -> bool:
         return self._other is not None and self._other.node_id == node_id
 
-    def _drop_other(self) -> None:
-        if self._other is not None:
-            self._heard_ms.pop(self._other.node_id, None)
-        self._other = None
-
     def _is_local_silent(self, now_ms: int) -> bool:
         heard_ms = max(self._heard_ms.get(self._local.node_id, NEVER_MS), self._started_ms)
         return now_ms - heard_ms > self._silent_after_ms
--- a/nutmeglead/dissemination/machine.py
+++ b/nutmeglead/dissemination/machine.py
@@ -80,6 +80,7 @@
         self.copies = {service_name: ServiceCopy(service_name) for service_name in services}
         self._settings = settings
         self._rng = rng
+        self._last_feeder = feeder
         self._feeder = FeederChoice(feeder, settings, rng, now_ms) if feeder else None
         self._view = FanoutView(self.membership)
         self._pusher = Pusher(self.membership, self._view, settings)
@@ -165,6 +166,7 @@
         self._pusher.expire(now_ms)
         sends = self._heartbeats(now_ms)
         sends += self._close_gaps(now_ms)
+        sends += self._compare_with_new_feeder(now_ms)
         sends += self._compare_differing(now_ms)
         sends += self._compare_first(now_ms)
         if now_ms >= self._next_compare_ms:
@@ -247,6 +249,14 @@
                 sends += self._compare(service_name, self._peer(node_id), now_ms)
         return sends
 
+    def _compare_with_new_feeder(self, now_ms: int) -> list[Send]:
+        """Compare at once after a change of feeder; deltas were pushed in the meantime."""
+        feeder = self._feeder.current(now_ms) if self._feeder else None
+        if feeder == self._last_feeder:
+            return []
+        self._last_feeder = feeder
+        return [send for name in self.copies for send in self._compare(name, feeder, now_ms)]
+
     def _compare_first(self, now_ms: int) -> list[Send]:
         sends: list[Send] = []
         if self._tick_count > _FIRST_TICKS:
@@ -299,7 +309,7 @@
         """Take over a heartbeat of a member or of an attached router."""
         if message.passive:
             self._pusher.attach(message.sender.node_id, message.rpc_address, now_ms)
-            return Acknowledged(self.identity.sender)
+            return self._acknowledge()
         if self.membership.hear_heartbeat(message, now_ms):
             for service_name, role_epoch in message.role_epochs.items():
                 self._learn_acting(service_name, RoleEpoch(role_epoch), message.sender.node_id)
@@ -308,11 +318,11 @@
                 if copy is not None and copy.store.digest != digest:
                     entry = (message.sender.node_id, copy.store.digest)
                     self._differing[ServiceName(service_name)] = entry
-        return Acknowledged(self.identity.sender)
+        return self._acknowledge()
 
     def handle_delta(self, delta: PageDelta, now_ms: int) -> tuple[Acknowledged, list[Send]]:
         """Apply a delta, forward it if it is new, and fetch the page if it is corrupt."""
-        acknowledged = Acknowledged(self.identity.sender)
+        acknowledged = self._acknowledge()
         copy = self.copies.get(ServiceName(delta.service_name))
         if copy is None:
             return acknowledged, []
@@ -352,7 +362,8 @@
 
     def _note_sign_of_life(self, send: Send, reply: Any | None, now_ms: int) -> None:
         if reply is not None:
-            self.membership.hear_reply(reply.sender, now_ms)
+            sequence = reply.sequence if isinstance(reply, Acknowledged) else None
+            self.membership.hear_reply(reply.sender, sequence, now_ms)
         if self._feeder is None:
             return
         if reply is None:
@@ -366,6 +377,9 @@
             fields = {"service": context.service_name, "pages": len({*map(page_id, changed)})}
             self._notices.append(Notice(Event.MAP_REPAIRED, {**fields, "from": send.node_id}))
 
+    def _acknowledge(self) -> Acknowledged:
+        return Acknowledged(self.identity.sender, self.membership.sequence)
+
     def _learn_acting(self, service_name: str, role_epoch: RoleEpoch, node_id: str) -> None:
         known = self._acting.get(service_name)
         if known is None or role_epoch >= known.role_epoch:
--- a/nutmeglead/dissemination/members.py
+++ b/nutmeglead/dissemination/members.py
@@ -38,14 +38,20 @@
 
 @dataclass(slots=True)
 class Member:
-    """Hold what is known of one other entry VM; an empty incarnation was never heard of."""
+    """Hold what is known of one other entry VM; an empty incarnation was never heard of.
+
+    The three sequences are those of the last heartbeat, of the last reply and of the last accepted
+    news. They are kept apart: a heartbeat may arrive after a reply or news with its sequence.
+    """
 
     node_id: NodeId
     failure_domain: FailureDomainName
     address: Address
     incarnation: str = ""
     superseded: tuple[str, ...] = ()
-    sequence: int = 0
+    heartbeat_sequence: int = 0
+    reply_sequence: int = 0
+    news_sequence: int = 0
     state: MemberState = MemberState.ALIVE
     heard_ms: float = NEVER_MS
     watched_since_ms: float = NEVER_MS
@@ -53,6 +59,11 @@
     is_listed: bool = False
     relay_address: Address | None = None
 
+    @property
+    def sequence(self) -> int:
+        """Return the highest sequence that is known of the process."""
+        return max(self.heartbeat_sequence, self.reply_sequence, self.news_sequence)
+
 
 @dataclass(frozen=True)
 class MemberEvent:
--- a/nutmeglead/dissemination/membership.py
+++ b/nutmeglead/dissemination/membership.py
@@ -54,6 +54,11 @@
 
     # ---- questions ----
 
+    @property
+    def sequence(self) -> int:
+        """Return the sequence of this node's last heartbeat."""
+        return self._sequence
+
     def member(self, node_id: str) -> Member | None:
         """Return the record of a member."""
         return self._members.get(node_id)
@@ -119,11 +124,12 @@
             member = self._add(NodeId(sender.node_id), domain, heartbeat.rpc_address, now_ms)
         if member is None or not self._is_current(member, sender.incarnation):
             return False
-        if sender.incarnation == member.incarnation and heartbeat.sequence <= member.sequence:
+        is_same = sender.incarnation == member.incarnation
+        if is_same and heartbeat.sequence <= member.heartbeat_sequence:
             return False
         was_alive = member.state is MemberState.ALIVE
         self._hear(member, sender.incarnation, now_ms)
-        member.sequence = heartbeat.sequence
+        member.heartbeat_sequence = heartbeat.sequence
         member.failure_domain = domain
         member.address = heartbeat.rpc_address
         member.relay_address = heartbeat.relay_address
@@ -135,12 +141,17 @@
             self._hear_news(news, now_ms)
         return True
 
-    def hear_reply(self, sender: Sender, now_ms: int) -> bool:
+    def hear_reply(self, sender: Sender, sequence: int | None, now_ms: int) -> bool:
         """Take a reply as a sign of life; return False if it is of an earlier process."""
         member = self._members.get(sender.node_id)
         if member is None or not self._is_current(member, sender.incarnation):
             return False
+        was_alive = member.state is MemberState.ALIVE
         self._hear(member, sender.incarnation, now_ms)
+        if sequence is not None:
+            member.reply_sequence = sequence
+            if not was_alive:
+                self._tell(member, MemberStatus.ALIVE)
         return True
 
     def _is_current(self, member: Member, incarnation: str) -> bool:
@@ -168,7 +179,7 @@
             kept = (*member.superseded, member.incarnation)
             member.superseded = kept[-_MAX_SUPERSEDED:]
         member.incarnation = incarnation
-        member.sequence = 0
+        member.heartbeat_sequence = member.reply_sequence = member.news_sequence = 0
         return True
 
     def _leave(self, member: Member, now_ms: int) -> None:
@@ -205,41 +216,36 @@
 
     def _is_accepted(self, member: Member, news: MemberNews, now_ms: int) -> bool:
         """Tell whether news is newer than what is known; what this node hears itself wins."""
-        is_heard = now_ms - member.heard_ms <= self._settings.silent_after_ms
         if not self._is_current(member, news.member.incarnation):
             return False
-        if news.member.incarnation != member.incarnation:
-            return not is_heard
-        if news.status == MemberStatus.ALIVE:
-            return news.sequence > member.sequence and member.node_id not in self._watched
-        if news.status == MemberStatus.LEFT:
+        if news.member.incarnation != member.incarnation or news.status == MemberStatus.LEFT:
             return True
+        if news.status == MemberStatus.ALIVE:
+            return news.sequence > member.news_sequence
+        if now_ms - member.heard_ms <= self._settings.silent_after_ms:
+            return False
         if member.state is MemberState.ALIVE:
-            return news.sequence >= member.sequence and not is_heard
-        return news.sequence > member.sequence
+            return news.sequence >= member.news_sequence
+        return news.sequence > member.news_sequence
 
     def _accept_news(self, member: Member, news: MemberNews, now_ms: int) -> None:
         is_new_process = self._set_incarnation(member, news.member.incarnation)
-        member.sequence = max(member.sequence, news.sequence)
+        member.news_sequence = max(member.news_sequence, news.sequence)
         if news.status == MemberStatus.LEFT:
             self._leave(member, now_ms)
             return
         is_alive = news.status == MemberStatus.ALIVE
         if is_alive:
             member.address = news.rpc_address
-        state = MemberState.ALIVE if is_alive else MemberState.SILENT
-        self._change(member, state, now_ms, is_new_process)
+        # A watched member stays silent until it answers here: this node may be unable to reach it.
+        if not is_alive or is_new_process or member.node_id not in self._watched:
+            state = MemberState.ALIVE if is_alive else MemberState.SILENT
+            self._change(member, state, now_ms, is_new_process)
         self._news.add(news, len(self._members))
 
     def _tell(self, member: Member, status: MemberStatus) -> None:
-        news = MemberNews(
-            Sender(member.node_id, member.incarnation),
-            member.sequence,
-            status,
-            member.failure_domain,
-            member.address,
-        )
-        self._news.add(news, len(self._members))
+        member.news_sequence = member.sequence
+        self._news.add(_news_of(member, status), len(self._members))
 
     def _announce_self(self) -> None:
         self._sequence += 1
@@ -330,14 +336,7 @@
         news = self._news.take()
         if target.state is MemberState.SILENT and target.incarnation:
             # A member that is wrongly held for silent must learn of it to announce itself again.
-            own_view = MemberNews(
-                Sender(target.node_id, target.incarnation),
-                target.sequence,
-                MemberStatus.SILENT,
-                target.failure_domain,
-                target.address,
-            )
-            news.append(own_view)
+            news.append(_news_of(target, MemberStatus.SILENT))
         if leaving:
             self._sequence += 1
         return Heartbeat(
@@ -388,3 +387,13 @@
             self._rings.remove(member.node_id)
         if state is MemberState.GONE:
             self._watched.discard(member.node_id)
+
+
+def _news_of(member: Member, status: MemberStatus) -> MemberNews:
+    return MemberNews(
+        Sender(member.node_id, member.incarnation),
+        member.sequence,
+        status,
+        member.failure_domain,
+        member.address,
+    )
--- a/nutmeglead/dissemination/tests/membership.feature
+++ b/nutmeglead/dissemination/tests/membership.feature
@@ -15,6 +15,7 @@
       | heartbeat 1, wait 1000, reply, wait 1000        | alive   | a member whose heartbeats are lost one way is silent |
       | VM list live                                    | alive   | a process that starts alone asks nobody              |
       | VM list live, wait 2500                         | silent  | a late VM list keeps a lost member alive             |
+      | heartbeat 1, wait 2500, news alive 9            | silent  | a member that only others reach gets pushes from here |
       | heartbeat 1, VM list gone                       | alive   | a wrong VM list takes out a member that is heard     |
       | heartbeat 1, wait 2500, VM list gone            | gone    | heartbeats are sent to a lost VM for ever            |
       | heartbeat 1, wait 40000                         | gone    | members that nobody lists collect for ever           |
@@ -24,6 +25,23 @@
       | heartbeat 1, wait 500, own pause 5000           | alive   | a paused node holds all others for silent            |
       | heartbeat 1, wait 500, own pause 5000, wait 2500 | silent | a pause excuses a stopped member for ever            |
 
+  Scenario Outline: What a node tells the others of a member
+    Given a node with the settings heartbeat 500 ms, silent after 1500 ms and gone after 30000 ms
+    When it experiences <events>
+    Then its next heartbeats tell that the member is <status> at sequence <sequence>
+
+    Examples: each row names the failure it guards against
+      | events                                              | status | sequence | failure                                       |
+      | heartbeat 3, reply 7, wait 1000, reply of another, wait 1500 | SILENT | 7        | older news of life overrides a loss           |
+      | heartbeat 3, wait 2500, heartbeat 9                 | ALIVE  | 9        | a return is not told to those far away        |
+      | heartbeat 3, wait 2500, reply 9                     | ALIVE  | 9        | a return is not told to those far away        |
+      | heartbeat 3, wait 1000, reply of another, wait 4000 | SILENT | 3        | a member that is lost is known to its watchers only |
+
+  Scenario: A member that is held for silent is told so for as long as it lasts
+    Given a node with the settings heartbeat 500 ms, silent after 1500 ms and gone after 30000 ms
+    When it experiences heartbeat 3, wait 4000
+    Then its 30th heartbeat to the member still tells it
+
   Scenario Outline: A restarted member replaces its earlier process
     Given a node with the settings heartbeat 500 ms, silent after 1500 ms and gone after 30000 ms
     When it experiences <events>
--- a/nutmeglead/dissemination/tests/steps/membership_steps.py
+++ b/nutmeglead/dissemination/tests/steps/membership_steps.py
@@ -51,8 +51,17 @@
     def on_leaving(self, process, _, sequence):
         self.on_heartbeat(process, sequence, leaving=True)
 
-    def on_reply(self, process):
-        self.membership.hear_reply(Sender(self.member_id, process), self.now_ms)
+    def on_reply(self, process, sequence=None, another=None):
+        if another:
+            self.on_another()
+            return
+        number = int(sequence) if sequence else None
+        self.membership.hear_reply(Sender(self.member_id, process), number, self.now_ms)
+
+    def on_another(self):
+        """Hear another member, so that this node does not count as cut off."""
+        message = Heartbeat(Sender("entry-99", "1"), "halle-b", self.now_ms, ADDRESS, {}, {})
+        self.membership.hear_heartbeat(message, self.now_ms)
 
     def on_wait(self, _, duration_ms):
         for _step in range(int(duration_ms) // 500):
@@ -113,6 +122,25 @@
     assert member is not None and member.state.value == state, member
 
 
+@then("its next heartbeats tell that the member is {status} at sequence {sequence:d}")
+def step_tells(context, status, sequence):
+    scenario = context.membership
+    target = scenario.membership.member(scenario.member_id)
+    told = {}
+    for _ in range(30):
+        for news in scenario.membership.heartbeat(target, {}, {}).news or []:
+            told[news.member.node_id] = (MemberStatus(news.status).name, news.sequence)
+    assert told.get(scenario.member_id) == (status, sequence), told
+
+
+@then("its {count:d}th heartbeat to the member still tells it")
+def step_still_tells(context, count):
+    scenario = context.membership
+    target = scenario.membership.member(scenario.member_id)
+    news = [scenario.membership.heartbeat(target, {}, {}).news for _ in range(count)][-1]
+    assert [n.member.node_id for n in news or []] == [scenario.member_id], news
+
+
 @then("it knows process {process} of the member")
 def step_process(context, process):
     member = context.membership.membership.member(context.membership.member_id)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -375,6 +375,8 @@
   4: required binary body,
 }
 
+// `sequence` is that of the sender's last heartbeat.
 struct Acknowledged {
   1: required common.Sender sender,
+  2: optional i64 sequence,
 }
