placement: try all overloaded donors and judge cold pins by measured load

A small rest of the budget limited the donors to servers that had nothing to give, and a pin without load was compared at its base rate. Change: donors are tried in groups of 64 until a turn moves nothing; cold pins are judged by their measured rate.

--- a/nutmeglead/placement/ledger.py
+++ b/nutmeglead/placement/ledger.py
@@ -63,6 +63,10 @@
             return max(self._pin_rates.get(unit, 0.0), self.base_rate)
         return max(self._bucket_rates[unit] - self._detached.get(unit, 0.0), self.base_rate)
 
+    def pin_rate(self, pin: Pin) -> float:
+        """Return a pin's measured load in requests/s; 0 if none was measured."""
+        return self._pin_rates.get(pin, 0.0)
+
     def largest_rates(self, least: float) -> list[float]:
         """Return the rates above a bound, the largest first."""
         buckets = {b for b, rate in enumerate(self._bucket_rates) if rate > least}
--- a/nutmeglead/placement/planner.py
+++ b/nutmeglead/placement/planner.py
@@ -134,10 +134,10 @@
             return
         least = self.limits.unpin_share * even_load(self.ledger)
         pins = self._unclaimed_pins(UnitKind.EXACT)
-        pins.sort(key=lambda pin: (self.ledger.rate(pin), pin.key))
+        pins.sort(key=lambda pin: (self.ledger.pin_rate(pin), pin.key))
         surplus = len(pins) - self.request.settings.max_pins
         for position, pin in enumerate(pins):
-            cold = self.ledger.rate(pin) < least and pin not in self.request.recently_moved
+            cold = self.ledger.pin_rate(pin) < least and pin not in self.request.recently_moved
             if (cold or position < surplus) and self.policy_moves > 0:
                 self.ledger.remove_pin(pin, MoveReason.PIN_REMOVED)
                 self.policy_moves -= 1
--- a/nutmeglead/placement/rebalance.py
+++ b/nutmeglead/placement/rebalance.py
@@ -1,6 +1,6 @@
 """Move units from overloaded to underloaded servers."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from heapq import heapify, heappop, heappush, heapreplace, nlargest
 
 from nutmeglead.placement.candidates import Candidate, Candidates, collect, pinnable_keys
@@ -12,6 +12,8 @@
 
 # Moving a unit with less than this part of a mean server's load costs churn without effect.
 LEAST_MOVE_SHARE = 0.001
+# Units are collected for this many donors at a time, which bounds the memory of a plan.
+DONOR_GROUP = 64
 # Sums of floats differ in the last digits with the order of their terms; a server exactly at a
 # trigger must not depend on that.
 TOLERANCE = 1e-9
@@ -40,41 +42,62 @@
         self._donors: dict[int, Candidates] = {}
 
     def run(self) -> None:
-        """Repeat passes until one moves nothing; servers relieved late can receive in the next."""
-        while self.budget > 0 and self._pass():
-            pass
-
-    def _pass(self) -> bool:
-        before = self.budget
+        """Repeat passes over groups of donors until a whole turn of passes moves nothing."""
+        tried: set[int] = set()
+        moved_since_clear = False
+        while self.budget > 0:
+            before = self.budget
+            over, under = self._outliers()
+            group = self._group([i for i in over if i not in tried])
+            if not group and moved_since_clear:
+                # Servers relieved later may now receive what earlier donors could not give.
+                tried.clear()
+                moved_since_clear = False
+                continue
+            if not group and not under:
+                return
+            self._collect(group, under)
+            self._relieve(group)
+            self._fill(under)
+            tried.update(group)
+            moved_since_clear |= self.budget < before
+            if not group and self.budget == before:
+                return
+
+    def _outliers(self) -> tuple[list[int], list[int]]:
+        """Return the overloaded and the underloaded servers."""
         usable = [i for i, c in enumerate(self.ledger.capacity) if c > 0.0]
         if len(usable) < 2:
-            return False
+            return [], []
         self.level = _even_level(self.ledger)
         overload = self.level * self.limits.overload_trigger * (1.0 + TOLERANCE)
         underload = self.level * self.limits.underload_trigger * (1.0 - TOLERANCE)
-        over = [i for i in usable if self.ledger.ratio(i) > overload]
-        under = [i for i in usable if self.ledger.ratio(i) < underload]
-        if not over and not under:
-            return False
-        # Each donor gives at least one unit, so more donors than moves are of no use. This also
-        # bounds the memory of the candidates.
-        donors = nlargest(self.budget, usable, key=lambda i: (self.ledger.ratio(i), -i))
+        ratio = self.ledger.ratio
+        over = [i for i in usable if ratio(i) > overload]
+        return over, [i for i in usable if ratio(i) < underload]
+
+    def _group(self, servers: Iterable[int]) -> list[int]:
+        """Return the most loaded servers, the first first."""
+        return nlargest(DONOR_GROUP, servers, key=lambda i: (self.ledger.ratio(i), -i))
+
+    def _collect(self, group: list[int], under: list[int]) -> None:
+        """Find the movable units of the group and, to fill servers, of the most loaded ones."""
+        usable = (i for i, c in enumerate(self.ledger.capacity) if c > 0.0)
+        donors = set(group) | (set(self._group(usable)) if under else set())
         even = self.level * _mean_capacity(self.ledger)
         self.least = LEAST_MOVE_SHARE * even
-        hot_keys = pinnable_keys(
+        pinnable = pinnable_keys(
             self.ledger, self.hot_keys, self.limits.pin_share * even, self.fixed
-        )[: max(0, self.free_pins)]
+        )
+        hot_keys = pinnable[: max(0, self.free_pins)]
         self._donors = collect(self.ledger, donors, self.fixed, hot_keys)
-        self._relieve(over, usable)
-        self._fill(under, donors)
-        return self.budget < before
 
-    def _relieve(self, over: list[int], usable: list[int]) -> None:
+    def _relieve(self, donors: list[int]) -> None:
         """Move units off each overloaded server, the most loaded first, to the most room."""
-        overloaded = set(over)
-        receivers = [(-self._room(i), i) for i in usable if i not in overloaded]
+        usable = (i for i, c in enumerate(self.ledger.capacity) if c > 0.0)
+        receivers = [(-self._room(i), i) for i in usable if i not in donors]
         heapify(receivers)
-        for donor in sorted(over, key=lambda i: (-self.ledger.ratio(i), i)):
+        for donor in donors:
             while self.budget > 0 and receivers:
                 need = self._excess(donor, self.limits.overload_settle)
                 within = self._excess(donor, self.limits.overload_trigger) <= 0.0
@@ -86,9 +109,9 @@
                 receiver = receivers[0][1]
                 heapreplace(receivers, (-self._room(receiver), receiver))
 
-    def _fill(self, under: list[int], donors: list[int]) -> None:
+    def _fill(self, under: list[int]) -> None:
         """Move units to each underloaded server from the most loaded ones."""
-        heap = [(-self.ledger.ratio(i), i) for i in donors]
+        heap = [(-self.ledger.ratio(i), i) for i in self._donors]
         heapify(heap)
         for receiver in sorted(under, key=lambda i: (self.ledger.ratio(i), i)):
             spent: list[int] = []
