routing: put a gate in front of servers that do not check grants

Cause: a server that checks nothing runs whatever reaches it, so a key could be run by two servers while it moves. Change: the table names one router per such server (ServerRow.gate_node_id); this router holds the lease and the grants and admits each request; all routers send to it with Nutmeglead-Server. A unit is released only when no request in it can run any more; a gate that stops lets go first, and the next one in rank takes over. Controllers build all messages with ownership.CommandFactory, so that releases name the pins that a server keeps.

--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -864,17 +864,19 @@
      - renewer_node_ids
      - lease_end_ms
      - role_epoch
+     - holder_name
 
     """
 
 
-    def __init__(self, sender=None, holder_incarnation=None, lease_epoch=None, renewer_node_ids=None, lease_end_ms=None, role_epoch=0,):
+    def __init__(self, sender=None, holder_incarnation=None, lease_epoch=None, renewer_node_ids=None, lease_end_ms=None, role_epoch=0, holder_name=None,):
         self.sender = sender
         self.holder_incarnation = holder_incarnation
         self.lease_epoch = lease_epoch
         self.renewer_node_ids = renewer_node_ids
         self.lease_end_ms = lease_end_ms
         self.role_epoch = role_epoch
+        self.holder_name = holder_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -921,6 +923,11 @@
                     self.role_epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.holder_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -958,6 +965,10 @@
             oprot.writeFieldBegin('role_epoch', TType.I64, 6)
             oprot.writeI64(self.role_epoch)
             oprot.writeFieldEnd()
+        if self.holder_name is not None:
+            oprot.writeFieldBegin('holder_name', TType.STRING, 7)
+            oprot.writeString(self.holder_name.encode('utf-8') if sys.version_info[0] == 2 else self.holder_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1182,11 +1193,12 @@
      - hash_buckets
      - grants
      - carve_outs
+     - holder_name
 
     """
 
 
-    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, lease_epoch=None, renewer_node_ids=None, hash_buckets=None, grants=None, carve_outs=None,):
+    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, lease_epoch=None, renewer_node_ids=None, hash_buckets=None, grants=None, carve_outs=None, holder_name=None,):
         self.sender = sender
         self.role_epoch = role_epoch
         self.sequence = sequence
@@ -1196,6 +1208,7 @@
         self.hash_buckets = hash_buckets
         self.grants = grants
         self.carve_outs = carve_outs
+        self.holder_name = holder_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1269,6 +1282,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.holder_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1324,6 +1342,10 @@
                 iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.holder_name is not None:
+            oprot.writeFieldBegin('holder_name', TType.STRING, 10)
+            oprot.writeString(self.holder_name.encode('utf-8') if sys.version_info[0] == 2 else self.holder_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1493,17 +1515,19 @@
      - holder_incarnation
      - units
      - kept
+     - holder_name
 
     """
 
 
-    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, units=None, kept=None,):
+    def __init__(self, sender=None, role_epoch=None, sequence=None, holder_incarnation=None, units=None, kept=None, holder_name=None,):
         self.sender = sender
         self.role_epoch = role_epoch
         self.sequence = sequence
         self.holder_incarnation = holder_incarnation
         self.units = units
         self.kept = kept
+        self.holder_name = holder_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1557,6 +1581,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.holder_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1597,6 +1626,10 @@
                 iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.holder_name is not None:
+            oprot.writeFieldBegin('holder_name', TType.STRING, 7)
+            oprot.writeString(self.holder_name.encode('utf-8') if sys.version_info[0] == 2 else self.holder_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2442,11 +2475,12 @@
      - news
      - passive
      - leaving
+     - gate_address
 
     """
 
 
-    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None, news=None, passive=False, leaving=False,):
+    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None, news=None, passive=False, leaving=False, gate_address=None,):
         self.sender = sender
         self.failure_domain = failure_domain
         self.sequence = sequence
@@ -2457,6 +2491,7 @@
         self.news = news
         self.passive = passive
         self.leaving = leaving
+        self.gate_address = gate_address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2538,6 +2573,12 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.gate_address = nutmeglead._generated.common.ttypes.Address()
+                    self.gate_address.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2599,6 +2640,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 10)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.gate_address is not None:
+            oprot.writeFieldBegin('gate_address', TType.STRUCT, 11)
+            self.gate_address.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4700,6 +4745,7 @@
     (4, TType.LIST, 'renewer_node_ids', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.I64, 'lease_end_ms', None, None, ),  # 5
     (6, TType.I64, 'role_epoch', None, 0, ),  # 6
+    (7, TType.STRING, 'holder_name', 'UTF8', None, ),  # 7
 )
 all_structs.append(RenewReply)
 RenewReply.thrift_spec = (
@@ -4728,6 +4774,7 @@
     (7, TType.I32, 'hash_buckets', None, None, ),  # 7
     (8, TType.LIST, 'grants', (TType.STRUCT, [Grant, None], False), None, ),  # 8
     (9, TType.LIST, 'carve_outs', (TType.STRUCT, [nutmeglead._generated.common.ttypes.UnitId, None], False), None, ),  # 9
+    (10, TType.STRING, 'holder_name', 'UTF8', None, ),  # 10
 )
 all_structs.append(GrantReply)
 GrantReply.thrift_spec = (
@@ -4748,6 +4795,7 @@
     (4, TType.STRING, 'holder_incarnation', 'UTF8', None, ),  # 4
     (5, TType.LIST, 'units', (TType.STRUCT, [Grant, None], False), None, ),  # 5
     (6, TType.LIST, 'kept', (TType.STRUCT, [Grant, None], False), None, ),  # 6
+    (7, TType.STRING, 'holder_name', 'UTF8', None, ),  # 7
 )
 all_structs.append(ReleaseReply)
 ReleaseReply.thrift_spec = (
@@ -4825,6 +4873,7 @@
     (8, TType.LIST, 'news', (TType.STRUCT, [MemberNews, None], False), None, ),  # 8
     (9, TType.BOOL, 'passive', None, False, ),  # 9
     (10, TType.BOOL, 'leaving', None, False, ),  # 10
+    (11, TType.STRUCT, 'gate_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 11
 )
 all_structs.append(PageChanges)
 PageChanges.thrift_spec = (
--- a/nutmeglead/_generated/settings/ttypes.py
+++ b/nutmeglead/_generated/settings/ttypes.py
@@ -99,11 +99,12 @@
      - router_admin_port
      - controller_rpc_port
      - controller_admin_port
+     - router_gate_port
 
     """
 
 
-    def __init__(self, node_id=None, ip=None, failure_domain=None, router_port=8080, router_rpc_port=8081, router_admin_port=8082, controller_rpc_port=8083, controller_admin_port=8084,):
+    def __init__(self, node_id=None, ip=None, failure_domain=None, router_port=8080, router_rpc_port=8081, router_admin_port=8082, controller_rpc_port=8083, controller_admin_port=8084, router_gate_port=8085,):
         self.node_id = node_id
         self.ip = ip
         self.failure_domain = failure_domain
@@ -112,6 +113,7 @@
         self.router_admin_port = router_admin_port
         self.controller_rpc_port = controller_rpc_port
         self.controller_admin_port = controller_admin_port
+        self.router_gate_port = router_gate_port
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -162,6 +164,11 @@
                     self.controller_admin_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.router_gate_port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -204,6 +211,10 @@
             oprot.writeFieldBegin('controller_admin_port', TType.I32, 8)
             oprot.writeI32(self.controller_admin_port)
             oprot.writeFieldEnd()
+        if self.router_gate_port is not None:
+            oprot.writeFieldBegin('router_gate_port', TType.I32, 9)
+            oprot.writeI32(self.router_gate_port)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1773,6 +1784,7 @@
     (6, TType.I32, 'router_admin_port', None, 8082, ),  # 6
     (7, TType.I32, 'controller_rpc_port', None, 8083, ),  # 7
     (8, TType.I32, 'controller_admin_port', None, 8084, ),  # 8
+    (9, TType.I32, 'router_gate_port', None, 8085, ),  # 9
 )
 all_structs.append(PlatformSettings)
 PlatformSettings.thrift_spec = (
--- a/nutmeglead/controller/decisions.py
+++ b/nutmeglead/controller/decisions.py
@@ -40,6 +40,7 @@
     failure_domain: str
     address: Address
     is_alive: bool
+    gate_address: Address | None = None
 
 
 @dataclass(frozen=True)
--- a/nutmeglead/controller/grants.py
+++ b/nutmeglead/controller/grants.py
@@ -1,21 +1,16 @@
 """Send each server the grant set that the table and the proofs allow."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from nutmeglead._generated.common.ttypes import Sender
-from nutmeglead._generated.messages.ttypes import (
-    Grant,
-    GrantReply,
-    OrderStatus,
-    ReleaseUnits,
-    SetGrants,
-)
+from nutmeglead._generated.messages.ttypes import GrantReply, OrderStatus, SetGrants
 from nutmeglead.controller.decisions import SendGrants, SendRelease
 from nutmeglead.controller.leases import ServerLease
-from nutmeglead.core.ids import Epoch, Incarnation, RoleEpoch, ServerId
-from nutmeglead.ownership.keys import Unit
-from nutmeglead.ownership.units import GrantSet, Holder, UnitMap
+from nutmeglead.core.ids import ServerId
+from nutmeglead.ownership.commands import CommandFactory
+from nutmeglead.ownership.handover import HandoverTable
+from nutmeglead.ownership.handover import SendRelease as ReleaseDecision
+from nutmeglead.ownership.units import UnitMap
 
 __all__ = ["GrantSender"]
 
@@ -26,21 +21,25 @@
 class _Sent:
     """Hold the last grant set sent to a server."""
 
-    grant_set: GrantSet
-    lease_epoch: int
-    sequence: int
+    message: SetGrants
     is_acknowledged: bool = False
     next_send_ms: int = 0
 
+    def is_same(self, message: SetGrants) -> bool:
+        """Tell whether another message would install the same under the same lease epoch."""
+        mine, other = self.message, message
+        return bool(
+            mine.lease_epoch == other.lease_epoch
+            and mine.grants == other.grants
+            and mine.carve_outs == other.carve_outs
+        )
+
 
 class GrantSender:
     """Decide which grant messages to send; pure."""
 
-    def __init__(self, sender: Sender, role_epoch: RoleEpoch, hash_buckets: int) -> None:
-        self._sender = sender
-        self._role_epoch = role_epoch
-        self._hash_buckets = hash_buckets
-        self._sequence = 0
+    def __init__(self, commands: CommandFactory) -> None:
+        self._commands = commands
         self._sent: dict[ServerId, _Sent] = {}
         self._dirty: set[ServerId] = set()
 
@@ -52,7 +51,7 @@
         self,
         leases: Iterable[ServerLease],
         unit_map: UnitMap,
-        is_proven: Callable[[Unit, Holder], bool],
+        handovers: HandoverTable,
         now_ms: int,
     ) -> list[SendGrants]:
         """Return the grant messages that are due."""
@@ -61,13 +60,14 @@
             if lease.row is None or lease.has_ended or not lease.has_answered:
                 continue
             sent = self._sent.get(lease.server_id)
-            is_new = sent is None or sent.lease_epoch != lease.lease_epoch
+            is_new = sent is None or sent.message.lease_epoch != lease.lease_epoch
             if is_new or lease.server_id in self._dirty:
-                sent = self._refresh(lease, unit_map.grant_set(lease.server_id, is_proven))
+                sent = self._refresh(lease, unit_map, handovers)
             if sent is None or sent.is_acknowledged or now_ms < sent.next_send_ms:
                 continue
-            sent.next_send_ms = now_ms + RETRY_INTERVAL_MS
-            messages.append(SendGrants(lease.server_id, lease.address, self._message(lease, sent)))
+            if lease.address is not None:
+                sent.next_send_ms = now_ms + RETRY_INTERVAL_MS
+                messages.append(SendGrants(lease.server_id, lease.address, sent.message))
         return messages
 
     def on_reply(self, server_id: ServerId, reply: GrantReply) -> None:
@@ -75,25 +75,22 @@
         sent = self._sent.get(server_id)
         if sent is None or reply.status != OrderStatus.DONE:
             return
-        if (reply.role_epoch, reply.sequence) == (self._role_epoch, sent.sequence):
+        order = (sent.message.role_epoch, sent.message.sequence)
+        if (reply.role_epoch, reply.sequence) == order:
             sent.is_acknowledged = True
 
-    def release_message(
-        self, lease: ServerLease, incarnation: Incarnation, units: Iterable[tuple[Unit, Epoch]]
-    ) -> SendRelease:
+    def release(
+        self, lease: ServerLease, decision: ReleaseDecision, unit_map: UnitMap
+    ) -> SendRelease | None:
         """Return the release of units that a server may still hold."""
-        message = ReleaseUnits(
-            sender=self._sender,
-            role_epoch=self._role_epoch,
-            sequence=self._next_sequence(),
-            holder_incarnation=incarnation,
-            units=[Grant(unit.to_id(), epoch) for unit, epoch in units],
-        )
-        # A release has a higher sequence than grants still on their way, which the server therefore
-        # ignores; they are sent again.
+        if lease.address is None:
+            return None
+        message = self._commands.release(decision, unit_map)
+        # The server ignores grants that are on their way with a lower sequence; they have to be
+        # sent again under a higher one.
         sent = self._sent.get(lease.server_id)
         if sent is not None and not sent.is_acknowledged:
-            sent.sequence = self._next_sequence()
+            self._sent.pop(lease.server_id)
         return SendRelease(lease.server_id, lease.address, message)
 
     def unacknowledged(self) -> list[ServerId]:
@@ -106,30 +103,13 @@
         self._sent.pop(server_id, None)
         self._dirty.discard(server_id)
 
-    def _refresh(self, lease: ServerLease, grant_set: GrantSet) -> _Sent:
+    def _refresh(
+        self, lease: ServerLease, unit_map: UnitMap, handovers: HandoverTable
+    ) -> _Sent | None:
         self._dirty.discard(lease.server_id)
         sent = self._sent.get(lease.server_id)
-        is_same_lease = sent is not None and sent.lease_epoch == lease.lease_epoch
-        if sent is not None and is_same_lease and sent.grant_set == grant_set:
+        message = self._commands.grants(lease.row, unit_map, handovers)
+        if sent is not None and sent.is_same(message):
             return sent
-        sent = _Sent(grant_set, lease.lease_epoch, self._next_sequence())
-        self._sent[lease.server_id] = sent
+        sent = self._sent[lease.server_id] = _Sent(message)
         return sent
-
-    def _message(self, lease: ServerLease, sent: _Sent) -> SetGrants:
-        assert lease.row is not None
-        return SetGrants(
-            sender=self._sender,
-            role_epoch=self._role_epoch,
-            sequence=sent.sequence,
-            holder_incarnation=lease.row.incarnation,
-            lease_epoch=lease.lease_epoch,
-            renewer_node_ids=list(lease.row.current.node_ids),
-            hash_buckets=self._hash_buckets,
-            grants=[Grant(unit.to_id(), epoch) for unit, epoch in sent.grant_set.grants],
-            carve_outs=[unit.to_id() for unit in sent.grant_set.carve_outs],
-        )
-
-    def _next_sequence(self) -> int:
-        self._sequence += 1
-        return self._sequence
--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -7,8 +7,9 @@
 from nutmeglead._generated.messages.ttypes import AssignRenewer, RenewLease, ServerRow
 from nutmeglead._generated.settings.ttypes import OwnershipSettings
 from nutmeglead.controller.decisions import Decision, EntryNode, ProbeServer, SendAssign
-from nutmeglead.controller.renewers import choose_renewers, replace_renewer
+from nutmeglead.controller.renewers import choose_gate, choose_renewers, replace_renewer
 from nutmeglead.core.ids import Incarnation, NodeId, RoleEpoch, ServerId, ServiceName
+from nutmeglead.ownership.commands import holder_name
 from nutmeglead.ownership.server_rows import confirm_lease, first_row, next_lease
 
 __all__ = ["LeaseKeeper", "ServerLease"]
@@ -18,6 +19,8 @@
 # The answer of a lost server is not urgent, because its units have moved.
 LOST_PROBE_INTERVAL_MS = 500
 ASSIGN_INTERVAL_MS = 200
+# A gate that does not answer for this long is passed over.
+GATE_TRY_MS = 600
 
 
 @dataclass
@@ -25,8 +28,10 @@
     """Hold what the controller knows of one server's lease."""
 
     server_id: ServerId
-    address: Address
+    # Where the holder of the lease is reached: the server itself, or its gate.
+    address: Address | None
     failure_domain: str
+    gate_node_id: NodeId | None = None
     row: ServerRow | None = None
     row_version: int = 0
     incarnation: Incarnation | None = None
@@ -40,6 +45,7 @@
     assigned: set[str] = field(default_factory=set)
     next_probe_ms: int = 0
     next_assign_ms: int = 0
+    next_gate_ms: int = 0
 
     @property
     def lease_epoch(self) -> int:
@@ -66,7 +72,9 @@
         settings: OwnershipSettings,
         sender: Sender,
         role_epoch: RoleEpoch,
+        uses_gates: bool = False,
     ) -> None:
+        self.uses_gates = uses_gates
         self.servers: dict[ServerId, ServerLease] = {}
         self._service_name = service_name
         self._settings = settings
@@ -78,9 +86,10 @@
         for server_id, address, domain in present:
             lease = self.servers.get(server_id)
             if lease is None:
-                self.servers[server_id] = ServerLease(server_id, address, domain)
-            else:
-                lease.address, lease.failure_domain = address, domain
+                lease = self.servers[server_id] = ServerLease(server_id, None, domain)
+            lease.failure_domain = domain
+            if not self.uses_gates:
+                lease.address = address
 
     def load_row(self, row: ServerRow, version: int) -> None:
         """Take over a row of the table; a new lease epoch starts without assignments."""
@@ -114,17 +123,50 @@
         if lease is not None and lease_epoch == lease.lease_epoch:
             lease.assigned.add(node_id)
 
-    def decide(self, now_ms: int) -> list[Decision]:
+    def decide(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
         """Return the probes and assignments that are due."""
         decisions: list[Decision] = []
         for lease in self.servers.values():
+            if self.uses_gates:
+                self._follow_gate(lease, nodes, now_ms)
+            if lease.address is None:
+                continue
             if now_ms >= lease.next_probe_ms and not (lease.is_confirmed and lease.has_answered):
                 interval_ms = LOST_PROBE_INTERVAL_MS if lease.is_lost else PROBE_INTERVAL_MS
                 lease.next_probe_ms = now_ms + interval_ms
-                decisions.append(self._probe(lease))
+                decisions.append(self._probe(lease, lease.address))
             decisions += self._assignments(lease, now_ms)
         return decisions
 
+    def _follow_gate(
+        self, lease: ServerLease, nodes: Mapping[NodeId, EntryNode], now_ms: int
+    ) -> None:
+        """Keep the gate of the table; choose another only when its lease is proven ended.
+
+        Two gates at once would be two ways to a server that itself refuses nothing.
+        """
+        if lease.row is not None and lease.gate_node_id is None and lease.row.gate_node_id:
+            lease.gate_node_id = NodeId(lease.row.gate_node_id)
+        is_free = lease.row is None or lease.has_ended
+        if is_free and lease.incarnation is None and now_ms >= lease.next_gate_ms:
+            lease.next_gate_ms = now_ms + GATE_TRY_MS
+            chosen = choose_gate(
+                lease.server_id, lease.failure_domain, nodes.values(), lease.gate_node_id
+            )
+            lease.gate_node_id = chosen.node_id if chosen else None
+        gate = nodes.get(lease.gate_node_id) if lease.gate_node_id else None
+        if gate is not None and gate.gate_address is not None:
+            lease.address = gate.gate_address
+
+    def end(self, server_id: ServerId) -> None:
+        """Note that the lease epoch in the table is proven to have ended."""
+        lease = self.servers[server_id]
+        lease.has_ended = True
+        if self.uses_gates:
+            # The next lease begins at another gate.
+            lease.incarnation = None
+            lease.next_gate_ms = 0
+
     def probe_now(self, server_id: ServerId) -> None:
         """Ask a server again because a renewer reports that its lease ended."""
         lease = self.servers.get(server_id)
@@ -171,10 +213,13 @@
         if not renewers:
             return None
         if lease.row is None:
-            return first_row(
+            row = first_row(
                 self._service_name, lease.server_id, incarnation, renewers, self._role_epoch
             )
-        return next_lease(lease.row, incarnation, renewers, self._role_epoch, ended=True)
+        else:
+            row = next_lease(lease.row, incarnation, renewers, self._role_epoch, ended=True)
+        row.gate_node_id = lease.gate_node_id
+        return row
 
     def _replaced_renewer(
         self, lease: ServerLease, row: ServerRow, nodes: Mapping[NodeId, EntryNode]
@@ -197,15 +242,16 @@
             )
         return None
 
-    def _probe(self, lease: ServerLease) -> ProbeServer:
+    def _probe(self, lease: ServerLease, address: Address) -> ProbeServer:
         message = RenewLease(
             sender=self._sender,
             holder_incarnation=lease.row.incarnation if lease.row else "",
             lease_epoch=lease.lease_epoch,
             renewer_node_ids=[self._sender.node_id],
             lease_end_ms=0,
+            holder_name=holder_name(self._service_name, lease.server_id),
         )
-        return ProbeServer(lease.server_id, lease.address, message)
+        return ProbeServer(lease.server_id, address, message)
 
     def _assignments(self, lease: ServerLease, now_ms: int) -> list[Decision]:
         row = lease.row
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -5,7 +5,7 @@
 
 from result import Err
 
-from nutmeglead._generated.common.ttypes import Sender
+from nutmeglead._generated.common.ttypes import Address, Sender
 from nutmeglead._generated.messages.ttypes import (
     AssignReply,
     AuditRecord,
@@ -19,7 +19,6 @@
     RenewStatus,
     ServerRow,
     StoppedReply,
-    StopRenewing,
     SuspectServer,
 )
 from nutmeglead._generated.settings.ttypes import OwnershipSettings, ServiceSettings
@@ -52,6 +51,7 @@
 )
 from nutmeglead.dissemination.digests import VersionDigest
 from nutmeglead.dissemination.page_ids import PageId
+from nutmeglead.ownership.commands import CommandFactory
 from nutmeglead.ownership.handover import HandoverTable, Suspicion
 from nutmeglead.ownership.handover import SendStop as StopDecision
 from nutmeglead.ownership.pages import role_key, server_key
@@ -88,8 +88,15 @@
         self.role_epoch = role_epoch
         self.placer = PagePlacer(self.service_name, settings.service.hash_buckets)
         self.handover = HandoverTable(settings.ownership, _after_lapse_ms(settings.service))
-        self.leases = LeaseKeeper(self.service_name, settings.ownership, sender, role_epoch)
-        self.grants = GrantSender(sender, role_epoch, settings.service.hash_buckets)
+        self.leases = LeaseKeeper(
+            self.service_name,
+            settings.ownership,
+            sender,
+            role_epoch,
+            uses_gates=not settings.service.checks_grants,
+        )
+        self._commands = CommandFactory(sender, self.service_name, role_epoch)
+        self.grants = GrantSender(self._commands)
         self.in_force = InForceTracker()
         self._sender = sender
         self._role_check = RowCheck(role_key(self.service_name), role_version)
@@ -257,11 +264,11 @@
     def tick(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
         """Return everything that is due."""
         self._note_restarted_nodes(nodes, now_ms)
-        decisions: list[Decision] = self.leases.decide(now_ms)
+        decisions: list[Decision] = self.leases.decide(now_ms, nodes)
         decisions += self._handover_messages(now_ms)
         leases = self.leases.servers
         decisions += self.grants.decide(
-            leases.values(), self.placer.unit_map, self.handover.is_proven, now_ms
+            leases.values(), self.placer.unit_map, self.handover, now_ms
         )
         decisions += self._transactions(now_ms, nodes)
         if self.writer.progress.is_planned:
@@ -308,20 +315,12 @@
         messages: list[Decision] = []
         for decision in self.handover.decide(now_ms):
             if isinstance(decision, StopDecision):
-                message = StopRenewing(
-                    sender=self._sender,
-                    service_name=self.service_name,
-                    role_epoch=self.role_epoch,
-                    server_id=decision.server_id,
-                    lease_epoch=decision.lease_epoch,
-                )
-                messages.append(SendStop(decision.node_id, message))
+                messages.append(SendStop(decision.node_id, self._commands.stop(decision)))
                 continue
             lease = self.leases.servers.get(decision.server_id)
             if lease is not None and not lease.is_lost:
-                messages.append(
-                    self.grants.release_message(lease, decision.incarnation, decision.units)
-                )
+                release = self.grants.release(lease, decision, self.placer.unit_map)
+                messages += [release] if release else []
         self._note_ended()
         return messages
 
@@ -330,7 +329,7 @@
             proof = self.handover.ended(lease.server_id)
             if proof is None or lease.has_ended:
                 continue
-            lease.has_ended = True
+            self.leases.end(lease.server_id)
             epoch = LeaseEpoch(lease.lease_epoch)
             self._record(self._trail.lease_ended(lease.server_id, epoch, proof.value))
             self._mark_proven()
@@ -349,10 +348,21 @@
         if not self._servers_in_flight:
             decisions += self._write_servers(now_ms, nodes)
         commit = self.writer.next_commit(
-            self.leases.servers, self.handover.proven(), self._budget, now_ms
+            self.leases.servers, self.handover.proven(), self._budget, now_ms, self._gates(nodes)
         )
         return decisions + ([commit] if commit else [])
 
+    def _gates(self, nodes: Mapping[NodeId, EntryNode]) -> dict[ServerId, Address]:
+        """Return where the gates of this service's servers are reached."""
+        if not self.leases.uses_gates:
+            return {}
+        gates = {}
+        for lease in self.leases.servers.values():
+            node = nodes.get(lease.gate_node_id) if lease.gate_node_id else None
+            if node is not None and node.gate_address is not None:
+                gates[lease.server_id] = node.gate_address
+        return gates
+
     def _write_servers(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
         due = self.leases.rows_to_write(nodes)
         due = due[: self._budget.take_up_to(min(len(due), MAX_SERVER_ROWS), now_ms)]
--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+from nutmeglead._generated.common.ttypes import Address
 from nutmeglead._generated.messages.ttypes import AuditRecord, ServerEntry
 from nutmeglead._generated.settings.ttypes import ServiceSettings
 from nutmeglead._generated.tickets.ttypes import ServerState
@@ -88,11 +89,12 @@
         proven: Mapping[Unit, Sequence[Holder]],
         budget: WriteBudget,
         now_ms: int,
+        gates: Mapping[ServerId, Address],
     ) -> Commit | None:
         """Return the transaction that is due, if none is in flight."""
         if self.in_flight is not None or budget.available(now_ms) < 1:
             return None
-        commit = self._write_directory(budget, now_ms)
+        commit = self._write_directory(budget, now_ms, gates)
         if commit is None and now_ms >= self._plan_ms:
             commit = self._write_moves(leases, budget, now_ms)
         if commit is None and proven and now_ms >= self._clear_ms:
@@ -143,10 +145,17 @@
             )
         return records
 
-    def _write_directory(self, budget: WriteBudget, now_ms: int) -> Commit | None:
+    def _write_directory(
+        self, budget: WriteBudget, now_ms: int, gates: Mapping[ServerId, Address]
+    ) -> Commit | None:
         """Write the addresses of the ticket's servers before any unit moves to them."""
         entries = [
-            ServerEntry(server.server_id, server.address, server.failure_domain or "")
+            ServerEntry(
+                server.server_id,
+                server.address,
+                server.failure_domain or "",
+                gates.get(server.server_id),
+            )
             for server in self.plan_input.desired.servers.values()
             if server.address is not None and server.state != ServerState.REMOVED
         ]
--- a/nutmeglead/controller/renewers.py
+++ b/nutmeglead/controller/renewers.py
@@ -7,7 +7,7 @@
 from nutmeglead.controller.decisions import EntryNode
 from nutmeglead.core.ids import NodeId, ServerId
 
-__all__ = ["choose_renewers", "replace_renewer"]
+__all__ = ["choose_gate", "choose_renewers", "replace_renewer"]
 
 
 def _rank(node: EntryNode, server_id: ServerId) -> int:
@@ -36,6 +36,25 @@
     return sorted(node.node_id for node in chosen)
 
 
+def choose_gate(
+    server_id: ServerId, server_domain: str, nodes: Iterable[EntryNode], last: NodeId | None
+) -> EntryNode | None:
+    """Choose the entry VM whose router is the gate of a server, if possible in its domain.
+
+    After one whose lease has ended, the next in rank is chosen: its VM may be alive while its
+    router is not.
+    """
+    possible = [node for node in nodes if node.is_alive and node.gate_address is not None]
+    if not possible:
+        return None
+    ranked = sorted(
+        possible, key=lambda n: (n.failure_domain != server_domain, -_rank(n, server_id))
+    )
+    ids = [node.node_id for node in ranked]
+    position = ids.index(last) + 1 if last in ids else 0
+    return ranked[position % len(ranked)]
+
+
 def replace_renewer(
     server_id: ServerId, present: Sequence[NodeId], lost: NodeId, nodes: Iterable[EntryNode]
 ) -> list[NodeId] | None:
--- a/nutmeglead/controller/service.py
+++ b/nutmeglead/controller/service.py
@@ -82,6 +82,7 @@
             FailureDomainName(node.failure_domain),
             self.address,
             Address(node.ip, node.router_rpc_port),
+            Address(node.ip, node.router_gate_port),
         )
         names = [ServiceName(service.name) for service in settings.services]
         self.dissemination = DisseminationService(
@@ -204,7 +205,12 @@
     def _entry_nodes(self) -> dict[NodeId, EntryNode]:
         node = self._settings.node
         own = EntryNode(
-            NodeId(node.node_id), self.sender.incarnation, node.failure_domain, self.address, True
+            NodeId(node.node_id),
+            self.sender.incarnation,
+            node.failure_domain,
+            self.address,
+            True,
+            Address(node.ip, node.router_gate_port),
         )
         nodes = {own.node_id: own}
         for member in self.dissemination.members():
@@ -217,6 +223,7 @@
                 member.failure_domain,
                 member.address,
                 is_alive,
+                member.gate_address,
             )
         return nodes
 
--- a/nutmeglead/demo/fleet.py
+++ b/nutmeglead/demo/fleet.py
@@ -125,7 +125,7 @@
 
     def _vm_settings(self, domain: str) -> Settings:
         settings = deepcopy(self.settings)
-        ports = _free_ports(5)
+        ports = _free_ports(6)
         settings.node = NodeSettings(f"entry-{domain}", IP, domain, *ports)
         return settings
 
--- a/nutmeglead/demo/scenario.py
+++ b/nutmeglead/demo/scenario.py
@@ -21,6 +21,8 @@
 
 LARGE_BODY_BYTES = 512 * 1024
 SERVERS = {"lagerblick": 6, "schnittauftrag": 3, "konturablage": 3}
+# Its servers do not check grants, so that every request passes a gate.
+UNCHECKED_SERVICES = ("konturablage",)
 FLOWS = [
     Flow("lagerblick", b"GET", "stock", 40, 8),
     Flow("schnittauftrag", b"POST", "orders", 80, 4),
@@ -36,6 +38,8 @@
     """Hold one run of the demo."""
 
     def __init__(self, settings: Settings) -> None:
+        for service in settings.services:
+            service.checks_grants = service.name not in UNCHECKED_SERVICES
         options = FleetOptions(SERVERS, {"konturablage": LARGE_BODY_BYTES})
         self.fleet = Fleet(settings, options)
         self.counts = Counts()
--- a/nutmeglead/demo/watcher.py
+++ b/nutmeglead/demo/watcher.py
@@ -25,6 +25,9 @@
         self._keys: dict[str, list[str]] = {}
         self._shifts: dict[str, int] = {}
         for service in fleet.settings.services:
+            if not service.checks_grants:
+                # Its holders are the gates; the ledger of runs still shows two owners.
+                continue
             self._keys[service.name] = [f"k{number}" for number in range(1, KEYS_PER_SERVICE + 1)]
             self._shifts[service.name] = bucket_shift(service.hash_buckets)
         self._served_ms: dict[tuple[str, str], int] = {}
@@ -65,6 +68,8 @@
         self._counts.longest_unavailable_ms = max(self._counts.longest_unavailable_ms, gap_ms)
 
     def _served_keys(self, backend: Backend, now_ms: int) -> list[str]:
+        if backend.service_name not in self._keys:
+            return []
         holder = backend.standin.holder
         if holder.lease_end_ms(now_ms) is None:
             return []
--- a/nutmeglead/dissemination/members.py
+++ b/nutmeglead/dissemination/members.py
@@ -29,6 +29,7 @@
     failure_domain: FailureDomainName
     rpc_address: Address
     relay_address: Address | None = None
+    gate_address: Address | None = None
 
     @property
     def sender(self) -> Sender:
@@ -58,6 +59,7 @@
     changed_ms: float = NEVER_MS
     is_listed: bool = False
     relay_address: Address | None = None
+    gate_address: Address | None = None
 
     @property
     def sequence(self) -> int:
--- a/nutmeglead/dissemination/membership.py
+++ b/nutmeglead/dissemination/membership.py
@@ -133,6 +133,7 @@
         member.failure_domain = domain
         member.address = heartbeat.rpc_address
         member.relay_address = heartbeat.relay_address
+        member.gate_address = heartbeat.gate_address
         if not was_alive:
             self._tell(member, MemberStatus.ALIVE)
         if heartbeat.leaving:
@@ -347,6 +348,7 @@
             role_epochs=role_epochs,
             map_digests=map_digests,
             relay_address=self.identity.relay_address,
+            gate_address=self.identity.gate_address,
             news=news or None,
             leaving=leaving,
         )
--- a/nutmeglead/ownership/commands.py
+++ b/nutmeglead/ownership/commands.py
@@ -15,7 +15,12 @@
 from nutmeglead.ownership.handover import HandoverTable, SendRelease, SendStop
 from nutmeglead.ownership.units import UnitMap
 
-__all__ = ["CommandFactory"]
+__all__ = ["CommandFactory", "holder_name"]
+
+
+def holder_name(service_name: str, server_id: str) -> str:
+    """Return the name by which a gate knows the holder of a server's lease."""
+    return f"{service_name}/{server_id}"
 
 
 @dataclass
@@ -43,6 +48,7 @@
             hash_buckets=unit_map.hash_buckets,
             grants=[Grant(unit.to_id(), epoch) for unit, epoch in granted.grants],
             carve_outs=[unit.to_id() for unit in granted.carve_outs],
+            holder_name=holder_name(self.service_name, row.server_id),
         )
 
     def release(self, decision: SendRelease, unit_map: UnitMap) -> ReleaseUnits:
@@ -55,6 +61,7 @@
             holder_incarnation=decision.incarnation,
             units=[Grant(unit.to_id(), epoch) for unit, epoch in decision.units],
             kept=[Grant(record.unit.to_id(), record.epoch) for record in kept],
+            holder_name=holder_name(self.service_name, decision.server_id),
         )
 
     def stop(self, decision: SendStop) -> StopRenewing:
--- a/nutmeglead/ownership/renewer.py
+++ b/nutmeglead/ownership/renewer.py
@@ -200,6 +200,7 @@
             renewer_node_ids=list(assignment.renewers.node_ids),
             lease_end_ms=end_ms,
             role_epoch=assignment.renewers.role_epoch,
+            holder_name=f"{assignment.service_name}/{assignment.server_id}",
         )
         return RenewalOrder(
             ServiceName(assignment.service_name),
--- a/nutmeglead/routing/attempt.py
+++ b/nutmeglead/routing/attempt.py
@@ -7,6 +7,7 @@
 
 from nutmeglead.core.ids import ServerId
 from nutmeglead.http.messages import RequestHead, ResponseHead
+from nutmeglead.ownership.commands import holder_name
 from nutmeglead.routing.admission import QueuedRequest
 from nutmeglead.routing.body import RequestBody
 from nutmeglead.routing.errors import RequestError, ServerRefused
@@ -102,7 +103,17 @@
 
     def _make_head(self) -> RequestHead:
         now_ms = self._parts.timers.clock.now_ms()
-        return server_head(self._request, self.target.assignment.epoch, now_ms, self._body.length)
+        head = server_head(self._request, self.target.assignment.epoch, now_ms, self._body.length)
+        if self.target.address.is_gate:
+            # A gate stands for several servers.
+            name = holder_name(self._request.service_name, self.target.server_id)
+            head.headers.append((b"nutmeglead-server", name.encode()))
+        return head
+
+    @property
+    def is_from_gate(self) -> bool:
+        """Tell whether the answer comes from a router that stands for the server."""
+        return self.target.address.is_gate
 
     async def read_body(self) -> Result[bytes, RequestError]:
         """Return the next part of the answer's body, or b"" at its end."""
--- a/nutmeglead/routing/delivery.py
+++ b/nutmeglead/routing/delivery.py
@@ -3,25 +3,46 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from enum import Enum
+from typing import Protocol
 
-from result import Err
+from result import Err, Result
 
 from nutmeglead.http.errors import HttpError
 from nutmeglead.http.messages import Headers, ResponseHead
-from nutmeglead.routing.attempt import Attempt
 from nutmeglead.routing.body import CallerExchange
 from nutmeglead.routing.errors import CallerGone, RequestError
 from nutmeglead.routing.exchange import BODILESS_STATUSES
 from nutmeglead.routing.inbound import InboundRequest, answer_headers
 from nutmeglead.routing.timers import Timers, time_limit
 
-__all__ = ["SMALL_ANSWER_BYTES", "Delivery", "DeliveryState"]
+__all__ = ["AnswerSource", "SMALL_ANSWER_BYTES", "Delivery", "DeliveryState"]
 
 # An answer up to this size is read whole before the caller gets its first byte. So its slot does
 # not wait for a slow caller, and a cut answer still becomes a typed failure.
 SMALL_ANSWER_BYTES = 65_536
 
 
+class AnswerSource(Protocol):
+    """Be the part of an attempt that a delivery uses."""
+
+    @property
+    def is_from_gate(self) -> bool:
+        """Tell whether the answer comes from a router that stands for the server."""
+        ...
+
+    async def read_body(self) -> Result[bytes, RequestError]:
+        """Return the next part of the answer's body, or b"" at its end."""
+        ...
+
+    def begin_streaming(self) -> None:
+        """Let the rest of the body take longer than the deadline."""
+        ...
+
+    def close(self) -> None:
+        """Give back what the answer has used."""
+        ...
+
+
 class DeliveryState(Enum):
     """Tell what the caller has received."""
 
@@ -41,10 +62,10 @@
         self._timers = timers
         self._stall_ms = int(request.service.request_timeout_ms)
 
-    async def answer(self, attempt: Attempt, head: ResponseHead) -> RequestError | None:
+    async def answer(self, attempt: AnswerSource, head: ResponseHead) -> RequestError | None:
         """Deliver a server's answer; close the attempt as soon as the answer is read whole."""
         self.status = head.status
-        headers = answer_headers(head.headers, attempt.target.address.is_gate)
+        headers = answer_headers(head.headers, attempt.is_from_gate)
         if self._request.head.method == b"HEAD" or head.status in BODILESS_STATUSES:
             return await self._answer_without_body(attempt, head.status, headers)
         parts: list[bytes] = []
@@ -62,7 +83,7 @@
         return await self._stream(attempt, head.status, headers, b"".join(parts))
 
     async def _answer_without_body(
-        self, attempt: Attempt, status: int, headers: Headers
+        self, attempt: AnswerSource, status: int, headers: Headers
     ) -> RequestError | None:
         part = await attempt.read_body()
         if isinstance(part, Err):
@@ -84,7 +105,7 @@
         self.state = DeliveryState.WHOLE
 
     async def _stream(
-        self, attempt: Attempt, status: int, headers: Headers, first: bytes
+        self, attempt: AnswerSource, status: int, headers: Headers, first: bytes
     ) -> RequestError | None:
         attempt.begin_streaming()
         await self._start(status, headers)
--- a/nutmeglead/routing/inbound.py
+++ b/nutmeglead/routing/inbound.py
@@ -35,7 +35,14 @@
     }
 )
 # The router sets these itself; a caller that could set the epoch would pass the server's fence.
-ROUTER_HEADERS = frozenset({b"nutmeglead-deadline-ms", b"nutmeglead-epoch", b"nutmeglead-request"})
+ROUTER_HEADERS = frozenset(
+    {
+        b"nutmeglead-deadline-ms",
+        b"nutmeglead-epoch",
+        b"nutmeglead-request",
+        b"nutmeglead-server",
+    }
+)
 
 
 @dataclass(frozen=True)
--- a/nutmeglead/routing/map_view.py
+++ b/nutmeglead/routing/map_view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from nutmeglead._generated.common.ttypes import Address
 from nutmeglead._generated.messages.ttypes import PlacementPage, ServerEntry
 from nutmeglead._generated.settings.ttypes import ServiceSettings
 from nutmeglead.core.ids import FailureDomainName, ServerId, ServiceName
@@ -25,6 +26,7 @@
         self._directories: dict[ServiceName, dict[ServerId, BackendAddress]] = {
             name: {} for name in self.maps
         }
+        self._entries: dict[tuple[str, str], ServerEntry] = {}
         self._callbacks: list[Callable[[ServiceName], None]] = []
 
     def apply(self, page: PlacementPage) -> None:
@@ -36,6 +38,7 @@
         if is_directory(page):
             entries = page.directory or []
             self._directories[name] = {ServerId(e.server_id): _address(e) for e in entries}
+            self._entries.update({(name, e.server_id): e for e in entries})
         for callback in list(self._callbacks):
             callback(name)
 
@@ -60,6 +63,11 @@
         """Return where to send a server's requests, or None if it is not known."""
         return self._directories[service_name].get(server_id)
 
+    def server_address(self, service_name: ServiceName, server_id: str) -> Address | None:
+        """Return the server's own address, which only its gate uses."""
+        entry = self._entries.get((service_name, server_id))
+        return entry.address if entry else None
+
     def servers(self, service_name: ServiceName) -> Iterable[ServerId]:
         """List the service's known servers."""
         return self._directories[service_name].keys()
--- a/nutmeglead/routing/process.py
+++ b/nutmeglead/routing/process.py
@@ -1,6 +1,7 @@
 """Run the router process of one entry VM."""
 
 import asyncio
+import contextlib
 import logging
 import random
 
@@ -18,6 +19,7 @@
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.server import HttpServer
 from nutmeglead.platform.http_vms import HttpVmList
+from nutmeglead.routing.gate import GateService
 from nutmeglead.routing.load_reports import LoadReporter, RequestMetrics
 from nutmeglead.routing.map_view import MapView
 from nutmeglead.routing.router import RouterService
@@ -73,6 +75,9 @@
             settings, self.map_view, self.map_view, timers, rng, observer=self._reporter
         )
         self._http = HttpServer(self.router.handle)
+        services = {service.name: service for service in settings.services}
+        self.gate = GateService(services, self.map_view.server_address, timers, rng)
+        self._gate_http = HttpServer(self.gate.handle)
         self._handlers = HandlerRegistry()
         self._rpc_server = RpcServer(self._handlers)
         self._admin = AdminServer(metrics.registry, self._readiness)
@@ -87,6 +92,7 @@
         await self._rpc_server.start(node.ip, node.router_rpc_port)
         await self._admin.start(node.ip, node.router_admin_port)
         await self.dissemination.start()
+        await self._gate_http.start(node.ip, node.router_gate_port)
         await self._http.start(node.ip, node.router_port)
         self._loop = asyncio.ensure_future(self._report_load())
 
@@ -100,12 +106,23 @@
         if self._loop is not None:
             self._loop.cancel()
         self.router.close()
+        await self._stop_gate()
+        self.gate.close()
         await self.dissemination.stop()
         await self._rpc_server.close()
         await self._admin.stop()
         await self._rpc.close()
         self._fetcher.close()
 
+    async def _stop_gate(self) -> None:
+        """Let go of the servers behind this gate, so that the next gate waits for no lapse."""
+        self.gate.begin_stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.graceful_stop_ms / 1000):
+                while not self.gate.has_let_go():
+                    await asyncio.sleep(0.02)
+        await self._gate_http.stop(0)
+
     def _count_routers(self) -> int:
         members = self.dissemination.members()
         return sum(member.state is not MemberState.GONE for member in members)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -74,6 +74,8 @@
   5: required i64 lease_end_ms,
   // Role epoch that wrote the lease epoch; the holder refuses grants of a lower one.
   6: optional i64 role_epoch = 0,
+  // `<service>/<server>`; a gate holds the leases of several servers.
+  7: optional string holder_name,
 }
 
 enum RenewStatus {
@@ -109,6 +111,7 @@
   7: required i32 hash_buckets,
   8: required list<Grant> grants,
   9: required list<common.UnitId> carve_outs,
+  10: optional string holder_name,
 }
 
 enum OrderStatus {
@@ -139,6 +142,7 @@
   5: required list<Grant> units,
   // All exact and prefix units that the holder owns according to the table.
   6: optional list<Grant> kept,
+  7: optional string holder_name,
 }
 
 struct ReleaseReply {
@@ -221,6 +225,8 @@
   8: optional list<MemberNews> news,
   9: optional bool passive = false,
   10: optional bool leaving = false,
+  // Where the sender's VM serves as the gate of servers that do not check grants.
+  11: optional common.Address gate_address,
 }
 
 // Content of `PageDelta.changes`. The new page has `unit_count` units; those at `positions` get the given owners
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -16,6 +16,8 @@
   6: optional i32 router_admin_port = 8082,
   7: optional i32 controller_rpc_port = 8083,
   8: optional i32 controller_admin_port = 8084,
+  // Where this VM's router serves as the gate of servers that do not check grants.
+  9: optional i32 router_gate_port = 8085,
 }
 
 struct PlatformSettings {
