placement: keep plans consistent when pins and prefixes are removed

Cause: generated cases found a hot key pinned again in the plan that removed its pin, a key pinned out of a prefix whose removal was still to come, and pins judged cold against the sketch. Change: keys of pins removed in a plan are not pinned by it, a pin is cold only if counter and sketch agree, and a withdrawn prefix is removed for TICKET_CLAIM before the pins inside it.

--- a/benchmarks/zipf.py
+++ b/benchmarks/zipf.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from nutmeglead.placement.hotkeys import HotKeyFinder
+
 __all__ = ["Change", "Round", "Trace", "TraceSettings"]
 
 HOT_KEYS = 240
@@ -46,8 +48,9 @@
     changes: tuple[Change, ...]
     rates: list[float]
     counts: list[int]
-    # The keys of a sample of the round's requests, for the sketch of hot keys.
-    sample: list[str]
+    # What the sketch of hot keys found in a sample of the round's requests.
+    hot_counts: list[tuple[str, int]]
+    sample_requests: int
 
 
 class Trace:
@@ -80,6 +83,7 @@
         """Generate the rounds; call once."""
         settings = self.settings
         seconds = settings.round_ms / 1000.0
+        finder = HotKeyFinder(HOT_KEYS, 1, self._rng)
         for number in range(settings.warm_up_rounds + settings.rounds):
             changes = self._changes(number - settings.warm_up_rounds)
             if Change.HOT_KEYS in changes:
@@ -90,7 +94,10 @@
             counts = [_poisson(rate * seconds, self._rng) for rate in rates]
             sample = self._rng.choices(self.names, weights=rates, k=self.SAMPLE_REQUESTS)
             now_ms = (number + 1) * settings.round_ms
-            yield Round(number, now_ms, changes, rates, counts, sample)
+            for name in sample:
+                finder.count(name)
+            hot = finder.take_window()
+            yield Round(number, now_ms, changes, rates, counts, hot, len(sample))
 
     def _changes(self, number: int) -> tuple[Change, ...]:
         planned = {
--- a/nutmeglead/placement/baselines.py
+++ b/nutmeglead/placement/baselines.py
@@ -41,10 +41,13 @@
         )
         self.positions = [position for position, _ in points]
         self.owners = [server for _, server in points]
+        self._firsts: dict[str, int] = {}
 
     def first(self, key: str) -> int:
         """Return the index of the first point at or after a key."""
-        return bisect_left(self.positions, _hash(key)) % len(self.positions)
+        if key not in self._firsts:
+            self._firsts[key] = bisect_left(self.positions, _hash(key)) % len(self.positions)
+        return self._firsts[key]
 
 
 class HashRing:
@@ -94,6 +97,7 @@
     def __init__(self, bound: float = 1.1, virtual_nodes: int = VIRTUAL_NODES) -> None:
         self._bound = bound
         self._virtual_nodes = virtual_nodes
+        self._rings: dict[tuple[ServerId, ...], _Ring] = {}
 
     def place(
         self,
@@ -111,7 +115,10 @@
         loads: dict[ServerId, float],
         keys: Sequence[str],
     ) -> dict[str, ServerId]:
-        ring = _Ring(servers, self._virtual_nodes)
+        usable = tuple(servers)
+        if usable not in self._rings:
+            self._rings[usable] = _Ring(usable, self._virtual_nodes)
+        ring = self._rings[usable]
         limit = self._bound * sum(rates.values()) / len(servers)
         return {key: _place_key(ring, key, rates[key], loads, limit) for key in keys}
 
--- a/nutmeglead/placement/candidates.py
+++ b/nutmeglead/placement/candidates.py
@@ -77,7 +77,7 @@
         bucket = ledger.owners.bucket(hot.key)
         owner = ledger.owners.buckets[bucket]
         if owner in found:
-            found[owner].add(pin, min(hot.requests_per_s, ledger.rate(bucket)))
+            found[owner].add(pin, hot.requests_per_s)
     return found
 
 
@@ -92,9 +92,14 @@
     found = []
     for hot in hot_keys:
         pin = Pin(UnitKind.EXACT, hot.key)
-        claimed = pin in fixed or ledger.owners.bucket(hot.key) in fixed
-        if hot.requests_per_s < least or claimed or ledger.owners.holds(pin):
+        bucket = ledger.owners.bucket(hot.key)
+        if pin in fixed or bucket in fixed or ledger.owners.holds(pin):
+            continue
+        # Requests for the key were counted for the pin and not for the bucket so far.
+        if ledger.removes_pin_of(hot.key):
             continue
-        if ledger.owners.enclosing_prefix(pin) is None:
-            found.append(hot)
+        # The sketch may overestimate a key; it cannot have more load than its bucket.
+        rate = min(hot.requests_per_s, ledger.measured_rate(bucket))
+        if rate >= least and ledger.owners.enclosing_prefix(pin) is None:
+            found.append(HotKey(hot.key, rate))
     return sorted(found, key=lambda hot: (-hot.requests_per_s, hot.key))
--- a/nutmeglead/placement/ledger.py
+++ b/nutmeglead/placement/ledger.py
@@ -42,6 +42,7 @@
         # Load of hot keys that this plan takes out of their buckets or returns to them.
         self._detached: dict[int, float] = {}
         self._changes: dict[Unit, MoveReason] = {}
+        self._removed: list[Pin] = []
         self.base_rate = self._base_rate()
         self.server_loads = self._sum_loads()
 
@@ -59,13 +60,20 @@
 
     def rate(self, unit: Unit) -> float:
         """Return a unit's load in requests/s, at least the base rate."""
+        return max(self.measured_rate(unit), self.base_rate)
+
+    def measured_rate(self, unit: Unit) -> float:
+        """Return a unit's measured load in requests/s; 0 if none was measured."""
         if isinstance(unit, Pin):
-            return max(self._pin_rates.get(unit, 0.0), self.base_rate)
-        return max(self._bucket_rates[unit] - self._detached.get(unit, 0.0), self.base_rate)
+            return self._pin_rates.get(unit, 0.0)
+        return self._bucket_rates[unit] - self._detached.get(unit, 0.0)
 
-    def pin_rate(self, pin: Pin) -> float:
-        """Return a pin's measured load in requests/s; 0 if none was measured."""
-        return self._pin_rates.get(pin, 0.0)
+    def removes_pin_of(self, key: str) -> bool:
+        """Tell whether this plan removes a pin that held the key so far."""
+        return any(
+            key == pin.key or (pin.kind == UnitKind.PREFIX and key.startswith(pin.key))
+            for pin in self._removed
+        )
 
     def largest_rates(self, least: float) -> list[float]:
         """Return the rates above a bound, the largest first."""
@@ -87,8 +95,7 @@
     def detach(self, pin: Pin, requests_per_s: float) -> None:
         """Take a hot key's load out of its bucket, before the key is pinned."""
         bucket = self.owners.bucket(pin.key)
-        left = self._bucket_rates[bucket] - self._detached.get(bucket, 0.0)
-        self._pin_rates[pin] = max(0.0, min(requests_per_s, left))
+        self._pin_rates[pin] = max(0.0, min(requests_per_s, self.measured_rate(bucket)))
         self._shift(bucket, self._pin_rates[pin])
 
     def remove_pin(self, pin: Pin, reason: MoveReason) -> None:
@@ -96,6 +103,7 @@
         self._add_load(self.owners.owner(pin), -self.rate(pin))
         self.owners.remove(pin)
         self._changes[pin] = reason
+        self._removed.append(pin)
         rate = self._pin_rates.pop(pin, 0.0)
         prefix = self.owners.enclosing_prefix(pin)
         if prefix is not None:
--- a/nutmeglead/placement/model.py
+++ b/nutmeglead/placement/model.py
@@ -152,6 +152,7 @@
     SERVER_LOST = 1
     # The unit has no owner yet, as on the first start of a service.
     UNOWNED = 2
+    # A ticket claims the unit, or withdrew its claim on a prefix, whose pin is then removed.
     TICKET_CLAIM = 3
     SERVER_LEAVING = 4
     IMBALANCE = 5
--- a/nutmeglead/placement/planner.py
+++ b/nutmeglead/placement/planner.py
@@ -73,11 +73,10 @@
 
     def _remove_claimed_pins(self) -> None:
         """Remove pins that keep keys away from a claimed bucket or prefix, or whose claim ended."""
+        # Policies pin single keys only, so a prefix without a claim is a claim that was withdrawn.
         for pin in self._unclaimed_pins(UnitKind.PREFIX):
-            covered = self.claims.covers(pin)
-            reason = MoveReason.TICKET_CLAIM if covered else MoveReason.PIN_REMOVED
             if self._spend_ticket_move():
-                self.ledger.remove_pin(pin, reason)
+                self.ledger.remove_pin(pin, MoveReason.TICKET_CLAIM)
         for pin in self._unclaimed_pins(UnitKind.EXACT):
             if self.claims.covers(pin) and self._spend_ticket_move():
                 self.ledger.remove_pin(pin, MoveReason.TICKET_CLAIM)
@@ -133,11 +132,16 @@
         if self._load_is_stale():
             return
         least = self.limits.unpin_share * even_load(self.ledger)
-        pins = self._unclaimed_pins(UnitKind.EXACT)
-        pins.sort(key=lambda pin: (self.ledger.pin_rate(pin), pin.key))
+        # The sketch may still list a key whose pin has little load, or the other way round. Only if
+        # both agree is the key cold; otherwise it would be pinned again by the next plan.
+        hot = dict(self.request.load.hot_keys)
+        pins = [
+            (max(self.ledger.measured_rate(pin), hot.get(pin.key, 0.0)), pin)
+            for pin in self._unclaimed_pins(UnitKind.EXACT)
+        ]
         surplus = len(pins) - self.request.settings.max_pins
-        for position, pin in enumerate(pins):
-            cold = self.ledger.pin_rate(pin) < least and pin not in self.request.recently_moved
+        for position, (rate, pin) in enumerate(sorted(pins)):
+            cold = rate < least and pin not in self.request.recently_moved
             if (cold or position < surplus) and self.policy_moves > 0:
                 self.ledger.remove_pin(pin, MoveReason.PIN_REMOVED)
                 self.policy_moves -= 1
--- a/nutmeglead/placement/rebalance.py
+++ b/nutmeglead/placement/rebalance.py
@@ -134,17 +134,31 @@
             return False
         # The donor must not end below the level to which underloaded servers are filled.
         most = min(most, self._excess(donor, self.limits.underload_settle))
-        chosen = candidates.take(need, min(self._room(receiver), most), self.least)
+        chosen = self._choose(candidates, need, min(self._room(receiver), most))
         if chosen is None:
             # Units too large to end at the settle level may still end below the trigger.
             room = -self._excess(receiver, self.limits.overload_trigger)
-            chosen = candidates.take(need, min(room, most), self.least)
+            chosen = self._choose(candidates, need, min(room, most))
         if chosen is None:
             return False
         self._move(chosen, receiver, candidates)
         self.budget -= 1
         return True
 
+    def _choose(self, candidates: Candidates, need: float, most: float) -> Candidate | None:
+        """Take a candidate, leaving out hot keys whose bucket no longer has their load."""
+        while True:
+            chosen = candidates.take(need, most, self.least)
+            if chosen is None or self._is_current(chosen):
+                return chosen
+
+    def _is_current(self, chosen: Candidate) -> bool:
+        unit = chosen.unit
+        if not isinstance(unit, Pin) or self.ledger.owners.holds(unit):
+            return True
+        bucket = self.ledger.owners.bucket(unit.key)
+        return self.ledger.measured_rate(bucket) >= chosen.rate
+
     def _move(self, chosen: Candidate, receiver: int, candidates: Candidates) -> None:
         unit = chosen.unit
         if not isinstance(unit, Pin) or self.ledger.owners.holds(unit):
