--- a/nutmeglead/ownership/holder.py
+++ b/nutmeglead/ownership/holder.py
@@ -142,8 +142,12 @@
                 unit, epoch = unit_from_id(grant.unit), Epoch(grant.epoch)
                 done = not self._is_held(unit, epoch) and not self._has_runs(unit, epoch)
                 (released if done else draining).append(grant.unit)
+        if draining:
+            # An overtaken release was not carried out, so what is still held does not drain.
+            is_overtaken = (message.role_epoch, message.sequence) < self._order
+            status = OrderStatus.STALE_ROLE_EPOCH if is_overtaken else OrderStatus.DRAINING
         return ReleaseReply(
-            status=OrderStatus.DRAINING if draining else status,
+            status=status,
             holder_incarnation=self.incarnation,
             released=released,
             draining=draining,
@@ -300,15 +304,29 @@
         order = (message.role_epoch, message.sequence)
         if message.holder_incarnation != self.incarnation:
             return OrderStatus.WRONG_INCARNATION
-        if order < self._order:
+        if message.role_epoch < self._order[0]:
             return OrderStatus.STALE_ROLE_EPOCH
+        # A release that a newer grant set of the same role overtook changes nothing, but its answer
+        # is as good a proof: that grant set came from the table after the move was written.
         if order > self._order:
             self._order = order
             self._installed = None  # a repetition of the last SetGrants is no longer in effect
+            self._drop_removed_pins(message)
             for grant in message.units:
                 self._drop_unit(unit_from_id(grant.unit), Epoch(grant.epoch))
         return OrderStatus.DONE
 
+    def _drop_removed_pins(self, message: ReleaseUnits) -> None:
+        """Drop pins that the table no longer gives to this server.
+
+        The key of a removed pin belongs to the unit below. Released alone, that unit would leave
+        the pin granted here while its key is granted elsewhere.
+        """
+        kept = {(unit_from_id(grant.unit), grant.epoch) for grant in message.kept or ()}
+        for unit, epoch in list(self._grants.items()):
+            if unit.kind != UnitKind.HASH_BUCKET and (unit, epoch) not in kept:
+                self._drop_unit(unit, epoch)
+
     def _drop_unit(self, unit: Unit, epoch: Epoch) -> None:
         granted = self._grants.get(unit)
         if granted is not None and granted > epoch:
--- a/nutmeglead/ownership/units.py
+++ b/nutmeglead/ownership/units.py
@@ -1,7 +1,7 @@
 """Find the owner of a key in a copy of a service's placement pages."""
 
 from array import array
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -144,14 +144,45 @@
             return []
         buckets = [Unit.of_bucket(bucket) for bucket in self._buckets_of(index)]
         records = [record for record in map(self.record, buckets) if record is not None]
-        return records + [record for record in self.pins() if record.owner == server_id]
+        return records + self.pins_of(server_id)
+
+    def pins_of(self, server_id: ServerId) -> list[UnitRecord]:
+        """List the exact and prefix units that a server owns."""
+        return [record for record in self.pins() if record.owner == server_id]
 
     def grant_set(self, server_id: ServerId, proven: Callable[[Unit, Holder], bool]) -> GrantSet:
         """Compute a server's grants and carve-outs.
 
         A unit is granted when `proven` holds for each previous holder of it.
         """
-        owned = self.units_of(server_id)
+        return self._grant_set(self.units_of(server_id), proven)
+
+    def grant_sets(
+        self, server_ids: Iterable[ServerId], proven: Callable[[Unit, Holder], bool]
+    ) -> dict[ServerId, GrantSet]:
+        """Compute the grant sets of many servers in one pass over the buckets.
+
+        After the loss of a failure domain thousands of servers get units at once.
+        """
+        owned: dict[ServerId | None, list[UnitRecord]] = {server: [] for server in server_ids}
+        wanted = {index for server, index in self._server_index.items() if server in owned}
+        for bucket, index in enumerate(self._owners):
+            if index in wanted:
+                record = self.record(Unit.of_bucket(bucket))
+                if record is not None:
+                    owned[record.owner].append(record)
+        for record in self.pins():
+            if record.owner in owned:
+                owned[record.owner].append(record)
+        return {
+            server: self._grant_set(records, proven)
+            for server, records in owned.items()
+            if server is not None
+        }
+
+    def _grant_set(
+        self, owned: list[UnitRecord], proven: Callable[[Unit, Holder], bool]
+    ) -> GrantSet:
         granted = {
             record.unit: record.epoch
             for record in owned
--- a/nutmeglead/settings/structs.py
+++ b/nutmeglead/settings/structs.py
@@ -7,15 +7,21 @@
 
 from thrift.Thrift import TType
 
+from nutmeglead._generated.common.ttypes import UnitId, UnitKind
+from nutmeglead._generated.messages.ttypes import AuditKind, AuditRecord
 from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState
 from nutmeglead.settings.errors import Fault, describe_value
 
-__all__ = ["DuplicateField", "fill_struct", "join_path", "required_fields"]
+__all__ = ["DuplicateField", "fill_struct", "join_path", "plain_struct", "required_fields"]
 
 _INTEGER_BITS = {TType.BYTE: 8, TType.I16: 16, TType.I32: 32, TType.I64: 64}
 
 # `thrift_spec` gives an enum field the type I32 and does not name the enum.
-_ENUM_FIELDS: dict[tuple[type, str], type[IntEnum]] = {(ServerItem, "state"): ServerState}
+_ENUM_FIELDS: dict[tuple[type, str], type[IntEnum]] = {
+    (ServerItem, "state"): ServerState,
+    (AuditRecord, "kind"): AuditKind,
+    (UnitId, "kind"): UnitKind,
+}
 
 
 @dataclass(frozen=True)
@@ -47,6 +53,22 @@
     return frozenset(required)
 
 
+def plain_struct(value: Any) -> Any:
+    """Return a struct as the nested dicts that `fill_struct` reads; unset fields are left out."""
+    if isinstance(value, list):
+        return [plain_struct(item) for item in value]
+    if not hasattr(value, "thrift_spec"):
+        return value
+    plain = {}
+    for spec in value.thrift_spec:
+        entry = getattr(value, spec[2]) if spec else None
+        if entry is None:
+            continue
+        enum_type = _ENUM_FIELDS.get((type(value), spec[2]))
+        plain[spec[2]] = enum_type(entry).name.lower() if enum_type else plain_struct(entry)
+    return plain
+
+
 def fill_struct(struct_type: type, value: object, path: str, faults: list[Fault]) -> Any:
     """Return a struct filled from a parsed object; add each fault to `faults`.
 
@@ -128,7 +150,7 @@
 
 def _is_scalar_of(field_type: int, value: object) -> bool:
     if field_type == TType.STRING:
-        return isinstance(value, str)
+        return isinstance(value, str) and _is_encodable(value)
     if field_type == TType.BOOL:
         return isinstance(value, bool)
     # bool is a subclass of int in Python, so `true` would pass as 1.
@@ -141,6 +163,15 @@
     return isinstance(value, int) and -(1 << bits - 1) <= value < 1 << bits - 1
 
 
+def _is_encodable(text: str) -> bool:
+    """Tell whether a text has a UTF-8 form; JSON can escape half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _expected(field_type: int) -> str:
     if field_type in _INTEGER_BITS:
         return f"a whole number of {_INTEGER_BITS[field_type]} bits"
