--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -16,6 +16,7 @@
     PROGRAM_STOPPING = (1002, logging.INFO, "the program has begun its graceful shutdown")
     PROGRAM_STOPPED = (1003, logging.INFO, "the program has stopped")
     SETTINGS_REFUSED = (1004, logging.ERROR, "the settings have faults; the program does not start")
+    LISTEN_FAILED = (1005, logging.ERROR, "a port of the settings could not be bound")
 
     ROLE_TAKEN = (2001, logging.INFO, "this controller now acts for a service")
     ROLE_LOST = (2002, logging.WARNING, "another controller acts for a service")
--- a/nutmeglead/programs/common.py
+++ b/nutmeglead/programs/common.py
@@ -12,18 +12,21 @@
 from nutmeglead import __version__
 from nutmeglead._generated.settings.ttypes import Settings
 from nutmeglead.admin.process import Service, run_until_signal
+from nutmeglead.core.errors import NutmegleadError
 from nutmeglead.core.events import Event, configure_logging, log_event
 from nutmeglead.core.registry import Registry
+from nutmeglead.programs.errors import ListenFailed
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.output import Output
-from nutmeglead.settings.errors import FileUnreadable, SettingsFaults
 from nutmeglead.settings.loader import load_settings
 
-__all__ = ["build_parser", "run_command_line", "run_service", "start"]
+__all__ = ["build_parser", "run_command_line", "run_parsed", "run_service", "start"]
 
 logger = logging.getLogger(__name__)
 
 Policies = Mapping[str, Registry[Any]]
+Build = Callable[[Settings], Service]
+Check = Callable[[Settings], Result[None, NutmegleadError]]
 
 
 def build_parser(program: str, description: str) -> argparse.ArgumentParser:
@@ -43,17 +46,24 @@
     return parser
 
 
+def _accept(_: Settings) -> Result[None, NutmegleadError]:
+    return Ok(None)
+
+
 def start(
-    options: argparse.Namespace, policies: Policies, output: Output
+    options: argparse.Namespace, policies: Policies, output: Output, check: Check = _accept
 ) -> Result[Settings, ExitCode]:
     """Load the settings and set up logging; Err if the program has to exit at once.
 
-    A settings file with any fault starts nothing.
+    A settings file with any fault starts nothing. `check` reads what else the options name.
     """
     loaded = load_settings(options.settings, policies)
     if isinstance(loaded, Err):
         return Err(_refuse(loaded.err_value, options, output))
     settings = loaded.ok_value
+    checked = check(settings)
+    if isinstance(checked, Err):
+        return Err(_refuse(checked.err_value, options, output))
     if options.check:
         output.result(f"{options.settings}: the settings are valid", valid=True)
         return Err(ExitCode.DONE)
@@ -65,15 +75,28 @@
     program: str,
     description: str,
     policies: Policies,
-    build: Callable[[Settings], Service],
+    build: Build,
     arguments: list[str] | None = None,
 ) -> int:
     """Run a service until SIGTERM or SIGINT and return the exit code."""
     options = build_parser(program, description).parse_args(arguments)
-    started = start(options, policies, Output())
+    return run_parsed(options, policies, build)
+
+
+def run_parsed(
+    options: argparse.Namespace, policies: Policies, build: Build, check: Check = _accept
+) -> int:
+    """Run a service with options that are parsed already."""
+    output = Output()
+    started = start(options, policies, output, check)
     if isinstance(started, Err):
         return started.err_value
-    asyncio.run(_run(build, started.ok_value))
+    try:
+        asyncio.run(_run(build, started.ok_value))
+    except OSError as error:
+        # Sockets of later connections report their errors to their own callers.
+        log_event(logger, Event.LISTEN_FAILED, reason=str(error))
+        return output.error(ListenFailed(str(error)))
     return ExitCode.DONE
 
 
@@ -85,14 +108,12 @@
         return ExitCode.INTERRUPTED
 
 
-async def _run(build: Callable[[Settings], Service], settings: Settings) -> None:
+async def _run(build: Build, settings: Settings) -> None:
     # Services bind asyncio objects when they are built, so the loop runs already.
     await run_until_signal(build(settings))
 
 
-def _refuse(
-    error: SettingsFaults | FileUnreadable, options: argparse.Namespace, output: Output
-) -> ExitCode:
+def _refuse(error: NutmegleadError, options: argparse.Namespace, output: Output) -> ExitCode:
     if not options.check:
         configure_logging("INFO", "json", output.errors)
         log_event(logger, Event.SETTINGS_REFUSED, file=str(options.settings))
--- a/nutmeglead/programs/exit_codes.py
+++ b/nutmeglead/programs/exit_codes.py
@@ -3,6 +3,7 @@
 from enum import IntEnum
 
 from nutmeglead.core.errors import NutmegleadError, PlatformError
+from nutmeglead.programs.errors import ListenFailed
 from nutmeglead.settings.errors import FileUnreadable, SettingsFaults
 from nutmeglead.tickets.errors import (
     BaseAhead,
@@ -36,6 +37,7 @@
     NOT_FOUND = 9
     NOT_IN_FORCE = 10
     DATA_CORRUPT = 11
+    LISTEN_FAILED = 12
     # 128 + SIGINT, as shells report it.
     INTERRUPTED = 130
 
@@ -52,6 +54,7 @@
     FilingUnknown: ExitCode.OUTCOME_UNKNOWN,
     TicketAbsent: ExitCode.NOT_FOUND,
     CorruptRow: ExitCode.DATA_CORRUPT,
+    ListenFailed: ExitCode.LISTEN_FAILED,
     PlatformError: ExitCode.UNAVAILABLE,
 }
 
--- a/nutmeglead/routing/process.py
+++ b/nutmeglead/routing/process.py
@@ -112,6 +112,9 @@
 
     def _readiness(self) -> Readiness:
         missing = []
+        if self.is_stopping:
+            # The balancer would else send new requests to a port that is closed already.
+            missing.append("the router is stopping")
         if not self.map_view.is_complete():
             missing.append("the unit map is not complete")
         if self.dissemination.is_cut_off():
--- a/nutmeglead/settings/tests/examples.feature
+++ b/nutmeglead/settings/tests/examples.feature
@@ -6,9 +6,14 @@
     And the settings differ only in the node
 
     Examples: each row names the failure it guards against
-      | user    | domains                                     | failure                                       |
-      | brunner | halle-a, halle-b, buero                     | a failure domain starts without a valid file  |
-      | cubo    | recife-a, recife-b, fortaleza-a, salvador-a | entry VMs disagree about a service's settings |
+      | user     | domains                                     | failure                                       |
+      | brunner  | halle-a, halle-b, buero                     | a failure domain starts without a valid file  |
+      | cubo     | recife-a, recife-b, fortaleza-a, salvador-a | entry VMs disagree about a service's settings |
+      | loopback | domain-a, domain-b, domain-c                | the try by hand starts with an invalid file   |
+
+  Scenario: The processes of the try by hand share no port
+    Given the example directory of loopback
+    Then no two processes or servers listen on the same port
 
   Scenario Outline: Each service has the size and semantics of the design page
     Given the example directory of <user>
--- a/nutmeglead/settings/tests/steps/examples_steps.py
+++ b/nutmeglead/settings/tests/steps/examples_steps.py
@@ -97,3 +97,15 @@
 def step_policy(context, policy):
     found = {service.placement.policy for service in context.example.any.services}
     assert found == {policy}
+
+
+@then("no two processes or servers listen on the same port")
+def step_ports(context):
+    example = context.example
+    ports = [item.address.port for item in example.ticket.servers]
+    for settings in example.settings.values():
+        node = settings.node
+        ports += [getattr(node, s[2]) for s in node.thrift_spec if s and s[2].endswith("_port")]
+    platform = example.any.platform
+    ports += [a.port for a in (platform.table_service, platform.object_store, platform.vm_list)]
+    assert len(ports) == 6 + 3 * 5 + 3 == len(set(ports)), sorted(ports)
--- a/nutmeglead/standin/platform.py
+++ b/nutmeglead/standin/platform.py
@@ -4,6 +4,7 @@
 import base64
 import json
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from urllib.parse import unquote
 
 from result import Err, Ok
@@ -16,31 +17,48 @@
 from nutmeglead.platform.memory import MemoryObjectStore, MemoryTable, MemoryVmList
 from nutmeglead.platform.ports import RowCheck, RowWrite
 
-__all__ = ["PlatformStandin"]
+__all__ = ["PlatformService", "PlatformStandin"]
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 Route = Callable[[ServerExchange, str, bytes], Awaitable[None]]
 
 
+class PlatformService(Enum):
+    """Name the services of the platform."""
+
+    TABLE = "table service"
+    OBJECTS = "object store"
+    VM_LIST = "VM list"
+
+
 class PlatformStandin:
-    """Answer the wire forms of nutmeglead.platform.http_* from in-memory services."""
+    """Answer the wire forms of nutmeglead.platform.http_* from in-memory services.
+
+    Requests to a service that is not among `services` are answered with status 404.
+    """
 
-    def __init__(self, latency_ms: int = 0) -> None:
+    def __init__(
+        self,
+        latency_ms: int = 0,
+        services: frozenset[PlatformService] = frozenset(PlatformService),
+    ) -> None:
         self.table = MemoryTable()
         self.objects = MemoryObjectStore()
         self.vms = MemoryVmList()
         self._latency_ms = latency_ms
         self._server = HttpServer(self._handle)
-        self._routes: list[tuple[bytes, str, Route]] = [
-            (b"GET", "/rows/", self._read_row),
-            (b"GET", "/scan/", self._scan),
-            (b"POST", "/commit", self._commit),
-            (b"PUT", "/objects/", self._put_object),
-            (b"GET", "/objects/", self._get_object),
-            (b"GET", "/names/", self._list_names),
-            (b"GET", "/vms", self._list_vms),
+        table, objects = PlatformService.TABLE, PlatformService.OBJECTS
+        routes: list[tuple[PlatformService, bytes, str, Route]] = [
+            (table, b"GET", "/rows/", self._read_row),
+            (table, b"GET", "/scan/", self._scan),
+            (table, b"POST", "/commit", self._commit),
+            (objects, b"PUT", "/objects/", self._put_object),
+            (objects, b"GET", "/objects/", self._get_object),
+            (objects, b"GET", "/names/", self._list_names),
+            (PlatformService.VM_LIST, b"GET", "/vms", self._list_vms),
         ]
+        self._routes = [route[1:] for route in routes if route[0] in services]
 
     async def start(self, ip: str, port: int) -> int:
         """Listen and return the port."""
