--- a/nutmeglead/settings/ranges.py
+++ b/nutmeglead/settings/ranges.py
@@ -56,6 +56,7 @@
         "router_admin_port": _PORT,
         "controller_rpc_port": _PORT,
         "controller_admin_port": _PORT,
+        "router_gate_port": _PORT,
     },
     PlatformSettings: {"request_timeout_ms": _WAIT, "vm_list_poll_interval_ms": _WAIT},
     RetrySettings: {
