routing: send nothing after a pause past the deadline

Cause: a router that was paused while it connected sent the request although its deadline had passed, and a failure before the first byte on a reused connection counted the bytes of the exchange before. Change: the exchange checks the clock before the first byte; bytes count from its own first write.

--- a/nutmeglead/routing/exchange.py
+++ b/nutmeglead/routing/exchange.py
@@ -114,6 +114,9 @@
                     self.state = ExchangeState.FAILED
                     return opened
                 self.connection = opened.ok_value
+                # After a pause of this process the timer may fire later than this step.
+                if self._timers.clock.now_ms() >= self._deadline_ms:
+                    raise TimeoutError
                 answer = await self._send_and_wait(make_head(), body)
         except TimeoutError:
             return Err(self._fail(self._late()))
@@ -160,6 +163,9 @@
         self.state = ExchangeState.WAIT
 
     def _has_written(self) -> bool:
+        # Until then, a reused connection counts the bytes of its last exchange.
+        if self.state is ExchangeState.CONNECT:
+            return False
         return self.connection is not None and self.connection.bytes_written > 0
 
     def _late(self) -> RequestError:
--- a/nutmeglead/routing/tests/server_faults.feature
+++ b/nutmeglead/routing/tests/server_faults.feature
@@ -47,6 +47,17 @@
       | dies before the first byte  | order   | 0    | 503 not-run server-unreachable | no byte was written but the order is called unknown |
       | answers unasked             | order   | 1    | 200 whole                      | bytes that came before the request are its answer  |
 
+  Scenario Outline: The router was paused past the deadline
+    Given a fake server whose connection <state> after a pause of the router
+    When a caller sends a order and 0 ms pass
+    Then the server ran the request 0 times
+    And the caller is told "503 not-run deadline-passed"
+
+    Examples: each row names the failure it guards against
+      | state     | failure                                                        |
+      | opens     | a paused router sends a request whose caller has given up      |
+      | is reused | bytes of an earlier request make this one's outcome unknown    |
+
   Scenario Outline: A healthy end of an exchange keeps its connection
     Given a fake server that <fault> on its first connection
     When a caller sends a <request> and 0 ms pass
--- a/nutmeglead/routing/tests/steps/server_faults_steps.py
+++ b/nutmeglead/routing/tests/steps/server_faults_steps.py
@@ -1,5 +1,7 @@
 """Steps for the faults of servers."""
 
+import asyncio
+
 from behave import given, then, when
 
 from nutmeglead.routing.tests.memory_wire import settle
@@ -22,6 +24,7 @@
         self.prepare = lambda server: None
         self.request = None
         self.pass_ms = 0
+        self.pauses_on_reuse = False
         self.told = self.next_told = None
 
     async def play(self):
@@ -31,8 +34,17 @@
         if self.fault:
             server.scripts.append(FAULTS[self.fault])
         self.prepare(server)
+        if self.pauses_on_reuse:
+            await rig.ask(*self.request)
+            server.runs.clear()
+            self._pause_before_acquire(rig)
         caller = rig.begin(*self.request)
         await settle(400)
+        if server.connect_gate:
+            # Only the clock moves: the timers of a paused process fire after it goes on.
+            rig.clock.advance(2000)
+            server.connect_gate.set()
+            await settle(400)
         if self.pass_ms:
             await rig.advance(self.pass_ms)
         self.told = caller.told
@@ -49,6 +61,16 @@
         self.first_closed = server.sides and server.sides[0].is_closed_by_router
         await rig.close()
 
+    def _pause_before_acquire(self, rig):
+        acquire = rig.router.pool.acquire
+
+        async def acquire_after_pause(*arguments):
+            rig.clock.advance(2000)
+            rig.router.pool.acquire = acquire
+            return await acquire(*arguments)
+
+        rig.router.pool.acquire = acquire_after_pause
+
     def execute(self):
         if self.next_told is None:
             run(self.play)
@@ -67,6 +89,9 @@
         server.connect_failures = int(fault == "is refused")
         server.dies_before_first_byte = fault == "dies before the first byte"
         server.settles_after_connect = True
+        context.fault.pauses_on_reuse = fault.startswith("is reused")
+        if fault == "opens after a pause of the router":
+            server.connect_gate = asyncio.Event()
 
     context.fault.prepare = prepare
 
