placement: check the order and the floor by which lost units spread

Cause: mutations of three decisions passed all features: heaviest unit first, the base rate of idle buckets, and SERVER_LOST for a claimed unit of a lost server.

--- a/benchmarks/strategies.py
+++ b/benchmarks/strategies.py
@@ -104,7 +104,7 @@
         )
         self._merger.apply(made.moves, start_ms)
         self._recent.add(made.moves, start_ms)
-        index = {server.server_id: i for i, server in enumerate(servers)}
+        index: dict[ServerId | None, int] = {s.server_id: i for i, s in enumerate(servers)}
         for move in made.moves:
             if isinstance(move.unit, Pin) and move.removes_pin:
                 del self._placement.pins[move.unit]
--- a/nutmeglead/placement/tests/planner.feature
+++ b/nutmeglead/placement/tests/planner.feature
@@ -16,6 +16,25 @@
       | failure domain d0 is lost    | all units go to one server, which then fails from overload |
       | 5 of 6 servers are lost      | no receiver is found although one server remains           |
 
+  Scenario: A lost unit that a ticket claims goes to its claimed server at once
+    Given 6 servers in 3 failure domains with even load
+    And a budget of 0 policy moves and 0 ticket moves
+    When it happens that s1 is lost and its bucket 1 is claimed for s5
+    And the planner runs
+    Then bucket 1 moves to s5 for SERVER_LOST
+
+  Scenario: Lost units without measured load spread by their number
+    Given 6 servers in 3 failure domains with even load
+    When it happens that s1 is lost and none of its 11 units had load
+    And the planner runs
+    Then no server receives more than 4 units
+
+  Scenario: The heaviest lost units are placed first
+    Given 6 servers in 3 failure domains with even load
+    When it happens that s1 is lost with one unit of 100 requests/s after its units of 10
+    And the planner runs
+    Then no remaining server has more than 200 requests/s
+
   Scenario Outline: A ticket's claim takes precedence over the policy
     Given 6 servers in 3 failure domains with even load
     When it happens that <event>
--- a/nutmeglead/placement/tests/steps/planner_steps.py
+++ b/nutmeglead/placement/tests/steps/planner_steps.py
@@ -1,6 +1,7 @@
 """Steps for the planner's mandatory moves."""
 
 import re
+from collections import Counter
 
 from behave import given, then, when
 
@@ -66,7 +67,29 @@
         case.hot[key] = 30.0
 
 
+def _lose_claimed_elsewhere(case):
+    _lose(case, "s1")
+    case.claim_bucket(1, 1, "s5")
+
+
+def _lose_idle(case):
+    for bucket, owner in enumerate(case.owners):
+        # The other servers have 10 buckets with load each.
+        if owner == 1 or bucket >= 60:
+            case.rates[bucket] = 0.0
+    _lose(case, "s1")
+
+
+def _lose_uneven(case):
+    # s4 and s5 have 100 requests/s, so 200 is the least possible for the largest unit's server.
+    case.rates[61] = 100.0
+    _lose(case, "s1")
+
+
 EVENTS = {
+    "s1 is lost and none of its 11 units had load": _lose_idle,
+    "s1 is lost and its bucket 1 is claimed for s5": _lose_claimed_elsewhere,
+    "s1 is lost with one unit of 100 requests/s after its units of 10": _lose_uneven,
     "s1 is lost": lambda c: _lose(c, "s1"),
     "s1 and s2 are lost": lambda c: _lose(c, "s1", "s2"),
     "failure domain d0 is lost": lambda c: _lose(c, "s0", "s3"),
@@ -168,6 +191,19 @@
     assert max(loads) - min(loads) <= 10.0, loads
 
 
+@then("no server receives more than {count:d} units")
+def step_receives(context, count):
+    received = Counter(move.to_server for move in context.planner.moves)
+    assert sum(received.values()) == 11 and max(received.values()) <= count, received
+
+
+@then("no remaining server has more than {limit:g} requests/s")
+def step_highest(context, limit):
+    case = context.planner.case
+    loads = {server_id: case.server_load(server_id) for server_id in case.live_ids()}
+    assert max(loads.values()) <= limit, loads
+
+
 @then("the reasons are {name}")
 def step_reasons(context, name):
     reasons = {move.reason for move in context.planner.moves}
