placement: check the level that servers without an oversized key aim at

Leaving out oversized keys from the even level was not checked either. Change: give that scenario no policy budget, and add one for the even level.

--- a/nutmeglead/placement/tests/planner.feature
+++ b/nutmeglead/placement/tests/planner.feature
@@ -31,6 +31,7 @@
 
   Scenario: The heaviest lost units are placed first
     Given 6 servers in 3 failure domains with even load
+    And a budget of 0 policy moves and 0 ticket moves
     When it happens that s1 is lost with one unit of 100 requests/s after its units of 10
     And the planner runs
     Then no remaining server has more than 200 requests/s
--- a/nutmeglead/placement/tests/rebalancing.feature
+++ b/nutmeglead/placement/tests/rebalancing.feature
@@ -35,6 +35,11 @@
     Then the hot key's server has no other load above 5% of a mean server's
     And the highest load of the other servers is at most 1.1 of their mean
 
+  Scenario: A key larger than a server's share does not raise what the others may carry
+    Given 6 servers with one hot key larger than a server's share and twice the load on s1
+    When the planner runs for 20 rounds under policy balanced
+    Then the highest load of the other servers is at most 1.1 of their mean
+
   Scenario: A joining server is loaded by degrees
     Given 6 servers with even load
     When s6 joins and the planner runs every 5 s for 60 s
--- a/nutmeglead/placement/tests/steps/rebalancing_steps.py
+++ b/nutmeglead/placement/tests/steps/rebalancing_steps.py
@@ -108,6 +108,11 @@
     scenario.case.settings.max_pins = 3
 
 
+def _hot_and_double(scenario):
+    scenario.scale(1, 2.0)
+    scenario.add_hot_key("gear", 300.0, 0)
+
+
 def _large_server(scenario):
     servers = scenario.case.servers
     servers[0] = replace(servers[0], weight=2.0)
@@ -120,6 +125,7 @@
     "load of s0 and s1 flapping every round": lambda s: setattr(s, "before_round", s.flap),
     "one bucket larger than a server's share": lambda s: s.case.rates.__setitem__(0, 300.0),
     "one hot key larger than a server's share": lambda s: s.add_hot_key("gear", 300.0, 0),
+    "one hot key larger than a server's share and twice the load on s1": _hot_and_double,
     "rates 16 s old and twice the load on s0": _stale_double,
     "half the hot keys on s0": _half_hot,
     "twice the weight for s0": _large_server,
