--- a/nutmeglead/dissemination/membership.py
+++ b/nutmeglead/dissemination/membership.py
@@ -7,13 +7,7 @@
 from nutmeglead._generated.messages.ttypes import Heartbeat, MemberNews, MemberStatus
 from nutmeglead._generated.settings.ttypes import DisseminationSettings
 from nutmeglead.core.ids import FailureDomainName, NodeId
-from nutmeglead.dissemination.members import (
-    NEVER_MS,
-    Identity,
-    Member,
-    MemberEvent,
-    MemberState,
-)
+from nutmeglead.dissemination.members import NEVER_MS, Identity, Member, MemberEvent, MemberState
 from nutmeglead.dissemination.news import NewsQueue
 from nutmeglead.dissemination.rings import Rings
 from nutmeglead.platform.ports import VmEntry, VmState
@@ -45,7 +39,7 @@
         self._events: list[MemberEvent] = []
         self._sequence = 0
         self._announced_sequence = 0
-        # Grows with every change of the set of alive members, so that views of it can be cached.
+        # Grows with every change of the alive members and their domains; views of them are cached.
         self.version = 0
         self._started_ms = now_ms
         self._last_tick_ms = now_ms
@@ -130,6 +124,7 @@
         was_alive = member.state is MemberState.ALIVE
         self._hear(member, sender.incarnation, now_ms)
         member.heartbeat_sequence = heartbeat.sequence
+        self.version += member.failure_domain != domain
         member.failure_domain = domain
         member.address = heartbeat.rpc_address
         member.relay_address = heartbeat.relay_address
@@ -374,6 +369,8 @@
         if before is state and not is_new_process:
             return
         self._events.append(MemberEvent(member.node_id, before, state, member.incarnation))
+        if before is state:
+            return
         member.state = state
         member.changed_ms = now_ms
         self.version += 1
