platform: take only the wire form for an answer of the platform

Cause: a 404 passed as an absent row, an empty table, an absent object and even as a stored object, so a wrong address in the settings looked like an empty platform. Answers of an unexpected form ended in an uncaught exception, and `{}` passed as a VM list without VMs. Change: the stand-in answers an absent row or object with status 204.

--- a/nutmeglead/platform/http_vms.py
+++ b/nutmeglead/platform/http_vms.py
@@ -32,6 +32,13 @@
     )
 
 
+def _vms_from_json(data: list[dict[str, Any]]) -> list[VmEntry]:
+    # An empty object would else pass as a list without VMs.
+    if not isinstance(data, list):
+        raise TypeError("expected a list of VMs")
+    return [_vm_from_json(entry) for entry in data]
+
+
 class HttpVmList:
     """Implement the VmList port."""
 
@@ -51,6 +58,6 @@
         if response.status != 200:
             return Err(VmListUnavailable(f"status {response.status}"))
         try:
-            return Ok([_vm_from_json(data) for data in json.loads(body)])
+            return Ok(_vms_from_json(json.loads(body)))
         except (ValueError, KeyError, TypeError) as error:
             return Err(VmListUnavailable(f"unreadable list: {error}"))
--- a/nutmeglead/platform/tests/steps/table_steps.py
+++ b/nutmeglead/platform/tests/steps/table_steps.py
@@ -3,54 +3,48 @@
 import asyncio
 
 from behave import given, then, when
-from result import Ok
+from result import Err, Ok
 
-from nutmeglead._generated.common.ttypes import Address
 from nutmeglead.core.ids import RowKey
-from nutmeglead.core.registry import Registry
-from nutmeglead.http.client import HttpFetcher
-from nutmeglead.platform.http_table import HttpTable
-from nutmeglead.platform.memory import MemoryTable, TableFault
+from nutmeglead.platform.memory import TableFault
 from nutmeglead.platform.ports import RowCheck, RowWrite
-from nutmeglead.standin.platform import PlatformStandin
+from nutmeglead.platform.tests.adapters import Services, use_adapter, use_stranger
 
-GUARD_MS = 10_000
-ADAPTERS = Registry("table adapters")
 A = RowKey("a")
 B = RowKey("b")
-
-
-@ADAPTERS.register("memory")
-async def with_memory(memory, use):
-    return await use(memory)
-
-
-@ADAPTERS.register("http")
-async def with_http(memory, use):
-    standin = PlatformStandin()
-    standin.table = memory
-    port = await standin.start("127.0.0.1", 0)
-    fetcher = HttpFetcher()
-    try:
-        return await use(HttpTable(Address("127.0.0.1", port), GUARD_MS, fetcher))
-    finally:
-        fetcher.close()
-        await standin.stop()
+READS = {
+    'row "a" is read': lambda table: table.read(A),
+    'row "b" is read': lambda table: table.read(B),
+    'rows from "a" are scanned': lambda table: table.scan("a"),
+    'rows from "x" are scanned': lambda table: table.scan("x"),
+}
+OPERATIONS = READS | {"a commit is sent": lambda table: table.commit([], [RowWrite(A, b"1")])}
 
 
 class TableScenario:
     def __init__(self, adapter):
-        self.memory = MemoryTable()
-        self.adapter = ADAPTERS.get(adapter)
+        self.services = Services.empty()
+        self.memory = self.services.table
+        self.adapter = adapter
         asyncio.run(self.memory.commit([RowCheck(A, 0)], [RowWrite(A, b"first")]))
 
     def run(self, use):
-        return asyncio.run(asyncio.wait_for(self.adapter(self.memory, use), GUARD_MS / 1000))
+        return use_adapter(self.adapter, "table", self.services, use)
 
     def commit(self, checks, writes):
         return self.run(lambda table: table.commit(checks, writes))
 
 
+def describe(answer):
+    """Return a result as the features write it."""
+    if isinstance(answer, Err):
+        return type(answer.err_value).__name__
+    rows = answer.ok_value if isinstance(answer.ok_value, list) else [answer.ok_value]
+    if rows == [None]:
+        return "absent"
+    return ", ".join(f"{row.key} at version {row.version}" for row in rows) or "no row"
+
+
 @given('the {adapter} table with row "a" at version 1')
 def step_table(context, adapter):
     context.store = TableScenario(adapter)
@@ -91,3 +85,33 @@
 @then("its version is above 1")
 def step_version(context):
     assert context.answer.unwrap()[A] > 1, context.answer
+
+
+@given("the table is {service}")
+def step_service(context, service):
+    context.store.memory.fault = {"up": TableFault.NONE, "down": TableFault.UNAVAILABLE}[service]
+
+
+@given("an address that answers {answer}")
+def step_stranger(context, answer):
+    context.stranger = answer
+
+
+@when("{operation} over http")
+def step_over_http(context, operation):
+    context.answer = use_stranger(context.stranger, "table", OPERATIONS[operation])
+
+
+@when('row "{key}" is read')
+def step_read(context, key):
+    context.answer = context.store.run(READS[f'row "{key}" is read'])
+
+
+@when('rows from "{prefix}" are scanned')
+def step_scan(context, prefix):
+    context.answer = context.store.run(READS[f'rows from "{prefix}" are scanned'])
+
+
+@then("the answer is {answer}")
+def step_described(context, answer):
+    assert describe(context.answer) == answer, context.answer
--- a/nutmeglead/platform/tests/table.feature
+++ b/nutmeglead/platform/tests/table.feature
@@ -42,3 +42,52 @@
       | adapter | failure                                             |
       | memory  | a writer that read the old row overwrites a new one |
       | http    | a writer that read the old row overwrites a new one |
+
+  Scenario Outline: Reads tell an absent row from one that could not be read
+    Given the <adapter> table with row "a" at version 1
+    And the table is <service>
+    When <operation>
+    Then the answer is <answer>
+
+    Examples: each row names the failure it guards against
+      | adapter | service | operation                 | answer           | failure                                    |
+      | memory  | up      | row "a" is read           | a at version 1   | a present row is not found                 |
+      | memory  | up      | row "b" is read           | absent           | an absent row is taken for an outage       |
+      | memory  | up      | rows from "a" are scanned | a at version 1   | a present row is missing in a scan         |
+      | memory  | up      | rows from "x" are scanned | no row           | an empty scan is taken for an outage       |
+      | memory  | down    | row "a" is read           | TableUnavailable | an outage passes as an absent row          |
+      | memory  | down    | rows from "a" are scanned | TableUnavailable | an outage passes as an empty table         |
+      | http    | up      | row "a" is read           | a at version 1   | a present row is not found                 |
+      | http    | up      | row "b" is read           | absent           | an absent row is taken for an outage       |
+      | http    | up      | rows from "a" are scanned | a at version 1   | a present row is missing in a scan         |
+      | http    | up      | rows from "x" are scanned | no row           | an empty scan is taken for an outage       |
+      | http    | down    | row "a" is read           | TableUnavailable | an outage passes as an absent row          |
+      | http    | down    | rows from "a" are scanned | TableUnavailable | an outage passes as an empty table         |
+
+  Scenario Outline: Another service on the address does not pass as a table
+    Given an address that answers <given>
+    When <operation> over http
+    Then the answer is <answer>
+
+    Examples: each row names the failure it guards against
+      | given                        | operation                 | answer           | failure                                         |
+      | 404                          | row "a" is read           | TableUnavailable | a wrong service passes as an absent row         |
+      | 404                          | rows from "a" are scanned | TableUnavailable | a wrong service passes as an empty table        |
+      | 404                          | a commit is sent          | TableUnavailable | a commit to a wrong service counts as sent      |
+      | 204                          | row "a" is read           | absent           | an absent row is taken for an outage            |
+      | 204                          | rows from "a" are scanned | TableUnavailable | a scan without rows passes as an empty table    |
+      | 204                          | a commit is sent          | TableAnswerLost  | a commit without versions passes as applied     |
+      | 200 hello                    | row "a" is read           | TableUnavailable | the answer of a wrong service ends in an error  |
+      | 200 {}                       | row "a" is read           | TableUnavailable | the answer of a wrong service ends in an error  |
+      | 200 {}                       | rows from "a" are scanned | TableUnavailable | a wrong service passes as an empty table        |
+      | 200 [{"key": "a"}]           | rows from "a" are scanned | TableUnavailable | half a row passes as a row                      |
+      | 200 hello                    | a commit is sent          | TableAnswerLost  | a commit of unknown result passes as refused    |
+      | 200 []                       | a commit is sent          | TableAnswerLost  | a commit of unknown result passes as applied    |
+      | 409 hello                    | a commit is sent          | TableAnswerLost  | a commit of unknown result passes as a conflict |
+      | 500                          | row "a" is read           | TableUnavailable | a failing service passes as an absent row       |
+      | 500                          | a commit is sent          | TableAnswerLost  | a commit of unknown result passes as refused    |
+      | 503                          | a commit is sent          | TableUnavailable | an outage passes as an unknown result           |
+      | closed                       | row "a" is read           | TableUnavailable | a cut connection passes as an absent row        |
+      | closed                       | a commit is sent          | TableAnswerLost  | a cut connection passes as a refused commit     |
+      | refused                      | row "a" is read           | TableUnavailable | no connection passes as an absent row           |
+      | refused                      | a commit is sent          | TableUnavailable | a commit that was never sent may be applied     |
--- a/nutmeglead/standin/platform.py
+++ b/nutmeglead/standin/platform.py
@@ -86,7 +86,7 @@
         if isinstance(done, Err):
             await exchange.respond(503, [], b"")
         elif done.ok_value is None:
-            await exchange.respond(404, [], b"")
+            await _respond_absent(exchange)
         else:
             await _respond_json(exchange, 200, row_to_json(done.ok_value))
 
@@ -120,7 +120,7 @@
         if isinstance(done, Err):
             await exchange.respond(503, [], b"")
         elif done.ok_value is None:
-            await exchange.respond(404, [], b"")
+            await _respond_absent(exchange)
         else:
             await exchange.respond(200, [], done.ok_value)
 
@@ -143,5 +143,11 @@
     return None if value is None else base64.b64decode(value)
 
 
+async def _respond_absent(exchange: ServerExchange) -> None:
+    """Answer with status 204; 404 would look like the answer of any other service."""
+    await exchange.start_response(204, [])
+    await exchange.finish_response()
+
+
 async def _respond_json(exchange: ServerExchange, status: int, document: object) -> None:
     await exchange.respond(status, JSON_HEADERS, json.dumps(document).encode())
