--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+from nutmeglead._generated.common.ttypes import Address
 from nutmeglead._generated.messages.ttypes import AuditRecord, ServerEntry
 from nutmeglead._generated.settings.ttypes import ServiceSettings
 from nutmeglead._generated.tickets.ttypes import ServerState
@@ -19,6 +20,7 @@
 from nutmeglead.ownership.units import Holder
 from nutmeglead.placement.model import Move, MoveReason
 from nutmeglead.placement.planner import plan
+from nutmeglead.placement.recent import RecentMoves
 from nutmeglead.platform.ports import Row, RowCheck
 
 __all__ = ["PageWriter", "TicketProgress"]
@@ -74,6 +76,8 @@
         self._balance_ms = 0
         self._clear_ms = 0
         self._first_placement_ms: int | None = None
+        self._recent = RecentMoves(settings.placement.round_interval_ms)
+        self._written: list[Move] = []
 
     def replan(self, at_ms: int) -> None:
         """Plan again at a time, or earlier if that is due already."""
@@ -85,11 +89,12 @@
         proven: Mapping[Unit, Sequence[Holder]],
         budget: WriteBudget,
         now_ms: int,
+        gates: Mapping[ServerId, Address],
     ) -> Commit | None:
         """Return the transaction that is due, if none is in flight."""
         if self.in_flight is not None or budget.available(now_ms) < 1:
             return None
-        commit = self._write_directory(budget, now_ms)
+        commit = self._write_directory(budget, now_ms, gates)
         if commit is None and now_ms >= self._plan_ms:
             commit = self._write_moves(leases, budget, now_ms)
         if commit is None and proven and now_ms >= self._clear_ms:
@@ -105,10 +110,17 @@
             return []
         edits, moves = self.in_flight.batch.edits, self.in_flight.moves
         self.in_flight = None
+        self._recent.add(moves, now_ms)
+        self._written += moves
         if moves or not self._placer.has_pages:
             self.replan(now_ms)
         return [Row(key, versions[key], encode(edit.page)) for key, edit in edits.items()]
 
+    def take_written(self) -> list[Move]:
+        """Return the moves written since the last call, so that their load is carried along."""
+        written, self._written = self._written, []
+        return written
+
     def failed(self, now_ms: int) -> list[RowKey]:
         """Return the rows to read again; the plan is made anew from what they hold."""
         if self.in_flight is None:
@@ -133,10 +145,17 @@
             )
         return records
 
-    def _write_directory(self, budget: WriteBudget, now_ms: int) -> Commit | None:
+    def _write_directory(
+        self, budget: WriteBudget, now_ms: int, gates: Mapping[ServerId, Address]
+    ) -> Commit | None:
         """Write the addresses of the ticket's servers before any unit moves to them."""
         entries = [
-            ServerEntry(server.server_id, server.address, server.failure_domain or "")
+            ServerEntry(
+                server.server_id,
+                server.address,
+                server.failure_domain or "",
+                gates.get(server.server_id),
+            )
             for server in self.plan_input.desired.servers.values()
             if server.address is not None and server.state != ServerState.REMOVED
         ]
@@ -162,13 +181,12 @@
 
     def _plan(self, leases: Mapping[ServerId, ServerLease], now_ms: int) -> list[Move]:
         """Return the moves that are due; optional ones only once per round."""
+        self.plan_input.recently_moved = self._recent.units(now_ms)
         request = build_request(self._settings, self._placer, leases, self.plan_input, now_ms)
         moves = plan(request).moves
         if now_ms < self._balance_ms:
             return [move for move in moves if move.reason not in _OPTIONAL_REASONS]
         self._balance_ms = now_ms + self._settings.placement.round_interval_ms
-        chosen = (move.unit for move in moves if move.reason in _OPTIONAL_REASONS)
-        self.plan_input.recently_moved = frozenset(chosen)
         return moves
 
     def _write_first_pages(
--- a/nutmeglead/routing/attempt.py
+++ b/nutmeglead/routing/attempt.py
@@ -7,6 +7,7 @@
 
 from nutmeglead.core.ids import ServerId
 from nutmeglead.http.messages import RequestHead, ResponseHead
+from nutmeglead.ownership.commands import holder_name
 from nutmeglead.routing.admission import QueuedRequest
 from nutmeglead.routing.body import RequestBody
 from nutmeglead.routing.errors import RequestError, ServerRefused
@@ -97,13 +98,22 @@
         return answered
 
     async def _connect(self) -> Result[BackendConnection, RequestError]:
-        return await self._parts.pool.acquire(
-            self._queued.server, self.target.address, self._servers.max_connections()
-        )
+        max_count = self._servers.max_connections(self._parts.timers.clock.now_ms())
+        return await self._parts.pool.acquire(self._queued.server, self.target.address, max_count)
 
     def _make_head(self) -> RequestHead:
         now_ms = self._parts.timers.clock.now_ms()
-        return server_head(self._request, self.target.assignment.epoch, now_ms, self._body.length)
+        head = server_head(self._request, self.target.assignment.epoch, now_ms, self._body.length)
+        if self.target.address.is_gate:
+            # A gate stands for several servers.
+            name = holder_name(self._request.service_name, self.target.server_id)
+            head.headers.append((b"nutmeglead-server", name.encode()))
+        return head
+
+    @property
+    def is_from_gate(self) -> bool:
+        """Tell whether the answer comes from a router that stands for the server."""
+        return self.target.address.is_gate
 
     async def read_body(self) -> Result[bytes, RequestError]:
         """Return the next part of the answer's body, or b"" at its end."""
@@ -121,11 +131,14 @@
         if not self._has_slot:
             return
         self._has_slot = False
+        now_ms = self._parts.timers.clock.now_ms()
         connection = self.exchange.connection
         if connection is not None:
             clean = self.exchange.finish()
-            self._parts.pool.give_back(self._queued.server, self.target.address, connection, clean)
-        now_ms = self._parts.timers.clock.now_ms()
+            max_count = self._servers.max_connections(now_ms)
+            self._parts.pool.give_back(
+                self._queued.server, self.target.address, connection, clean, max_count
+            )
         duration_ms = now_ms - self._started_ms
         self._servers.finish(self.target.server_id, self._error, duration_ms, now_ms, cancelled)
         is_sample = self._error is None and not cancelled
