controller: retire removed servers, follow leaving VMs, name claims that are not met

Cause: a removed server kept its lease and renewers for ever; a VM that the platform reports as leaving got new work until a ticket said so; a claim on a lost server counted as in force. Change: the lease of a removed server without units is ended and not renewed; servers of leaving VMs count as leaving; watch names claims on lost servers; the lists of missing parties moved from machine.py to in_force.py.

--- a/nutmeglead/controller/acting.py
+++ b/nutmeglead/controller/acting.py
@@ -140,11 +140,13 @@
         """Take the platform's list: a VM that is gone holds nothing."""
         if self.machine is None:
             return
-        for entry in entries:
-            if entry.role != "backend" or entry.state is not VmState.GONE:
-                continue
-            server_id = ServerId(entry.vm_id)
-            self.machine.on_server_gone(server_id, entry.incarnation, self._now_ms())
+        now_ms = self._now_ms()
+        backends = [entry for entry in entries if entry.role == "backend"]
+        for entry in backends:
+            if entry.state is VmState.GONE:
+                self.machine.on_server_gone(ServerId(entry.vm_id), entry.incarnation, now_ms)
+        leaving = (entry.vm_id for entry in backends if entry.state is VmState.LEAVING)
+        self.machine.on_leaving_vms(frozenset(map(ServerId, leaving)), now_ms)
 
     def missing(self, number: TicketNumber) -> list[MissingParty]:
         """List who keeps a ticket from being in force for this service."""
--- a/nutmeglead/controller/in_force.py
+++ b/nutmeglead/controller/in_force.py
@@ -5,9 +5,18 @@
 from dataclasses import dataclass
 
 from nutmeglead._generated.messages.ttypes import MissingParty
+from nutmeglead.controller.grants import GrantSender
+from nutmeglead.controller.leases import LeaseKeeper
 from nutmeglead.core.ids import TicketNumber
+from nutmeglead.ownership.handover import HandoverTable
+from nutmeglead.ownership.units import UnitMap
 
-__all__ = ["InForceTracker"]
+__all__ = [
+    "InForceTracker",
+    "unacknowledged_parties",
+    "unplanned_party",
+    "unproven_parties",
+]
 
 # Digests of this many map states are kept; a node that is further behind is reported as missing.
 DIGEST_HISTORY = 4096
@@ -78,3 +87,28 @@
             if known is None or known[0] != incarnation or known[1] < planned.map_sequence:
                 missing.append(MissingParty(node_id, "has not reported this map state"))
         return missing
+
+
+def unplanned_party() -> MissingParty:
+    """Report that the moves of a ticket are not all written."""
+    return MissingParty("controller", "the ticket's moves are not all written")
+
+
+def unacknowledged_parties(grants: GrantSender, leases: LeaseKeeper) -> list[MissingParty]:
+    """List the servers that may not know their newest grants; a lapsed one holds nothing."""
+    parties = []
+    for server_id in grants.unacknowledged():
+        lease = leases.servers.get(server_id)
+        if lease is not None and lease.row is not None and not lease.has_ended:
+            parties.append(MissingParty(server_id, "has not acknowledged its grants"))
+    return parties
+
+
+def unproven_parties(unit_map: UnitMap, handovers: HandoverTable) -> list[MissingParty]:
+    """List the previous holders that are not proven done."""
+    return [
+        MissingParty(holder.server_id, "may still hold moved units")
+        for record in unit_map.pending()
+        for holder in record.previous
+        if not handovers.is_proven(record.unit, holder)
+    ]
--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -42,6 +42,8 @@
     # Whether all lease epochs up to that of the row are proven to have ended.
     has_ended: bool = False
     is_lost: bool = False
+    # No ticket names the server and it owns nothing: its lease ends and no other begins.
+    is_retired: bool = False
     assigned: set[str] = field(default_factory=set)
     next_probe_ms: int = 0
     next_assign_ms: int = 0
@@ -129,7 +131,7 @@
         for lease in self.servers.values():
             if self.uses_gates:
                 self._follow_gate(lease, nodes, now_ms)
-            if lease.address is None:
+            if lease.address is None or lease.is_retired:
                 continue
             if now_ms >= lease.next_probe_ms and not (lease.is_confirmed and lease.has_answered):
                 interval_ms = LOST_PROBE_INTERVAL_MS if lease.is_lost else PROBE_INTERVAL_MS
@@ -193,7 +195,7 @@
         return changed
 
     def _next_row(self, lease: ServerLease, nodes: Mapping[NodeId, EntryNode]) -> ServerRow | None:
-        if lease.incarnation is None:
+        if lease.incarnation is None or lease.is_retired:
             return None
         if lease.row is None or lease.has_ended or not lease.has_answered:
             return self._fresh_lease(lease, lease.incarnation, nodes)
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -35,7 +35,12 @@
     SendStop,
 )
 from nutmeglead.controller.grants import GrantSender
-from nutmeglead.controller.in_force import InForceTracker
+from nutmeglead.controller.in_force import (
+    InForceTracker,
+    unacknowledged_parties,
+    unplanned_party,
+    unproven_parties,
+)
 from nutmeglead.controller.leases import LeaseKeeper
 from nutmeglead.controller.page_writer import PageWriter, TicketProgress
 from nutmeglead.controller.placer import PagePlacer
@@ -227,6 +232,12 @@
             self._lose(server_id, "the platform reports its VM as gone", now_ms)
         self.handover.on_server_gone(server_id, lease.row.incarnation, now_ms)
 
+    def on_leaving_vms(self, server_ids: frozenset[ServerId], now_ms: int) -> None:
+        """Take the platform's word that VMs are leaving: they get no new work."""
+        if server_ids != self.writer.plan_input.leaving_vms:
+            self.writer.plan_input.leaving_vms = server_ids
+            self.writer.replan(now_ms)
+
     # ---- results of transactions ----
 
     def on_committed(self, tag: CommitTag, versions: Mapping[RowKey, int], now_ms: int) -> None:
@@ -264,6 +275,7 @@
     def tick(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
         """Return everything that is due."""
         self._note_restarted_nodes(nodes, now_ms)
+        self._retire_servers()
         decisions: list[Decision] = self.leases.decide(now_ms, nodes)
         decisions += self._handover_messages(now_ms)
         leases = self.leases.servers
@@ -281,27 +293,15 @@
         self, ticket_number: TicketNumber, live_nodes: Iterable[tuple[str, str]]
     ) -> list[MissingParty]:
         """List who keeps a ticket from being in force everywhere."""
-        unproven = [
-            MissingParty(server_id, "has not acknowledged its grants")
-            for server_id in self.grants.unacknowledged()
-            if not self._has_lapsed(server_id)
-        ]
         progress = self.writer.progress
-        unproven += [MissingParty(reason, "move postponed") for reason in progress.postponed]
-        if not progress.is_planned or progress.ticket_number < ticket_number:
-            unproven.append(MissingParty("controller", "the ticket's moves are not all written"))
-        for record in self.placer.unit_map.pending():
-            for holder in record.previous:
-                if not self.handover.is_proven(record.unit, holder):
-                    unproven.append(MissingParty(holder.server_id, "may still hold moved units"))
-        unique = {(party.id, party.reason): party for party in unproven}
+        parties = [] if progress.covers(ticket_number) else [unplanned_party()]
+        parties += [MissingParty(reason, "postponed") for reason in progress.postponed]
+        parties += [MissingParty(reason, "claim not met") for reason in progress.unmet]
+        parties += unacknowledged_parties(self.grants, self.leases)
+        parties += unproven_parties(self.placer.unit_map, self.handover)
+        unique = {(party.id, party.reason): party for party in parties}
         return self.in_force.missing(ticket_number, live_nodes, unique.values())
 
-    def _has_lapsed(self, server_id: ServerId) -> bool:
-        """Tell whether a server is known to hold nothing."""
-        lease = self.leases.servers.get(server_id)
-        return lease is None or lease.row is None or lease.has_ended
-
     def map_digest(self) -> int:
         """Return a digest of the page versions."""
         digest = VersionDigest()
@@ -394,6 +394,21 @@
         epoch = LeaseEpoch(self.leases.servers[server_id].lease_epoch)
         self._record(self._trail.lease_ended(server_id, epoch, f"lost: {evidence}"))
 
+    def _retire_servers(self) -> None:
+        """End the leases of removed servers that own nothing any more."""
+        owners = None
+        desired = self.writer.plan_input.desired.servers
+        for server_id, lease in self.leases.servers.items():
+            server = desired.get(server_id)
+            is_wanted = server is not None and server.state != ServerState.REMOVED
+            if is_wanted or lease.is_retired or lease.row is None:
+                lease.is_retired = lease.is_retired and not is_wanted
+                continue
+            owners = self.placer.holders() if owners is None else owners
+            if server_id not in owners:
+                lease.is_retired = True
+                self.handover.require_lapse(server_id)
+
     def _note_restarted_nodes(self, nodes: Mapping[NodeId, EntryNode], now_ms: int) -> None:
         """Tell the handover table of renewers whose earlier incarnation is gone."""
         for node_id, node in nodes.items():
--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -18,7 +18,7 @@
 from nutmeglead.ownership.keys import Unit
 from nutmeglead.ownership.pages import WriteStamp
 from nutmeglead.ownership.units import Holder
-from nutmeglead.placement.model import Move, MoveReason
+from nutmeglead.placement.model import Move, MoveReason, UnmetReason
 from nutmeglead.placement.planner import plan
 from nutmeglead.placement.recent import RecentMoves
 from nutmeglead.platform.ports import Row, RowCheck
@@ -43,6 +43,12 @@
     ticket_number: TicketNumber = TicketNumber(0)
     is_planned: bool = False
     postponed: list[str] = field(default_factory=list)
+    # Claims on servers that are lost; the policy places their keys until the servers are back.
+    unmet: list[str] = field(default_factory=list)
+
+    def covers(self, ticket_number: TicketNumber) -> bool:
+        """Tell whether all that a ticket asks for is written."""
+        return self.is_planned and self.ticket_number >= ticket_number
 
 
 @dataclass
@@ -171,7 +177,7 @@
         moves = self._plan(leases, now_ms)
         self._plan_ms = now_ms + self._settings.placement.round_interval_ms
         if not moves:
-            self.progress.is_planned = not self.progress.postponed
+            self.progress.is_planned = not (self.progress.postponed or self.progress.unmet)
             return None
         batch = self._placer.move(moves, self._stamp(), budget.available(now_ms))
         self.progress.postponed = [str(error) for _, error in batch.postponed]
@@ -183,7 +189,13 @@
         """Return the moves that are due; optional ones only once per round."""
         self.plan_input.recently_moved = self._recent.units(now_ms)
         request = build_request(self._settings, self._placer, leases, self.plan_input, now_ms)
-        moves = plan(request).moves
+        planned = plan(request)
+        moves = planned.moves
+        self.progress.unmet = [
+            f"{unmet.server_id}: {unmet.reason.value}"
+            for unmet in planned.unmet_claims
+            if unmet.reason is UnmetReason.SERVER_LOST
+        ]
         if now_ms < self._balance_ms:
             return [move for move in moves if move.reason not in _OPTIONAL_REASONS]
         self._balance_ms = now_ms + self._settings.placement.round_interval_ms
--- a/nutmeglead/controller/placer.py
+++ b/nutmeglead/controller/placer.py
@@ -200,6 +200,22 @@
                 return removed
         return move_units(page, {unit: move.to_server}, stamp)
 
+    def owners(self) -> set[ServerId]:
+        """Return the servers that own any unit."""
+        return {
+            ServerId(page.servers[owner])
+            for page in self.pages.values()
+            for owner in set(page.owners)
+            if owner >= 0
+        }
+
+    def holders(self) -> set[ServerId]:
+        """Return the servers that own any unit or may still hold one."""
+        pending = self.unit_map.pending()
+        return self.owners() | {
+            holder.server_id for record in pending for holder in record.previous
+        }
+
     @property
     def page_count(self) -> int:
         """Count the hash pages of the service."""
--- a/nutmeglead/controller/planning.py
+++ b/nutmeglead/controller/planning.py
@@ -1,7 +1,7 @@
 """Build the planner's request from the table's pages, the desired state and the leases."""
 
 from array import array
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from nutmeglead._generated.common.ttypes import UnitKind
@@ -36,6 +36,8 @@
     load: LoadSnapshot | None = None
     present_since_ms: dict[ServerId, int] = field(default_factory=dict)
     recently_moved: frozenset[Unit] = frozenset()
+    # Servers whose VMs the platform reports as leaving, ahead of any ticket.
+    leaving_vms: frozenset[ServerId] = frozenset()
 
 
 def empty_load(hash_buckets: int) -> LoadSnapshot:
@@ -74,10 +76,10 @@
     A server that owns units stays listed even when no ticket names it; left out, its units would
     count as having no owner and would not wait for its release.
     """
-    owners = set(_owners(placer))
+    owners = placer.owners()
     infos = []
     for server_id in sorted(owners | set(plan_input.desired.servers)):
-        status = _status(server_id, leases.get(server_id), plan_input.desired, owners)
+        status = _status(server_id, leases.get(server_id), plan_input, owners)
         if status is None:
             continue
         server = plan_input.desired.servers.get(server_id)
@@ -97,27 +99,22 @@
 def _status(
     server_id: ServerId,
     lease: ServerLease | None,
-    desired: ServiceState,
+    plan_input: PlanInput,
     owners: set[ServerId],
 ) -> ServerStatus | None:
     """Return the server's status, or None if it neither owns units nor may own some."""
     is_owner = server_id in owners
     if lease is not None and lease.is_lost:
         return ServerStatus.LOST if is_owner else None
-    server = desired.servers.get(server_id)
-    if server is None or server.state != ServerState.PRESENT:
+    server = plan_input.desired.servers.get(server_id)
+    is_present = server is not None and server.state == ServerState.PRESENT
+    if not is_present or server_id in plan_input.leaving_vms:
         return ServerStatus.LEAVING if is_owner else None
     if is_owner or (lease is not None and lease.is_confirmed):
         return ServerStatus.PRESENT
     return None
 
 
-def _owners(placer: PagePlacer) -> Iterable[ServerId]:
-    for page in placer.pages.values():
-        used = {page.servers[owner] for owner in page.owners if owner >= 0}
-        yield from map(ServerId, used)
-
-
 def _placement(placer: PagePlacer, index: Mapping[ServerId, int]) -> Placement:
     owners = array("i", [NO_OWNER]) * placer.hash_buckets
     for page in placer.pages.values():
