controller: run several controllers, pauses, cuts and table faults in the rig

Cause: the rig drove one machine, dropped what reached a paused process and had no cuts or lost answers. Change: event-driven rig with own clocks, roles, queued inboxes, cut domains, late VM list, doubled and late messages, table timeouts; invariants are checked after each event; faults are named in a registry.

--- a/nutmeglead/controller/tests/rig.py
+++ b/nutmeglead/controller/tests/rig.py
@@ -1,363 +1,264 @@
-"""Run a controller machine against grant holders, renewers and a table in virtual time."""
+"""Run a service's controllers, renewers and servers with a table in virtual time."""
 
-import heapq
-import itertools
 import random
 from dataclasses import dataclass, field
 
 from result import Err, Ok
 
-from nutmeglead._generated.common.ttypes import Address, Sender
-from nutmeglead._generated.messages.ttypes import RoleRow
+from nutmeglead._generated.common.ttypes import Address
 from nutmeglead._generated.settings.ttypes import (
     OwnershipSettings,
     PlacementSettings,
     ServiceSettings,
 )
 from nutmeglead._generated.tickets.ttypes import ServerState
-from nutmeglead.controller.decisions import (
-    Commit,
-    EntryNode,
-    ProbeServer,
-    ReadRows,
-    RecordAudit,
-    SendAssign,
-    SendGrants,
-    SendRelease,
-    SendStop,
-)
-from nutmeglead.controller.machine import ControllerMachine, MachineSettings
-from nutmeglead.core.codec import encode
-from nutmeglead.core.ids import Incarnation, NodeId, RoleEpoch, ServerId
+from nutmeglead.controller.machine import MachineSettings
+from nutmeglead.controller.tests.rig_checks import RigChecks
+from nutmeglead.controller.tests.rig_network import TABLE, Network, Process
+from nutmeglead.controller.tests.rig_nodes import TABLE_TIMEOUT_MS, RigNode
+from nutmeglead.core.ids import ServerId
 from nutmeglead.ownership.holder import GrantHolder
-from nutmeglead.ownership.keys import Unit, hash_key
-from nutmeglead.ownership.pages import role_key
-from nutmeglead.ownership.renewer import Renewer
-from nutmeglead.platform.errors import TableUnavailable
-from nutmeglead.platform.memory import MemoryTable
-from nutmeglead.platform.ports import RowCheck, RowWrite
+from nutmeglead.platform.errors import TableAnswerLost, TableUnavailable
+from nutmeglead.platform.memory import MemoryTable, TableFault
 from nutmeglead.tickets.state import Claim, DesiredServer, ServiceState
 
-SERVICE = "lagerblick"
-STEP_MS = 5
-
-
-@dataclass
-class RigServer:
-    server_id: ServerId
-    failure_domain: str
-    clock_offset_ms: int
-    holder: GrantHolder
-    restarts: int = 1
-    is_frozen: bool = False
-
-
-@dataclass
-class RigNode:
-    node_id: NodeId
-    failure_domain: str
-    renewer: Renewer
-    incarnation: str
-    is_down: bool = False
+HEARTBEAT_MS = 500
+VM_POLL_MS = 1000
 
 
 @dataclass
 class RigOptions:
     domains: tuple[str, ...] = ("halle-a", "halle-b", "buero")
-    nodes_per_domain: int = 4
+    nodes_per_domain: int = 2
     server_count: int = 6
     hash_buckets: int = 256
     one_way_ms: int = 4
-    loss: float = 0.0
     seed: int = 1
+    sample_ms: int = 5
+    key_count: int = 8
+    vm_list_delay_ms: int = 30_000
+    # How long a controller acts on after it heard of a higher role epoch.
+    stale_ms: int = 3_000
     checks_grants: bool = True
+    ownership: OwnershipSettings = field(default_factory=OwnershipSettings)
     placement: PlacementSettings = field(
         default_factory=lambda: PlacementSettings(policy="steady", round_interval_ms=1000)
     )
 
 
-class ControllerRig:
-    """Deliver the machine's decisions after a delay; drop what a fault cuts off."""
+class RigServer(Process):
+    def __init__(self, rig, name, domain):
+        super().__init__(rig.network, name, domain)
+        self.rig = rig
+        self.holder = GrantHolder(self.incarnation)
+
+    def handle(self, operation, message):
+        reply = getattr(self.holder, operation)(message, self.clock_ms())
+        self.rig.checks.server_changed(self, operation)
+        return reply
+
+    def restart(self):
+        self.new_life()
+        self.holder = GrantHolder(self.incarnation)
+        self.rig.checks.server_changed(self, "restart")
 
-    def __init__(self, options: RigOptions | None = None) -> None:
+
+class ControllerRig:
+    def __init__(self, options=None):
         self.options = options or RigOptions()
-        self.now_ms = 1_000
         self.rng = random.Random(self.options.seed)
+        self.network = Network(self.rng, self.options.one_way_ms)
         self.table = MemoryTable()
-        self.cut: set[tuple[str, str]] = set()
-        self.audit = []
-        self.settings = MachineSettings(
-            ServiceSettings(
-                name=SERVICE,
-                slots_per_instance=4,
-                connections_per_instance=130,
-                checks_grants=self.options.checks_grants,
-                hash_buckets=self.options.hash_buckets,
-                placement=self.options.placement,
-            ),
-            OwnershipSettings(),
+        self.audit, self.notes = [], {}
+        self.service, self.stale_ms = "lagerblick", self.options.stale_ms
+        service = ServiceSettings(
+            name=self.service,
+            slots_per_instance=4,
+            connections_per_instance=130,
+            checks_grants=self.options.checks_grants,
+            hash_buckets=self.options.hash_buckets,
+            placement=self.options.placement,
         )
-        self._queue = []
-        self._order = itertools.count()
-        self.servers = {}
-        self.nodes = {}
-        for index, domain in enumerate(self.options.domains):
-            for number in range(self.options.nodes_per_domain):
-                self._add_node(f"entry-{index}-{number}", domain)
+        self.settings = MachineSettings(service, self.options.ownership)
+        self.number, self.claims, self.leaving, self.gone = 0, {}, set(), {}
+        self.servers, self.nodes = {}, {}
+        self._triggers = []
+        self.checks = RigChecks(self)
+        for number in range(self.options.nodes_per_domain):
+            for index, domain in enumerate(self.options.domains):
+                name = f"entry-{index}-{number}"
+                self.nodes[name] = RigNode(self, name, domain)
         for index in range(self.options.server_count):
             self.add_server(
                 f"lb-{index:02}", self.options.domains[index % len(self.options.domains)]
             )
-        self.number = 0
-        self.claims = {}
-        self.leaving = set()
-        self.acting = NodeId("entry-0-0")
-        self.machine = None
-        self.take_role(self.acting)
-
-    # ---- actors ----
-
-    def _add_node(self, node_id, domain):
-        node = NodeId(node_id)
-        incarnation = f"{node_id}#1"
-        renewer = Renewer(node, Incarnation(incarnation), self.settings.ownership, self.now_ms)
-        self.nodes[node] = RigNode(node, domain, renewer, incarnation)
-
-    def add_server(self, server_id, domain):
-        holder = GrantHolder(Incarnation(f"{server_id}#1"))
-        offset = self.rng.randrange(1_000_000)
-        self.servers[ServerId(server_id)] = RigServer(ServerId(server_id), domain, offset, holder)
-
-    def restart_node(self, node_id):
-        node = self.nodes[NodeId(node_id)]
-        node.incarnation = f"{node_id}#{int(node.incarnation.split('#')[1]) + 1}"
-        node.renewer = Renewer(
-            node.node_id, Incarnation(node.incarnation), self.settings.ownership, self.now_ms
-        )
-
-    def restart_server(self, server_id):
-        server = self.servers[ServerId(server_id)]
-        server.restarts += 1
-        server.holder = GrantHolder(Incarnation(f"{server_id}#{server.restarts}"))
-
-    def take_role(self, node_id):
-        """Let a node's controller take the role, with the state that the table holds."""
-        key = role_key(SERVICE)
-        present = run(self.table.read(key)).unwrap()
-        epoch = 1 if present is None else self.role_epoch + 1
-        row = RoleRow(SERVICE, node_id, self.nodes[node_id].incarnation, epoch)
-        check = RowCheck(key, present.version if present else 0)
-        version = run(self.table.commit([check], [RowWrite(key, encode(row))])).unwrap()[key]
-        self.acting, self.role_epoch = node_id, epoch
-        sender = Sender(node_id, self.nodes[node_id].incarnation)
-        self.machine = ControllerMachine(
-            self.settings, sender, RoleEpoch(epoch), version, self.now_ms
-        )
-        if self.number:
-            self._give_desired()
-        self.machine.load_servers(run(self.table.scan(f"server/{SERVICE}/")).unwrap())
-        self.machine.load_pages(run(self.table.scan(f"page/{SERVICE}/")).unwrap())
-
-    # ---- tickets ----
-
-    def file_ticket(self, leaving=(), claims=None):
-        self.number += 1
-        self.leaving |= set(leaving)
-        for key, server_id in (claims or {}).items():
-            self.claims[key] = Claim(ServerId(server_id), self.number)
-        self._give_desired()
-
-    def _give_desired(self):
-        servers = {}
-        for server in self.servers.values():
-            is_leaving = server.server_id in self.leaving
-            state = ServerState.LEAVING if is_leaving else ServerState.PRESENT
-            address = Address(server.server_id, 80)
-            servers[server.server_id] = DesiredServer(
-                server.server_id, state, address, server.failure_domain, 1.0, self.number
-            )
-        desired = ServiceState(servers=servers, exact=dict(self.claims))
-        self.machine.set_desired(desired, self.number, self.now_ms)
+        for node in self.nodes.values():
+            self.network.at(self.now_ms, lambda n=node: self._heartbeat(n))
+            phase_ms = self.rng.randrange(HEARTBEAT_MS)
+            self.network.at(self.now_ms + phase_ms, lambda n=node: self._heartbeat(n, True))
+        self._poll_vms()
+        self.checks.sample()
 
     # ---- time ----
 
-    def run_ms(self, duration_ms, each_step=None):
-        end_ms = self.now_ms + duration_ms
-        while self.now_ms < end_ms:
-            self.now_ms += STEP_MS
-            self._deliver()
-            self._renew()
-            if not self.nodes[self.acting].is_down:
-                for decision in self.machine.tick(self.now_ms, self._entry_nodes()):
-                    self._carry_out(decision)
-            if each_step:
-                each_step()
-
-    def serving(self, keys):
-        """Map each key to the servers that would serve it now, by their own clocks.
-
-        The flag tells whether the server also answers: a frozen one still counts as an owner.
-        """
-        shift = self.machine.placer.unit_map.shift
-        found = {key: [] for key in keys}
-        for server in self.servers.values():
-            if server.holder.lease_end_ms(self.now_ms + server.clock_offset_ms) is None:
+    @property
+    def now_ms(self):
+        return self.network.now_ms
+
+    def run_ms(self, duration_ms):
+        self.network.run_until(self.now_ms + duration_ms)
+
+    def run_until(self, condition, limit_ms):
+        """Run until a condition holds; return the time it took, or None."""
+        begun_ms = self.now_ms
+        while not condition():
+            if self.now_ms - begun_ms >= limit_ms:
+                return None
+            self.run_ms(20)
+        return self.now_ms - begun_ms
+
+    def at_step(self, when, step, action):
+        """Run an action before or after the next time that a machine takes a step; see `note`."""
+        self._triggers.append((step, when, action))
+
+    def note(self, step):
+        """Count a step of a machine and run what waits for it."""
+        self.notes[step] = self.notes.get(step, 0) + 1
+        due = [trigger for trigger in self._triggers if trigger[0] == step]
+        self._triggers = [trigger for trigger in self._triggers if trigger[0] != step]
+        for _, when, action in due:
+            if when == "before":
+                action()
+            else:
+                self.network.at(self.now_ms, action)
+
+    def _heartbeat(self, node, again=False):
+        """Have a node heard by all that it reaches; lost heartbeats are left to other tests."""
+        if again:
+            self.network.at(self.now_ms + HEARTBEAT_MS, lambda: self._heartbeat(node, True))
+        if not node.is_running:
+            return
+        for peer in self.nodes.values():
+            if peer.is_running and (peer is node or not self.network.is_cut(node.name, peer.name)):
+                peer.hear(node, self.now_ms)
+
+    def _poll_vms(self):
+        """Show the list of gone VMs, as late as the options say, to those who act."""
+        self.network.at(self.now_ms + VM_POLL_MS, self._poll_vms)
+        for (name, incarnation), gone_ms in self.gone.items():
+            if self.now_ms < gone_ms + self.options.vm_list_delay_ms:
                 continue
-            granted = server.holder.granted()
-            for key in keys:
-                units = (Unit.of_key(key), Unit.of_bucket(hash_key(key) >> shift))
-                epochs = [granted[unit] for unit in units if unit in granted]
-                if epochs and self._admits(server, key, epochs):
-                    found[key].append((server.server_id, not server.is_frozen))
-        return found
-
-    def _admits(self, server, key, epochs):
-        now_ms = self.now_ms + server.clock_offset_ms
-        for epoch in epochs:
-            admitted = server.holder.admit(key, epoch, now_ms)
-            if isinstance(admitted, Ok):
-                server.holder.finish(admitted.ok_value)
-                return True
-        return False
+            for node in self.nodes.values():
+                if node.machine is not None and node.is_running:
+                    node.machine.on_server_gone(ServerId(name), incarnation, node.clock_ms())
 
-    def in_force(self):
-        return not self.machine.missing(self.number, [])
+    # ---- actors ----
 
-    def _entry_nodes(self):
-        nodes = {}
-        for node in self.nodes.values():
-            alive = not node.is_down and (self.acting, node.node_id) not in self.cut
-            address = Address(node.node_id, 1)
-            nodes[node.node_id] = EntryNode(
-                node.node_id, node.incarnation, node.failure_domain, address, alive
-            )
-        return nodes
+    def add_server(self, name, domain):
+        self.servers[name] = RigServer(self, name, domain)
 
-    def _later(self, action, source, target):
-        """Deliver after the one-way delay unless the link is cut or the message is lost."""
-        if (source, target) in self.cut or (target, source) in self.cut:
-            return
-        is_table = source == "table"
-        if self.options.loss and not is_table and self.rng.random() < self.options.loss:
-            return
-        jitter = self.rng.randrange(3)
-        at_ms = self.now_ms + self.options.one_way_ms + jitter
-        heapq.heappush(self._queue, (at_ms, next(self._order), action))
-
-    def _deliver(self):
-        while self._queue and self._queue[0][0] <= self.now_ms:
-            heapq.heappop(self._queue)[2]()
+    def lose_server(self, name):
+        server = self.servers[name]
+        server.is_dead = True
+        self.gone[name, server.incarnation] = self.now_ms
+        self.checks.server_changed(server, "lost")
 
-    def _call_server(self, source, server_id, operation, message, on_reply):
-        machine, sent_ms = self.machine, self.now_ms
+    def lose_domain(self, domain):
+        for node in self.nodes.values():
+            if node.domain == domain:
+                node.is_dead = True
+        for name, server in self.servers.items():
+            if server.domain == domain:
+                self.lose_server(name)
+
+    def acting(self):
+        """Return the node that runs the machine with the highest role epoch."""
+        found = [node for node in self.nodes.values() if node.machine is not None]
+        return max(found, key=lambda node: node.machine.role_epoch, default=None)
+
+    def renewers_of(self, server):
+        acting = self.acting()
+        row = acting.machine.leases.servers[ServerId(server)].row
+        return [self.nodes[node_id] for node_id in row.current.node_ids]
+
+    # ---- table ----
+
+    def table_is_up(self):
+        return self.table.fault is TableFault.NONE
+
+    def table_call(self, node, operation, on_done):
+        """Run an operation at the table; a caller that is cut off or waits too long gets an error."""
+        if not node.is_running:
+            node.inbox.append(lambda: self.table_call(node, operation, on_done))
+            return
+        state = {"life": node.life, "is_done": False, "has_arrived": False}
 
-        def arrive():
-            server = self.servers[server_id]
-            if server.is_frozen:
+        def finish(done):
+            if state["is_done"] or state["life"] != node.life:
                 return
-            handler = getattr(server.holder, operation)
-            reply = handler(message, self.now_ms + server.clock_offset_ms)
-            self._later(lambda: on_reply(machine, reply, sent_ms), server_id, source)
-
-        self._later(arrive, source, server_id)
-
-    def _call_node(self, target, operation, message, on_reply):
-        machine, source = self.machine, self.acting
+            state["is_done"] = True
+            on_done(done)
 
         def arrive():
-            node = self.nodes[target]
-            if node.is_down:
-                return
-            reply = getattr(node.renewer, operation)(message, self.now_ms)
-            if reply is not None:
-                self._later(lambda: on_reply(machine, reply), target, source)
-
-        self._later(arrive, source, target)
-
-    def _renew(self):
-        for node in self.nodes.values():
-            if node.is_down:
-                continue
-            for order in node.renewer.due(self.now_ms):
-                self._send_renewal(node, order)
-            for suspicion in node.renewer.suspects(self.now_ms):
-                machine = self.machine
-                self._later(
-                    lambda m=machine, s=suspicion: m.on_suspect(s, self.now_ms),
-                    node.node_id,
-                    self.acting,
-                )
-
-    def _send_renewal(self, node, order):
-        renewer = node.renewer
-
-        def on_reply(_, reply, __):
-            renewer.on_reply(order.service_name, order.server_id, order.message, reply, self.now_ms)
-
-        self._call_server(node.node_id, order.server_id, "renew", order.message, on_reply)
-
-    def _carry_out(self, decision):
-        name = type(decision).__name__
-        getattr(self, f"_do_{name}")(decision)
-
-    def _do_ProbeServer(self, d: ProbeServer):
-        def on_reply(machine, reply, sent_ms):
-            machine.on_probe_reply(d.server_id, d.message, reply, sent_ms, self.now_ms)
-
-        self._call_server(self.acting, d.server_id, "renew", d.message, on_reply)
+            state["has_arrived"] = True
+            before = self.table.write_count
+            done = run(operation(self.table))
+            if self.table.write_count != before:
+                self.checks.table_changed()
+            self.network.send(TABLE, node.name, lambda: finish(done))
 
-    def _do_SendGrants(self, d: SendGrants):
-        def on_reply(machine, reply, sent_ms):
-            epoch = d.message.lease_epoch
-            machine.on_grant_reply(d.server_id, epoch, reply, sent_ms, self.now_ms)
+        def time_out():
+            error = TableAnswerLost if state["has_arrived"] else TableUnavailable
+            self.network.deliver(node.name, lambda: finish(Err(error("no answer in time"))))
 
-        self._call_server(self.acting, d.server_id, "set_grants", d.message, on_reply)
+        self.network.send(node.name, TABLE, arrive)
+        self.network.at(self.now_ms + TABLE_TIMEOUT_MS, time_out)
 
-    def _do_SendRelease(self, d: SendRelease):
-        def on_reply(machine, reply, _):
-            machine.on_release_reply(d.server_id, d.message, reply, self.now_ms)
-
-        self._call_server(self.acting, d.server_id, "begin_release", d.message, on_reply)
-
-    def _do_SendAssign(self, d: SendAssign):
-        def on_reply(machine, reply):
-            machine.on_assign_reply(ServerId(d.message.server_id), reply)
-
-        self._call_node(d.node_id, "assign", d.message, on_reply)
-
-    def _do_SendStop(self, d: SendStop):
-        def on_reply(machine, reply):
-            machine.on_stopped(reply, self.now_ms)
-
-        self._call_node(d.node_id, "stop", d.message, on_reply)
-
-    def _do_RecordAudit(self, d: RecordAudit):
-        self.audit.append(d.record)
+    # ---- tickets ----
 
-    def _do_Commit(self, d: Commit):
-        machine = self.machine
+    def file_ticket(self, leaving=(), present=(), claims=None):
+        """File a ticket; the machines read it at their next poll."""
+        assert self.table_is_up(), "a ticket is accepted only once it is durable"
+        self.number += 1
+        self.leaving = (self.leaving | set(leaving)) - set(present)
+        for key, server_id in (claims or {}).items():
+            self.claims[key] = Claim(ServerId(server_id), self.number)
 
-        def arrive():
-            done = run(self.table.commit(d.checks, d.writes))
+    def desired(self):
+        servers = {}
+        for server in self.servers.values():
+            is_leaving = server.name in self.leaving
+            state = ServerState.LEAVING if is_leaving else ServerState.PRESENT
+            servers[ServerId(server.name)] = DesiredServer(
+                ServerId(server.name), state, Address(server.name, 80), server.domain, 1.0, 1
+            )
+        return ServiceState(servers=servers, exact=dict(self.claims))
 
-            def answer():
-                if isinstance(done, Ok):
-                    machine.on_committed(d.tag, done.ok_value, self.now_ms)
-                else:
-                    machine.on_commit_failed(d.tag, self.now_ms)
+    def in_force(self):
+        acting = self.acting()
+        return (
+            acting is not None
+            and acting.desired_number == self.number
+            and not acting.machine.missing(self.number, [])
+        )
 
-            self._later(answer, "table", "table")
+    # ---- faults ----
 
-        self._later(arrive, "table", "table")
+    def cut_domain(self, domain, with_table):
+        """Cut a failure domain off from the others; `with_table` if it still reaches the table."""
+        self.network.cut(domain, self.options.domains)
+        if not with_table:
+            self.network.cut(domain, [TABLE])
 
-    def _do_ReadRows(self, d: ReadRows):
-        machine = self.machine
-        reads = [run(self.table.read(key)) for key in d.keys]
-        if any(isinstance(read, Err) for read in reads):
-            assert all(isinstance(r.err_value, TableUnavailable) for r in reads if r.is_err())
-            return
-        rows = [read.ok_value for read in reads if read.ok_value is not None]
-        machine.on_rows_read(d.keys, rows)
+    def heal(self):
+        """End the faults; what is dead stays dead."""
+        self.network.cut_domains.clear()
+        self.network.loss = self.network.doubling = self.network.lateness = 0.0
+        self.table.fault = TableFault.NONE
+        self.table.next_commit_faults.clear()
+        for process in list(self.network.processes.values()):
+            if process.is_paused and not process.is_dead:
+                process.resume()
 
 
 def run(coroutine):
@@ -369,4 +270,4 @@
     raise AssertionError("the in-memory table must not wait")
 
 
-__all__ = ["STEP_MS", "ControllerRig", "RigOptions", "run"]
+__all__ = ["ControllerRig", "Ok", "RigOptions", "run"]
