--- a/nutmeglead/controller/grants.py
+++ b/nutmeglead/controller/grants.py
@@ -15,7 +15,7 @@
 from nutmeglead.controller.leases import ServerLease
 from nutmeglead.core.ids import Epoch, Incarnation, RoleEpoch, ServerId
 from nutmeglead.ownership.keys import Unit
-from nutmeglead.ownership.units import GrantSet, Holder, UnitMap
+from nutmeglead.ownership.units import GrantSet, Holder, UnitMap, UnitRecord
 
 __all__ = ["GrantSender"]
 
@@ -79,15 +79,24 @@
             sent.is_acknowledged = True
 
     def release_message(
-        self, lease: ServerLease, incarnation: Incarnation, units: Iterable[tuple[Unit, Epoch]]
+        self,
+        lease: ServerLease,
+        incarnation: Incarnation,
+        units: Iterable[tuple[Unit, Epoch]],
+        pins: Iterable[UnitRecord],
     ) -> SendRelease:
-        """Return the release of units that a server may still hold."""
+        """Return the release of units that a server may still hold.
+
+        `pins` are the exact and prefix units that the server owns. It drops all others, and a grant
+        set that it has acknowledged is not sent again.
+        """
         message = ReleaseUnits(
             sender=self._sender,
             role_epoch=self._role_epoch,
             sequence=self._next_sequence(),
             holder_incarnation=incarnation,
             units=[Grant(unit.to_id(), epoch) for unit, epoch in units],
+            kept=[Grant(record.unit.to_id(), record.epoch) for record in pins],
         )
         # A release has a higher sequence than grants still on their way, which the server therefore
         # ignores; they are sent again.
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -94,9 +94,8 @@
         self._sender = sender
         self._role_check = RowCheck(role_key(self.service_name), role_version)
         self._trail = AuditTrail(self.service_name, sender, role_epoch)
-        self.writer = PageWriter(
-            settings.service, self.placer, self._role_check, role_epoch, self._trail
-        )
+        parts = (self.placer, self._role_check, role_epoch, self._trail)
+        self.writer = PageWriter(settings.service, *parts)
         self._budget = WriteBudget(settings.ownership.table_writes_per_s, now_ms)
         self._servers_in_flight: list[ServerRow] = []
         self._to_read: set[RowKey] = set()
@@ -194,6 +193,8 @@
         """Take a renewer's reply to an assignment."""
         if reply.accepted:
             self.leases.accept_assignment(server_id, reply.sender.node_id, reply.lease_epoch)
+        elif self.handover.on_assign_reply(server_id, reply) is Suspicion.LEASE_ENDED:
+            self.leases.replace_stopped(server_id, reply.lease_epoch)
 
     def on_stopped(self, reply: StoppedReply, now_ms: int) -> None:
         """Take a renewer's stop statement."""
@@ -232,8 +233,8 @@
         for row in rows:
             key = server_key(self.service_name, row.server_id)
             self.load_servers([Row(key, versions[key], encode(row))])
-            evidence = f"lease epoch {row.current.lease_epoch} by {', '.join(row.current.node_ids)}"
             epoch = LeaseEpoch(row.current.lease_epoch)
+            evidence = f"lease epoch {epoch} by {', '.join(row.current.node_ids)}"
             self._record(self._trail.lease_begun(ServerId(row.server_id), epoch, evidence))
 
     def on_commit_failed(self, tag: CommitTag, now_ms: int) -> None:
@@ -274,11 +275,8 @@
         self, ticket_number: TicketNumber, live_nodes: Iterable[tuple[str, str]]
     ) -> list[MissingParty]:
         """List who keeps a ticket from being in force everywhere."""
-        unproven = [
-            MissingParty(server_id, "has not acknowledged its grants")
-            for server_id in self.grants.unacknowledged()
-            if not self._has_lapsed(server_id)
-        ]
+        waiting = [s for s in self.grants.unacknowledged() if not self._has_lapsed(s)]
+        unproven = [MissingParty(s, "has not acknowledged its grants") for s in waiting]
         progress = self.writer.progress
         unproven += [MissingParty(reason, "move postponed") for reason in progress.postponed]
         if not progress.is_planned or progress.ticket_number < ticket_number:
@@ -319,9 +317,9 @@
                 continue
             lease = self.leases.servers.get(decision.server_id)
             if lease is not None and not lease.is_lost:
-                messages.append(
-                    self.grants.release_message(lease, decision.incarnation, decision.units)
-                )
+                pins = self.placer.unit_map.pins_of(decision.server_id)
+                incarnation, units = decision.incarnation, decision.units
+                messages.append(self.grants.release_message(lease, incarnation, units, pins))
         self._note_ended()
         return messages
 
