ownership: suspect after two unanswered renewals, drop old bases, report again to a new role

Cause: renewals are sent a little over 250 ms apart, so one lost message at each of two renewers made 500 ms of silence (1% loss: a healthy server counted as lost in 1 of 6 runs). A new lease begun on an old basis lapsed again within 450 ms. Reports sent to a lost controller were not repeated at once to its successor. Change: silence needs two unanswered renewals; a basis older than half the ttl is not carried over; a higher role epoch has the reports repeated.

--- a/nutmeglead/ownership/renewer.py
+++ b/nutmeglead/ownership/renewer.py
@@ -20,6 +20,8 @@
 
 # Each of two clocks is read in whole ms, so a difference may be 1 ms too long on either.
 ROUNDING_MARGIN_MS = 2
+# A single lost message must not make a server suspect.
+SUSPECT_AFTER_UNANSWERED = 2
 
 
 def lapse_margin_ms(lease_ttl_ms: int, clock_drift_ppm: int) -> int:
@@ -56,6 +58,8 @@
     # The same for the renewals of all lower lease epochs.
     lower_sent_basis_ms: int | None = None
     has_ended: bool = False
+    last_sent_ms: int = 0
+    unanswered_count: int = 0
     seen_incarnation: Incarnation | None = None
 
     @property
@@ -93,7 +97,7 @@
         # After a pause of this VM the silence was its own, not the servers'.
         if now_ms - self._last_due_ms >= self._settings.suspect_after_ms:
             for target in self._targets.values():
-                target.last_reply_ms = now_ms
+                target.last_reply_ms, target.unanswered_count = now_ms, 0
         self._last_due_ms = now_ms
         return [
             self._renewal(target, now_ms)
@@ -118,6 +122,7 @@
             target.seen_incarnation = Incarnation(reply.holder_incarnation)
             return
         target.last_reply_ms = max(target.last_reply_ms, now_ms)
+        target.unanswered_count = 0
         if target.basis_local_ms is None or reply.holder_now_ms > target.basis_holder_ms:
             if target.basis_local_ms is None:
                 target.next_send_ms = now_ms
@@ -150,7 +155,7 @@
         found = []
         for place, target in self._targets.items():
             silent_ms = now_ms - target.last_reply_ms
-            is_silent = silent_ms >= self._settings.suspect_after_ms
+            is_silent = self._is_silent(target, now_ms)
             if self._is_stopped(place, target) or not (is_silent or target.has_ended):
                 continue
             if now_ms >= target.next_suspect_ms:
@@ -158,6 +163,18 @@
                 found.append(self._suspicion(place, target, silent_ms))
         return found
 
+    def _is_silent(self, target: _Target, now_ms: int) -> bool:
+        """Tell whether a server has left several renewals without an answer.
+
+        Renewals are sent a little more than one interval apart. With the time alone, one lost
+        message at each of two renewers would count as the loss of a server.
+        """
+        if now_ms - target.last_reply_ms < self._settings.suspect_after_ms:
+            return False
+        reply_wait_ms = self._settings.renew_interval_ms // 4
+        has_waited = now_ms - target.last_sent_ms >= reply_wait_ms
+        return target.unanswered_count >= SUSPECT_AFTER_UNANSWERED and has_waited
+
     def _take(self, message: AssignRenewer, place: tuple[str, str], now_ms: int) -> bool:
         renewers = message.renewers
         if not self._note_role(message.service_name, message.role_epoch):
@@ -181,7 +198,12 @@
             return target
         bases = (known.sent_basis_ms, known.lower_sent_basis_ms)
         target.lower_sent_basis_ms = max((b for b in bases if b is not None), default=None)
-        if known.assignment.holder_incarnation == message.holder_incarnation:
+        # A lease that begins on an old basis lapses before the renewal after it arrives.
+        is_fresh = (
+            known.basis_local_ms is not None
+            and now_ms - known.basis_local_ms < self._settings.lease_ttl_ms // 2
+        )
+        if is_fresh and known.assignment.holder_incarnation == message.holder_incarnation:
             target.basis_holder_ms = known.basis_holder_ms
             target.basis_local_ms = known.basis_local_ms
         return target
@@ -189,6 +211,8 @@
     def _renewal(self, target: _Target, now_ms: int) -> RenewalOrder:
         assignment = target.assignment
         target.next_send_ms = now_ms + self._settings.renew_interval_ms
+        target.last_sent_ms = now_ms
+        target.unanswered_count += 1
         end_ms = 0  # asks for the holder's time only
         if target.basis_local_ms is not None and not target.has_ended:
             end_ms = target.basis_holder_ms + self._settings.lease_ttl_ms
@@ -236,5 +260,10 @@
     def _note_role(self, service_name: str, role_epoch: int) -> bool:
         if role_epoch < self._role_epochs.get(service_name, 0):
             return False
+        if role_epoch > self._role_epochs.get(service_name, 0):
+            # The earlier controller may not have acted on what was reported to it.
+            for (service, _), target in self._targets.items():
+                if service == service_name:
+                    target.next_suspect_ms = 0
         self._role_epochs[service_name] = RoleEpoch(role_epoch)
         return True
