controller: take over a silent role sooner and only with a majority in view

Cause: the role's silence was counted from the moment that membership had waited 1,500 ms already; a node that had read an absent role row tried a stale version first and waited 500 ms; a controller whose row was written but whose first reads failed never began; both sides of a cut took the role from each other; a replacement renewer could give a cut-off domain a majority. Change: subtract the membership's silence, read an outdated absent row, begin when the role is held, wait longer without a majority, no replacement in a used domain while another domain is only silent, learn the acting controller from its assignments.

--- a/nutmeglead/controller/acting.py
+++ b/nutmeglead/controller/acting.py
@@ -91,7 +91,8 @@
             self.name,
             NodeId(sender.node_id),
             sender.incarnation,
-            settings.ownership.role_silent_ms,
+            # A member that is not alive has been silent for `silent_after_ms` already.
+            max(0, settings.ownership.role_silent_ms - settings.dissemination.silent_after_ms),
             parts.clock.now_ms() + settings.dissemination.silent_after_ms // 3,
         )
         self._load = self._new_load()
@@ -228,6 +229,9 @@
             await self._read_role(now_ms)
         row = self._role.row_to_write(now_ms, self._nodes().values())
         if row is None or self._role.state is None:
+            # The role may be held already: an answer that was lost, or rows that could not be read
+            # when it was taken. No other controller takes a role whose holder is alive.
+            await self._begin()
             return
         check = RowCheck(self._role_row, self._role.state.version)
         write = RowWrite(self._role_row, encode(row))
@@ -240,8 +244,10 @@
 
     def _is_row_outdated(self) -> bool:
         acting = self._dissemination.acting(self.name)
-        row = self._role.state.row if self._role.state else None
-        return acting is not None and row is not None and acting.role_epoch > row.epoch
+        state = self._role.state
+        if acting is None or state is None:
+            return False
+        return acting.role_epoch > (state.row.epoch if state.row else 0)
 
     async def _read_role(self, now_ms: int) -> None:
         self._due.role_read_ms = now_ms + ROLE_RETRY_INTERVAL_MS
--- a/nutmeglead/controller/renewers.py
+++ b/nutmeglead/controller/renewers.py
@@ -39,12 +39,20 @@
 def replace_renewer(
     server_id: ServerId, present: Sequence[NodeId], lost: NodeId, nodes: Iterable[EntryNode]
 ) -> list[NodeId] | None:
-    """Replace one lost renewer, if possible from a failure domain that is not yet used."""
+    """Replace one lost renewer from a failure domain that is not yet used.
+
+    While a whole failure domain is silent there is no replacement from a domain that is in use: a
+    domain that is cut off would get a majority of its servers' renewers, and their leases could not
+    be stopped from outside. Once the VM list or the silence has removed its nodes, there is one.
+    """
     by_id = {node.node_id: node for node in nodes}
     kept = [node_id for node_id in present if node_id != lost]
     used = {by_id[node_id].failure_domain for node_id in kept if node_id in by_id}
     free = [node for node in by_id.values() if node.is_alive and node.node_id not in present]
+    has_other_domain = any(node.failure_domain not in used for node in by_id.values())
+    if has_other_domain:
+        free = [node for node in free if node.failure_domain not in used]
     if not free:
         return None
-    best = min(free, key=lambda node: (node.failure_domain in used, -_rank(node, server_id)))
+    best = min(free, key=lambda node: -_rank(node, server_id))
     return sorted([*kept, best.node_id])
--- a/nutmeglead/controller/role.py
+++ b/nutmeglead/controller/role.py
@@ -13,6 +13,9 @@
 
 # A controller that failed to take a role waits this long, so that two do not alternate.
 RETRY_MS = 500
+# A controller that hears less than half of the entry VMs is probably the one that is cut off. Both
+# sides of a cut that reach the table would else take the role from each other again and again.
+MINORITY_WAIT_MS = 10_000
 
 
 @dataclass(frozen=True)
@@ -66,9 +69,13 @@
         """Return the row with which this controller should take the role now, or None."""
         if self.state is None or self.epoch is not None or now_ms < self._not_before_ms:
             return None
-        alive = [node for node in nodes if node.is_alive]
+        known = list(nodes)
+        alive = [node for node in known if node.is_alive]
         row = self.state.row
-        if row is not None and not self._is_silent(row, alive, now_ms):
+        wait_ms = self._silent_ms
+        if 2 * len(alive) < len(known):
+            wait_ms += MINORITY_WAIT_MS
+        if row is not None and not self._is_silent(row, alive, now_ms, wait_ms):
             return None
         if not self._is_first(row, alive):
             return None
@@ -80,7 +87,7 @@
             epoch=(row.epoch if row else 0) + 1,
         )
 
-    def _is_silent(self, row: RoleRow, alive: list[EntryNode], now_ms: int) -> bool:
+    def _is_silent(self, row: RoleRow, alive: list[EntryNode], now_ms: int, wait_ms: int) -> bool:
         acting = next((node for node in alive if node.node_id == row.node_id), None)
         if acting is not None and acting.incarnation == row.incarnation:
             self._silent_since_ms = None
@@ -89,7 +96,7 @@
             return True
         if self._silent_since_ms is None:
             self._silent_since_ms = now_ms
-        return now_ms - self._silent_since_ms >= self._silent_ms
+        return now_ms - self._silent_since_ms >= wait_ms
 
     def _is_first(self, row: RoleRow | None, alive: list[EntryNode]) -> bool:
         """Tell whether this node has the highest rendezvous rank among the live ones."""
--- a/nutmeglead/controller/service.py
+++ b/nutmeglead/controller/service.py
@@ -33,7 +33,14 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.errors import NutmegleadError
 from nutmeglead.core.events import Event, log_event
-from nutmeglead.core.ids import FailureDomainName, Incarnation, NodeId, ServiceName, TicketNumber
+from nutmeglead.core.ids import (
+    FailureDomainName,
+    Incarnation,
+    NodeId,
+    RoleEpoch,
+    ServiceName,
+    TicketNumber,
+)
 from nutmeglead.dissemination.members import Identity, MemberState
 from nutmeglead.dissemination.service import DisseminationService
 from nutmeglead.http.client import HttpFetcher
@@ -165,6 +172,8 @@
         add(MessageType.IN_FORCE, InForceRequest, self._handle_in_force)
 
     async def _handle_assign(self, message: AssignRenewer) -> AssignReply:
+        service_name, role_epoch = ServiceName(message.service_name), RoleEpoch(message.role_epoch)
+        self.dissemination.learn_acting(service_name, role_epoch, message.sender.node_id)
         return self._renewer.assign(message, self._clock.now_ms())
 
     async def _handle_stop(self, message: StopRenewing) -> StoppedReply:
--- a/nutmeglead/dissemination/machine.py
+++ b/nutmeglead/dissemination/machine.py
@@ -139,6 +139,10 @@
             self._own_roles[service_name] = role_epoch
             self._learn_acting(service_name, role_epoch, self.identity.node_id)
 
+    def learn_acting(self, service_name: str, role_epoch: RoleEpoch, node_id: str) -> None:
+        """Take over from a command who acts, up to a heartbeat interval before it is announced."""
+        self._learn_acting(service_name, role_epoch, node_id)
+
     def confirm(self, service_name: ServiceName, now_ms: int) -> None:
         """Note that the table was just read or written: the copy is what the table holds."""
         self.copies[service_name].confirm(now_ms)
--- a/nutmeglead/dissemination/service.py
+++ b/nutmeglead/dissemination/service.py
@@ -114,6 +114,10 @@
         """Announce that this node acts for a service, or no longer."""
         self._machine.set_role(service_name, role_epoch)
 
+    def learn_acting(self, service_name: ServiceName, role_epoch: RoleEpoch, node_id: str) -> None:
+        """Note who acts for a service, as a command of that controller shows."""
+        self._machine.learn_acting(service_name, role_epoch, node_id)
+
     def update_vms(self, entries: Sequence[VmEntry]) -> None:
         """Take over a VM list that the caller has read."""
         self._machine.learn_vms(entries, self._clock.now_ms())
