controller: count a server as lost whose lease an earlier controller had stopped

Cause: renewers report nothing of a lease epoch that they have stopped. If the controller that had it stopped lost its role before the units moved, its successor never learned of the loss and the keys stayed without an owner (server lost, controller paused at its page write: 6,290 to 7,522 ms, until the paused one resumed). Change: a refused assignment of a stopped lease epoch counts as a loss.

--- a/nutmeglead/controller/executor.py
+++ b/nutmeglead/controller/executor.py
@@ -156,7 +156,7 @@
         )
         if isinstance(reply, Ok):
             server_id = ServerId(decision.message.server_id)
-            self._machine.on_assign_reply(server_id, reply.ok_value)
+            self._machine.on_assign_reply(server_id, reply.ok_value, self._now_ms())
 
     async def _stop(self, decision: SendStop) -> None:
         address = self._parts.address_of(decision.node_id)
--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -37,8 +37,6 @@
     # Whether all lease epochs up to that of the row are proven to have ended.
     has_ended: bool = False
     is_lost: bool = False
-    # Whether an earlier controller had the lease epoch stopped, so that it is renewed no more.
-    is_stopped: bool = False
     assigned: set[str] = field(default_factory=set)
     next_probe_ms: int = 0
     next_assign_ms: int = 0
@@ -91,7 +89,7 @@
             return
         if lease.row is None or lease.row.current != row.current:
             lease.assigned.clear()
-            lease.has_ended = lease.is_lost = lease.is_stopped = False
+            lease.has_ended = lease.is_lost = False
             lease.next_probe_ms = lease.next_assign_ms = 0
         lease.row, lease.row_version = row, version
 
@@ -116,16 +114,6 @@
         if lease is not None and lease_epoch == lease.lease_epoch:
             lease.assigned.add(node_id)
 
-    def replace_stopped(self, server_id: ServerId, stopped_epoch: int) -> None:
-        """Have the next lease epoch written, because a renewer refuses this one for good.
-
-        A renewer does not report the silence of a server whose lease epoch it has stopped, so the
-        lease would lapse unnoticed.
-        """
-        lease = self.servers.get(server_id)
-        if lease is not None and stopped_epoch >= lease.lease_epoch:
-            lease.is_stopped = True
-
     def decide(self, now_ms: int) -> list[Decision]:
         """Return the probes and assignments that are due."""
         decisions: list[Decision] = []
@@ -175,8 +163,6 @@
             return self._fresh_lease(lease, lease.incarnation, nodes)
         if lease.is_lost:
             return None
-        if lease.is_stopped:
-            return self._replaced_lease(lease, lease.row, nodes)
         if lease.row.former:
             return confirm_lease(lease.row) if lease.is_confirmed else None
         return self._replaced_renewer(lease, lease.row, nodes)
@@ -185,7 +171,9 @@
         self, lease: ServerLease, incarnation: Incarnation, nodes: Mapping[NodeId, EntryNode]
     ) -> ServerRow | None:
         """Return the row of a lease that has nothing to do with an earlier one."""
-        renewers = self._chosen_renewers(lease, nodes)
+        count = self._settings.renewers_per_server
+        chosen = choose_renewers(lease.server_id, lease.failure_domain, nodes.values(), count)
+        renewers = {node_id: Incarnation(nodes[node_id].incarnation) for node_id in chosen}
         if not renewers:
             return None
         if lease.row is None:
@@ -194,24 +182,6 @@
             )
         return next_lease(lease.row, incarnation, renewers, self._role_epoch, ended=True)
 
-    def _replaced_lease(
-        self, lease: ServerLease, row: ServerRow, nodes: Mapping[NodeId, EntryNode]
-    ) -> ServerRow | None:
-        """Return the row of the next lease epoch while the present one may still be in force."""
-        renewers = self._chosen_renewers(lease, nodes)
-        if not renewers:
-            return None
-        return next_lease(
-            row, Incarnation(row.incarnation), renewers, self._role_epoch, ended=False
-        )
-
-    def _chosen_renewers(
-        self, lease: ServerLease, nodes: Mapping[NodeId, EntryNode]
-    ) -> dict[NodeId, Incarnation]:
-        count = self._settings.renewers_per_server
-        chosen = choose_renewers(lease.server_id, lease.failure_domain, nodes.values(), count)
-        return {node_id: Incarnation(nodes[node_id].incarnation) for node_id in chosen}
-
     def _replaced_renewer(
         self, lease: ServerLease, row: ServerRow, nodes: Mapping[NodeId, EntryNode]
     ) -> ServerRow | None:
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -189,12 +189,18 @@
         self.handover.on_release_reply(server_id, sent, reply, now_ms)
         self._mark_proven()
 
-    def on_assign_reply(self, server_id: ServerId, reply: AssignReply) -> None:
-        """Take a renewer's reply to an assignment."""
+    def on_assign_reply(self, server_id: ServerId, reply: AssignReply, now_ms: int) -> None:
+        """Take a renewer's reply to an assignment.
+
+        A renewer reports nothing of a server whose lease an earlier controller had stopped. Without
+        the loss noted here, such a server's units would stay with it for good.
+        """
         if reply.accepted:
             self.leases.accept_assignment(server_id, reply.sender.node_id, reply.lease_epoch)
         elif self.handover.on_assign_reply(server_id, reply) is Suspicion.LEASE_ENDED:
-            self.leases.replace_stopped(server_id, reply.lease_epoch)
+            lease = self.leases.servers.get(server_id)
+            if lease is not None and not lease.is_lost and not lease.has_ended:
+                self._lose(server_id, "an earlier controller had its lease stopped", now_ms)
 
     def on_stopped(self, reply: StoppedReply, now_ms: int) -> None:
         """Take a renewer's stop statement."""
