--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -186,8 +186,14 @@
             lease.incarnation = None
 
     def rows_to_write(self, nodes: Mapping[NodeId, EntryNode]) -> list[tuple[int, ServerRow]]:
-        """Return the rows that have to change, each with the row version that it replaces."""
-        changed = []
+        """Return the rows that have to change, each with the row version that it replaces.
+
+        A controller that hears less than half of the entry VMs is probably cut off. It would choose
+        renewers on its own side only, and the other side could not stop the leases of its servers.
+        """
+        changed: list[tuple[int, ServerRow]] = []
+        if 2 * sum(node.is_alive for node in nodes.values()) < len(nodes):
+            return changed
         for lease in self.servers.values():
             row = self._next_row(lease, nodes)
             if row is not None:
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -106,9 +106,8 @@
         self._sender = sender
         self._role_check = RowCheck(role_key(self.service_name), role_version)
         self._trail = AuditTrail(self.service_name, sender, role_epoch)
-        self.writer = PageWriter(
-            settings.service, self.placer, self._role_check, role_epoch, self._trail
-        )
+        parts = (self.placer, self._role_check, role_epoch, self._trail)
+        self.writer = PageWriter(settings.service, *parts)
         self._budget = WriteBudget(settings.ownership.table_writes_per_s, now_ms)
         self._servers_in_flight: list[ServerRow] = []
         self._to_read: set[RowKey] = set()
@@ -202,10 +201,18 @@
         self.handover.on_release_reply(server_id, sent, reply, now_ms)
         self._mark_proven()
 
-    def on_assign_reply(self, server_id: ServerId, reply: AssignReply) -> None:
-        """Take a renewer's reply to an assignment."""
+    def on_assign_reply(self, server_id: ServerId, reply: AssignReply, now_ms: int) -> None:
+        """Take a renewer's reply to an assignment.
+
+        A renewer reports nothing of a server whose lease an earlier controller had stopped. Without
+        the loss noted here, such a server's units would stay with it for good.
+        """
         if reply.accepted:
             self.leases.accept_assignment(server_id, reply.sender.node_id, reply.lease_epoch)
+        elif self.handover.on_assign_reply(server_id, reply) is Suspicion.LEASE_ENDED:
+            lease = self.leases.servers.get(server_id)
+            if lease is not None and not lease.is_lost and not lease.has_ended:
+                self._lose(server_id, "an earlier controller had its lease stopped", now_ms)
 
     def on_stopped(self, reply: StoppedReply, now_ms: int) -> None:
         """Take a renewer's stop statement."""
@@ -250,8 +257,8 @@
         for row in rows:
             key = server_key(self.service_name, row.server_id)
             self.load_servers([Row(key, versions[key], encode(row))])
-            evidence = f"lease epoch {row.current.lease_epoch} by {', '.join(row.current.node_ids)}"
             epoch = LeaseEpoch(row.current.lease_epoch)
+            evidence = f"lease epoch {epoch} by {', '.join(row.current.node_ids)}"
             self._record(self._trail.lease_begun(ServerId(row.server_id), epoch, evidence))
 
     def on_commit_failed(self, tag: CommitTag, now_ms: int) -> None:
