controller: move the writing of server rows into a module of its own

Change: ServerWriter beside PageWriter; gate addresses moved to LeaseKeeper. Behaviour is unchanged.

--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -160,6 +160,17 @@
         if gate is not None and gate.gate_address is not None:
             lease.address = gate.gate_address
 
+    def gate_addresses(self, nodes: Mapping[NodeId, EntryNode]) -> dict[ServerId, Address]:
+        """Return where the gates of this service's servers are reached."""
+        if not self.uses_gates:
+            return {}
+        gates = {}
+        for lease in self.servers.values():
+            node = nodes.get(lease.gate_node_id) if lease.gate_node_id else None
+            if node is not None and node.gate_address is not None:
+                gates[lease.server_id] = node.gate_address
+        return gates
+
     def end(self, server_id: ServerId) -> None:
         """Note that the lease epoch in the table is proven to have ended."""
         lease = self.servers[server_id]
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -5,7 +5,7 @@
 
 from result import Err
 
-from nutmeglead._generated.common.ttypes import Address, Sender
+from nutmeglead._generated.common.ttypes import Sender
 from nutmeglead._generated.messages.ttypes import (
     AssignReply,
     AuditRecord,
@@ -26,7 +26,6 @@
 from nutmeglead.controller.audit_trail import AuditTrail
 from nutmeglead.controller.budget import WriteBudget
 from nutmeglead.controller.decisions import (
-    Commit,
     CommitTag,
     Decision,
     EntryNode,
@@ -44,7 +43,8 @@
 from nutmeglead.controller.leases import LeaseKeeper
 from nutmeglead.controller.page_writer import PageWriter, TicketProgress
 from nutmeglead.controller.placer import PagePlacer
-from nutmeglead.core.codec import decode, encode
+from nutmeglead.controller.server_writer import ServerWriter
+from nutmeglead.core.codec import decode
 from nutmeglead.core.ids import (
     LeaseEpoch,
     NodeId,
@@ -59,16 +59,13 @@
 from nutmeglead.ownership.commands import CommandFactory
 from nutmeglead.ownership.handover import HandoverTable, Suspicion
 from nutmeglead.ownership.handover import SendStop as StopDecision
-from nutmeglead.ownership.pages import role_key, server_key
+from nutmeglead.ownership.pages import role_key
 from nutmeglead.placement.model import LoadSnapshot
-from nutmeglead.platform.ports import Row, RowCheck, RowWrite
+from nutmeglead.platform.ports import Row, RowCheck
 from nutmeglead.tickets.state import ServiceState
 
 __all__ = ["ControllerMachine", "MachineSettings"]
 
-# Server rows per transaction.
-MAX_SERVER_ROWS = 64
-
 
 @dataclass(frozen=True)
 class MachineSettings:
@@ -109,7 +106,7 @@
         parts = (self.placer, self._role_check, role_epoch, self._trail)
         self.writer = PageWriter(settings.service, *parts)
         self._budget = WriteBudget(settings.ownership.table_writes_per_s, now_ms)
-        self._servers_in_flight: list[ServerRow] = []
+        self._server_writer = ServerWriter(self.service_name, self.leases, self._role_check)
         self._to_read: set[RowKey] = set()
         self._outbox: list[Decision] = []
         self._node_incarnations: dict[NodeId, str] = {}
@@ -253,21 +250,15 @@
             self._outbox += [RecordAudit(record) for record in self.writer.audit_moves()]
             self.load_pages(self.writer.committed(versions, now_ms))
             return
-        rows, self._servers_in_flight = self._servers_in_flight, []
-        for row in rows:
-            key = server_key(self.service_name, row.server_id)
-            self.load_servers([Row(key, versions[key], encode(row))])
-            epoch = LeaseEpoch(row.current.lease_epoch)
-            evidence = f"lease epoch {epoch} by {', '.join(row.current.node_ids)}"
-            self._record(self._trail.lease_begun(ServerId(row.server_id), epoch, evidence))
+        self._outbox += [RecordAudit(r) for r in self._server_writer.audit_leases(self._trail)]
+        self.load_servers(self._server_writer.committed(versions))
 
     def on_commit_failed(self, tag: CommitTag, now_ms: int) -> None:
         """Read the rows of a transaction again, because it conflicted or its answer was lost."""
         if tag is CommitTag.PAGES:
             self._to_read.update(self.writer.failed(now_ms))
-            return
-        rows, self._servers_in_flight = self._servers_in_flight, []
-        self._to_read.update(server_key(self.service_name, row.server_id) for row in rows)
+        else:
+            self._to_read.update(self._server_writer.failed())
 
     def on_rows_read(self, keys: Iterable[RowKey], rows: Iterable[Row]) -> None:
         """Take rows that were read again after a failed transaction."""
@@ -351,35 +342,15 @@
     def _transactions(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
         if self._to_read:
             return [ReadRows(tuple(sorted(self._to_read)))]
-        decisions: list[Decision] = []
-        if not self._servers_in_flight:
-            decisions += self._write_servers(now_ms, nodes)
-        commit = self.writer.next_commit(
-            self.leases.servers, self.handover.proven(), self._budget, now_ms, self._gates(nodes)
+        servers = self._server_writer.next_commit(nodes, self._budget, now_ms)
+        pages = self.writer.next_commit(
+            self.leases.servers,
+            self.handover.proven(),
+            self._budget,
+            now_ms,
+            self.leases.gate_addresses(nodes),
         )
-        return decisions + ([commit] if commit else [])
-
-    def _gates(self, nodes: Mapping[NodeId, EntryNode]) -> dict[ServerId, Address]:
-        """Return where the gates of this service's servers are reached."""
-        if not self.leases.uses_gates:
-            return {}
-        gates = {}
-        for lease in self.leases.servers.values():
-            node = nodes.get(lease.gate_node_id) if lease.gate_node_id else None
-            if node is not None and node.gate_address is not None:
-                gates[lease.server_id] = node.gate_address
-        return gates
-
-    def _write_servers(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
-        due = self.leases.rows_to_write(nodes)
-        due = due[: self._budget.take_up_to(min(len(due), MAX_SERVER_ROWS), now_ms)]
-        if not due:
-            return []
-        self._servers_in_flight = [row for _, row in due]
-        keyed = [(server_key(self.service_name, row.server_id), v, row) for v, row in due]
-        checks = [self._role_check, *(RowCheck(key, version) for key, version, _ in keyed)]
-        writes = [RowWrite(key, encode(row)) for key, _, row in keyed]
-        return [Commit(CommitTag.SERVERS, checks, writes)]
+        return [commit for commit in (servers, pages) if commit is not None]
 
     def _note_incarnation(
         self, server_id: ServerId, incarnation: str, sent_ms: int, now_ms: int
