controller: export imbalance, moves by reason and time without an owner

Events 2003, 2004 and 5001 are in the catalogue but were never logged. Gauges of a service kept their last values after the controller had lost its role. Change: `ServiceActivity` counts written moves by reason and measures each handover from the page write, or from the last sign of a lost server, to the acknowledged grant. Gauges for units of lost servers, the longest wait and the imbalance at the last plan; only the acting controller exports them. Metrics are updated once per second and no longer wait for the object store.

--- a/nutmeglead/controller/acting.py
+++ b/nutmeglead/controller/acting.py
@@ -20,6 +20,7 @@
 )
 from nutmeglead._generated.settings.ttypes import ServiceSettings, Settings
 from nutmeglead.audit.records import AuditContext, ticket_in_force
+from nutmeglead.controller.activity import ServiceActivity
 from nutmeglead.controller.decisions import EntryNode
 from nutmeglead.controller.executor import RPC_TIMEOUT_MS, DecisionExecutor, ExecutorParts
 from nutmeglead.controller.machine import ControllerMachine, MachineSettings
@@ -78,6 +79,7 @@
     ) -> None:
         self.name = ServiceName(service.name)
         self.machine: ControllerMachine | None = None
+        self.activity = ServiceActivity()
         self._settings = MachineSettings(service, settings.ownership)
         self._sender = sender
         self._parts = parts
@@ -129,6 +131,7 @@
     def on_suspect(self, message: SuspectServer) -> None:
         """Take a renewer's report."""
         if self.machine is not None:
+            self.activity.on_suspect(message, self._now_ms())
             self.machine.on_suspect(message, self._now_ms())
             self.wake()
 
@@ -165,6 +168,7 @@
         now_ms = self._now_ms()
         self._update_inputs(self.machine, now_ms)
         self._executor.carry_out(self.machine.tick(now_ms, self._nodes()))
+        self.activity.observe(self.machine, now_ms)
         if self._in_force_number < self._tickets.state.number:
             await self._follow_ticket(self.machine, now_ms)
 
@@ -175,7 +179,9 @@
             machine.set_desired(state.service(self.name), state.number, now_ms)
         if now_ms >= self._due.load_ms:
             self._due.load_ms = now_ms + LOAD_SNAPSHOT_INTERVAL_MS
-            self._load.apply(machine.writer.take_written(), now_ms)
+            written = machine.writer.take_written()
+            self.activity.count(written)
+            self._load.apply(written, now_ms)
             machine.set_load(self._load.snapshot(now_ms))
 
     async def _follow_ticket(self, machine: ControllerMachine, now_ms: int) -> None:
@@ -276,6 +282,7 @@
         machine.load_pages(pages.ok_value)
         self._desired_number = desired.number
         self._load = self._new_load()
+        self.activity.begin()
         self.machine = machine
         self._executor = DecisionExecutor(machine, self._parts, self.wake, self._check_role)
         self._announce(machine, epoch)
--- a/nutmeglead/controller/executor.py
+++ b/nutmeglead/controller/executor.py
@@ -10,6 +10,8 @@
 from nutmeglead._generated.common.ttypes import Address
 from nutmeglead._generated.messages.ttypes import (
     AssignReply,
+    AuditKind,
+    AuditRecord,
     MessageType,
     PlacementPage,
     StoppedReply,
@@ -44,6 +46,11 @@
 READ_RETRY_MS = 250
 RPC_TIMEOUT_MS = 250
 
+_LEASE_EVENTS = {
+    AuditKind.LEASE_BEGUN: Event.LEASE_BEGUN,
+    AuditKind.LEASE_ENDED: Event.LEASE_ENDED,
+}
+
 
 class ExecutorParts:
     """Hold what the decisions of all services are carried out with."""
@@ -99,6 +106,7 @@
             if isinstance(decision, RecordAudit):
                 decision.record.wall_time_ms = self._parts.clock.wall_ms()
                 self._parts.audit.append(decision.record)
+                _log_lease(decision.record)
             elif not (isinstance(decision, ReadRows) and self._is_reading):
                 self._start(self._actions[type(decision)](decision))
 
@@ -211,3 +219,16 @@
                     self._parts.publish(page)
         finally:
             self._is_reading = False
+
+
+def _log_lease(record: AuditRecord) -> None:
+    """Log the begin and the end of a lease, by which an operator recognizes a lost server."""
+    event = _LEASE_EVENTS.get(record.kind)
+    if event is not None:
+        log_event(
+            logger,
+            event,
+            service=record.service_name,
+            server=record.subject,
+            evidence=record.evidence,
+        )
--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -67,6 +67,8 @@
         self.plan_input = PlanInput()
         self.progress = TicketProgress()
         self.in_flight: _InFlight | None = None
+        # Load of the fullest server over the mean when the last plan was made; None before that.
+        self.imbalance: float | None = None
         self._settings = settings
         self._placer = placer
         self._role_check = role_check
@@ -183,7 +185,9 @@
         """Return the moves that are due; optional ones only once per round."""
         self.plan_input.recently_moved = self._recent.units(now_ms)
         request = build_request(self._settings, self._placer, leases, self.plan_input, now_ms)
-        moves = plan(request).moves
+        found = plan(request)
+        self.imbalance = found.imbalance_before
+        moves = found.moves
         if now_ms < self._balance_ms:
             return [move for move in moves if move.reason not in _OPTIONAL_REASONS]
         self._balance_ms = now_ms + self._settings.placement.round_interval_ms
--- a/nutmeglead/controller/service.py
+++ b/nutmeglead/controller/service.py
@@ -50,6 +50,7 @@
 logger = logging.getLogger(__name__)
 
 TICKET_POLL_INTERVAL_MS = 500
+METRICS_INTERVAL_MS = 1000
 # A renewal that is not answered by then is useless: the next one is on its way.
 BACKEND_TIMEOUT_MS = 240
 
@@ -137,6 +138,7 @@
             asyncio.ensure_future(self._repeat(self._poll_tickets, TICKET_POLL_INTERVAL_MS)),
             asyncio.ensure_future(self._repeat(self._read_vms, vm_poll_ms)),
             asyncio.ensure_future(self._repeat(self._flush_audit, audit_ms)),
+            asyncio.ensure_future(self._repeat(self._update_metrics, METRICS_INTERVAL_MS)),
             *(asyncio.ensure_future(service.run()) for service in self.services.values()),
         ]
 
@@ -260,10 +262,17 @@
                 service.on_vms(listed.ok_value)
 
     async def _flush_audit(self) -> None:
+        lost = self._audit.lost
+        if lost is not None:
+            log_event(logger, Event.AUDIT_GAP, first=lost.first, last=lost.last)
         flushed = await self._audit.flush()
         if isinstance(flushed, Err):
             log_event(logger, Event.AUDIT_DELAYED, waiting=self._audit.waiting_count)
-        self._metrics.update(self.services.values(), self._audit.waiting_count)
+
+    async def _update_metrics(self) -> None:
+        self._metrics.update(
+            self.services.values(), self._audit.waiting_count, self._clock.now_ms()
+        )
 
     def _readiness(self) -> Readiness:
         missing = []
