--- a/nutmeglead/programs/tests/loopback.py
+++ b/nutmeglead/programs/tests/loopback.py
@@ -70,7 +70,7 @@
         self.program = program
         self.settings = load_settings(EXAMPLES / "domain-a.jsonc", known_policies()).unwrap()
         node, platform = self.settings.node, self.settings.platform
-        ports = free_ports(8)
+        ports = free_ports(9)
         for spec in filter(None, node.thrift_spec):
             if spec[2].endswith("_port"):
                 setattr(node, spec[2], ports.pop())
--- a/nutmeglead/settings/tests/steps/examples_steps.py
+++ b/nutmeglead/settings/tests/steps/examples_steps.py
@@ -108,4 +108,4 @@
         ports += [getattr(node, s[2]) for s in node.thrift_spec if s and s[2].endswith("_port")]
     platform = example.any.platform
     ports += [a.port for a in (platform.table_service, platform.object_store, platform.vm_list)]
-    assert len(ports) == 6 + 3 * 5 + 3 == len(set(ports)), sorted(ports)
+    assert len(ports) == 6 + 3 * 6 + 3 == len(set(ports)), sorted(ports)
