--- a/nutmeglead/programs/tests/console.py
+++ b/nutmeglead/programs/tests/console.py
@@ -3,7 +3,7 @@
 import re
 from dataclasses import dataclass, field
 
-from nutmeglead.programs.tests.rig import Platform
+from nutmeglead.programs.tests.shell import Shell
 
 __all__ = ["Example", "read_examples", "run_examples"]
 
@@ -38,14 +38,14 @@
 
 def run_examples(examples):
     """Yield each example with the output that it gives."""
-    platform, code = Platform(), 0
+    shell, code = Shell(), 0
     for example in examples:
         if example.states and example.new_platform:
-            platform = Platform()
+            shell = Shell()
         for state in example.states:
-            platform.arrange(state)
+            shell.arrange(state)
         if example.command == "echo $?":
             yield example, [str(int(code))]
             continue
-        code, results, errors = platform.run(example.command)
+        code, results, errors = shell.run(example.command)
         yield example, (results + errors).splitlines()
--- a/nutmeglead/programs/tests/pages.feature
+++ b/nutmeglead/programs/tests/pages.feature
@@ -9,6 +9,25 @@
       | file-a-ticket.md  | 7     | an operator follows a command that no longer exists    |
       | read-a-refusal.md | 9     | an operator looks for a message that no longer exists  |
       | plan-a-move.md    | 7     | an operator reads an explanation that has another form |
+      | install.md        | 5     | a balancer probes a path or port that does not exist   |
+      | lose-a-server.md  | 5     | an operator looks for a metric that does not exist     |
+      | lose-a-failure-domain.md | 4 | an operator takes a lost entry VM for a lost ticket |
+      | table-outage.md   | 6     | an operator takes an outage for a refusal              |
+
+  Scenario: The page of alarms lists every metric of both processes
+    Given the page docs/operators/alarms.md
+    Then its table "Metrics" lists exactly the metrics of the router and the controller
+
+  Scenario: The page of alarms says what each serious event asks for
+    Given the page docs/operators/alarms.md
+    Then its table "Events" lists every event of level WARNING or ERROR with number and name
+
+  Scenario: The page of installation lists every port
+    Given the page docs/operators/install.md
+    Then its table "Ports" lists every port of the settings with its default
+
+  Scenario: Links between the pages lead somewhere
+    Then every relative link of README.md and of the operators' pages names a file
 
   Scenario: The catalogue of exit codes equals the code
     Given the page docs/operators/exit-codes.md
--- a/nutmeglead/programs/tests/rig.py
+++ b/nutmeglead/programs/tests/rig.py
@@ -12,14 +12,13 @@
 from nutmeglead._generated.settings.ttypes import AuditSettings
 from nutmeglead._generated.tickets.ttypes import ServerState
 from nutmeglead.audit.buffer import AuditBuffer
-from nutmeglead.audit.records import AuditContext, unit_moved
+from nutmeglead.audit.records import AuditContext, lease_ended, unit_moved
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.core.codec import encode
 from nutmeglead.core.ids import RowKey
 from nutmeglead.ownership import pages
 from nutmeglead.ownership.keys import Unit
 from nutmeglead.ownership.units import UnitMap
-from nutmeglead.platform.errors import BackendUnreachable
 from nutmeglead.platform.memory import MemoryObjectStore, MemoryTable, MemoryVmList, TableFault
 from nutmeglead.platform.ports import RowWrite, VmEntry, VmState
 from nutmeglead.programs import audit, ticket
@@ -29,6 +28,7 @@
 from nutmeglead.programs.output import Output
 from nutmeglead.programs.policies import known_policies
 from nutmeglead.programs.ticket_commands import TicketTools
+from nutmeglead.rpc.errors import PeerUnreachable
 from nutmeglead.tickets.rows import ticket_writes
 from nutmeglead.tickets.tests import samples
 
@@ -110,21 +110,50 @@
             self.put(RowWrite(RowKey("ticket/head"), b"\x1f"))
         elif part == "a corrupt page":
             self.put(RowWrite(RowKey("page/konturablage/hash/0"), b"\x1f"))
-        elif part == "missing grants":
+        else:
+            self._arrange_placement(part)
+
+    def _arrange_placement(self, part):
+        """Bring pages, audit records or the entry VMs' answers into a named state."""
+        if part == "missing grants":
             self.answers = [[("lb-05", "no acknowledgement of its grants")]] * 4 + [[]]
         elif part == "the move of schnittplan-4711":
             self._write_move("schnittplan-4711", "lb-05")
+        elif part == "the loss of lb-03":
+            self._write_loss("lb-03", "lb-06")
+        elif part == "a lost entry VM":
+            self.answers = [[], None] * 8
+        elif part == "the platform says gone":
+            self.vms.entries[1] = entry_vm(self.vms.entries[1].vm_id, VmState.GONE)
+            self.answers = [[]]
         else:
             assert part == "no ticket", part
 
     def put(self, *writes):
         asyncio.run(self.table.commit([], writes)).unwrap()
 
+    def _first_pages(self):
+        owners = [f"lb-{bucket % 24 + 1:02}" for bucket in range(2048)]
+        stamp = pages.WriteStamp(3, 1)
+        return pages.hash_pages("lagerblick", 2048, owners.__getitem__, stamp)
+
+    def _write_pages(self, written):
+        self.put(*(RowWrite(pages.page_key_of(page), encode(page)) for page in written))
+
+    def _write_records(self, number, *records):
+        """Write audit records as the acting controller does; each is made from a context."""
+        context = AuditContext(
+            Sender("entry-halle-a-1", "7"), self.clock.wall_ms(), "lagerblick", 3, number
+        )
+        trail = AuditBuffer(self.objects, AuditSettings(), context.sender, self.clock)
+        for make in records:
+            trail.append(make(context))
+        asyncio.run(trail.close()).unwrap()
+
     def _write_move(self, key, target):
         """Write pages and audit records as the acting controller does for ticket 2."""
         stamp = pages.WriteStamp(3, 1)
-        owners = [f"lb-{bucket % 24 + 1:02}" for bucket in range(2048)]
-        written = pages.hash_pages("lagerblick", 2048, owners.__getitem__, stamp)
+        written = self._first_pages()
         unit_map = UnitMap("lagerblick", 2048)
         for page in written:
             unit_map.apply(page)
@@ -133,20 +162,36 @@
         empty = pages.empty_pin_page("lagerblick", pages.page_of_unit(unit)[1], stamp)
         second = pages.WriteStamp(3, 2)
         written.append(pages.add_unit(empty, unit, target, below, second).unwrap())
-        self.put(*(RowWrite(pages.page_key_of(page), encode(page)) for page in written))
-        context = AuditContext(
-            Sender("entry-halle-a-1", "7"), self.clock.wall_ms(), "lagerblick", 3, 2
-        )
-        trail = AuditBuffer(self.objects, AuditSettings(), context.sender, self.clock)
+        self._write_pages(written)
         moved = (unit.to_id(), below[0].owner, target, 2, "claim of ticket 2")
-        trail.append(unit_moved(context, *moved))
-        asyncio.run(trail.close()).unwrap()
+        self._write_records(2, lambda context: unit_moved(context, *moved))
+
+    def _write_loss(self, lost, target):
+        """Write pages and audit records as after a loss; the previous holder is cleared."""
+        written = []
+        for page in self._first_pages():
+            units = [
+                u
+                for u, owner in zip(pages.units_on_page(page), page.owners, strict=True)
+                if page.servers[owner] == lost
+            ]
+            moved = pages.move_units(page, dict.fromkeys(units, target), pages.WriteStamp(3, 1))
+            moved.ok_value.previous = {}
+            written.append(moved.unwrap())
+        self._write_pages(written)
+        unit = Unit.of_bucket(1754).to_id()
+        self._write_records(
+            1,
+            lambda c: lease_ended(c, lost, 1, "lost: 512 ms without a reply to renewals"),
+            lambda c: unit_moved(c, unit, lost, target, 2, "server_lost, load 4.2/s"),
+            lambda c: lease_ended(c, lost, 1, "lapsed"),
+        )
 
     async def _ask(self, address, number):
         answer = self.answers[min(self.asked, len(self.answers) - 1)]
         self.asked += 1
         if answer is None:
-            return Err(BackendUnreachable(f"{address.ip}:{address.port}", "no answer in 1000 ms"))
+            return Err(PeerUnreachable(f"{address.ip}:{address.port}", "no route to host"))
         missing = [MissingParty(name, reason) for name, reason in answer]
         return Ok(InForceReply(Sender("entry", "1"), number, not missing, missing))
 
--- a/nutmeglead/programs/tests/steps/pages_steps.py
+++ b/nutmeglead/programs/tests/steps/pages_steps.py
@@ -4,13 +4,17 @@
 import re
 
 from behave import given, then
+from prometheus_client import CollectorRegistry
 
+from nutmeglead._generated.settings.ttypes import NodeSettings
+from nutmeglead.controller.metrics import ControllerMetrics
 from nutmeglead.core.events import Event
 from nutmeglead.platform import errors as platform_errors
 from nutmeglead.programs.exit_codes import ExitCode, exit_code_of
 from nutmeglead.programs.tests.console import read_examples, run_examples
 from nutmeglead.programs.tests.rig import ROOT
 from nutmeglead.programs.tests.settings_reference import rows
+from nutmeglead.routing.load_reports import RequestMetrics
 from nutmeglead.settings import errors as settings_errors
 from nutmeglead.tickets import errors as ticket_errors
 
@@ -27,6 +31,16 @@
         lines = [line for line in self.text.splitlines() if line.startswith("|")]
         return [[cell.strip() for cell in line.strip("|").split("|")] for line in lines[2:]]
 
+    def section(self, title):
+        """Return the part of the page under a heading of the second level."""
+        return PageScenario.of_text(self.text.split(f"\n## {title}\n")[1].split("\n## ")[0])
+
+    @classmethod
+    def of_text(cls, text):
+        page = cls.__new__(cls)
+        page.text = text
+        return page
+
 
 @given("the page {path}")
 def step_page(context, path):
@@ -108,3 +122,45 @@
     found = [tuple(row[:3]) for row in context.page.rows()]
     assert found == list(rows()), set(found) ^ set(rows())
     assert all(row[3] for row in context.page.rows())
+
+
+@then('its table "{title}" lists exactly the metrics of the router and the controller')
+def step_metrics(context, title):
+    expected = set()
+    for process, make in (("router", RequestMetrics), ("controller", ControllerMetrics)):
+        registry = CollectorRegistry()
+        make(registry)
+        for metric in registry.collect():
+            suffix = "_total" if metric.type == "counter" else ""
+            expected.add((metric.name + suffix, process))
+    rows = context.page.section(title).rows()
+    found = [(row[0], row[1].split(",")[0]) for row in rows]
+    assert len(found) == len(set(found)) and set(found) == expected, set(found) ^ expected
+    assert all(all(row) for row in rows)
+
+
+@then('its table "{title}" lists every event of level WARNING or ERROR with number and name')
+def step_serious(context, title):
+    rows = context.page.section(title).rows()
+    expected = [(str(e.number), e.name) for e in Event if e.level >= logging.WARNING]
+    assert [tuple(row[:2]) for row in rows] == expected, rows
+    assert all(all(row) for row in rows)
+
+
+@then('its table "{title}" lists every port of the settings with its default')
+def step_ports(context, title):
+    rows = context.page.section(title).rows()
+    specs = [spec for spec in NodeSettings.thrift_spec if spec and spec[2].endswith("_port")]
+    assert {(row[0], row[1]) for row in rows} == {(spec[2], str(spec[4])) for spec in specs}
+    assert all(all(row) for row in rows)
+
+
+@then("every relative link of README.md and of the operators' pages names a file")
+def step_links(context):
+    pages = [ROOT / "README.md", *sorted((ROOT / "docs/operators").glob("*.md"))]
+    links = [
+        (page, link) for page in pages for link in re.findall(r"\]\(([^)#:]+)\)", page.read_text())
+    ]
+    assert len(links) > 10
+    broken = [(page.name, link) for page, link in links if not (page.parent / link).is_file()]
+    assert not broken, broken
