--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -73,6 +73,8 @@
         self.plan_input = PlanInput()
         self.progress = TicketProgress()
         self.in_flight: _InFlight | None = None
+        # Load of the fullest server over the mean when the last plan was made; None before that.
+        self.imbalance: float | None = None
         self._settings = settings
         self._placer = placer
         self._role_check = role_check
@@ -196,6 +198,7 @@
             for unmet in planned.unmet_claims
             if unmet.reason is UnmetReason.SERVER_LOST
         ]
+        self.imbalance = planned.imbalance_before
         if now_ms < self._balance_ms:
             return [move for move in moves if move.reason not in _OPTIONAL_REASONS]
         self._balance_ms = now_ms + self._settings.placement.round_interval_ms
