routing: wire the lent concurrency policy into the router process

Cause: `RouterProcess` passed no peers, so a service with the policy `lent` stopped the process at its start, and LEND_SLOTS had no handler. A router gets no heartbeats of other VMs, so `Member.relay_address` is never set there, and its members never become GONE, so its count of routers never fell. Change: the controller that feeds a router answers its heartbeat with the list of all routers if the router's digest of it differs (optional fields `Heartbeat.routers_digest` and `Acknowledged.routers`). The router uses the list for loans and for its parts of slots and connections. Before the first answer the VM list counts.

--- a/nutmeglead/_generated/messages/ttypes.py
+++ b/nutmeglead/_generated/messages/ttypes.py
@@ -2476,11 +2476,12 @@
      - passive
      - leaving
      - gate_address
+     - routers_digest
 
     """
 
 
-    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None, news=None, passive=False, leaving=False, gate_address=None,):
+    def __init__(self, sender=None, failure_domain=None, sequence=None, rpc_address=None, role_epochs=None, map_digests=None, relay_address=None, news=None, passive=False, leaving=False, gate_address=None, routers_digest=None,):
         self.sender = sender
         self.failure_domain = failure_domain
         self.sequence = sequence
@@ -2492,6 +2493,7 @@
         self.passive = passive
         self.leaving = leaving
         self.gate_address = gate_address
+        self.routers_digest = routers_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2579,6 +2581,11 @@
                     self.gate_address.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.routers_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2644,6 +2651,10 @@
             oprot.writeFieldBegin('gate_address', TType.STRUCT, 11)
             self.gate_address.write(oprot)
             oprot.writeFieldEnd()
+        if self.routers_digest is not None:
+            oprot.writeFieldBegin('routers_digest', TType.I64, 12)
+            oprot.writeI64(self.routers_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4610,18 +4621,91 @@
         return not (self == other)
 
 
+class RouterEntry(object):
+    """
+    Attributes:
+     - vm_id
+     - rpc_address
+
+    """
+
+
+    def __init__(self, vm_id=None, rpc_address=None,):
+        self.vm_id = vm_id
+        self.rpc_address = rpc_address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.rpc_address = nutmeglead._generated.common.ttypes.Address()
+                    self.rpc_address.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouterEntry')
+        if self.vm_id is not None:
+            oprot.writeFieldBegin('vm_id', TType.STRING, 1)
+            oprot.writeString(self.vm_id.encode('utf-8') if sys.version_info[0] == 2 else self.vm_id)
+            oprot.writeFieldEnd()
+        if self.rpc_address is not None:
+            oprot.writeFieldBegin('rpc_address', TType.STRUCT, 2)
+            self.rpc_address.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm_id is None:
+            raise TProtocolException(message='Required field vm_id is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Acknowledged(object):
     """
     Attributes:
      - sender
      - sequence
+     - routers
 
     """
 
 
-    def __init__(self, sender=None, sequence=None,):
+    def __init__(self, sender=None, sequence=None, routers=None,):
         self.sender = sender
         self.sequence = sequence
+        self.routers = routers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4643,6 +4727,17 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.routers = []
+                    (_etype270, _size267) = iprot.readListBegin()
+                    for _i271 in range(_size267):
+                        _elem272 = RouterEntry()
+                        _elem272.read(iprot)
+                        self.routers.append(_elem272)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4661,6 +4756,13 @@
             oprot.writeFieldBegin('sequence', TType.I64, 2)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.routers is not None:
+            oprot.writeFieldBegin('routers', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.routers))
+            for iter273 in self.routers:
+                iter273.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4874,6 +4976,7 @@
     (9, TType.BOOL, 'passive', None, False, ),  # 9
     (10, TType.BOOL, 'leaving', None, False, ),  # 10
     (11, TType.STRUCT, 'gate_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 11
+    (12, TType.I64, 'routers_digest', None, None, ),  # 12
 )
 all_structs.append(PageChanges)
 PageChanges.thrift_spec = (
@@ -5021,11 +5124,18 @@
     (3, TType.BOOL, 'reply', None, None, ),  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
 )
+all_structs.append(RouterEntry)
+RouterEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm_id', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'rpc_address', [nutmeglead._generated.common.ttypes.Address, None], None, ),  # 2
+)
 all_structs.append(Acknowledged)
 Acknowledged.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'sender', [nutmeglead._generated.common.ttypes.Sender, None], None, ),  # 1
     (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.LIST, 'routers', (TType.STRUCT, [RouterEntry, None], False), None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/nutmeglead/dissemination/machine.py
+++ b/nutmeglead/dissemination/machine.py
@@ -28,6 +28,7 @@
 from nutmeglead.dissemination.page_ids import page_id
 from nutmeglead.dissemination.pushes import Pusher
 from nutmeglead.dissemination.repair import Repairer
+from nutmeglead.dissemination.routers import RouterList, answer_routers
 from nutmeglead.dissemination.sends import Compare, Fetch, PushCall, Send
 from nutmeglead.dissemination.service_copy import ServiceCopy
 from nutmeglead.platform.ports import VmEntry
@@ -85,6 +86,7 @@
         self._view = FanoutView(self.membership)
         self._pusher = Pusher(self.membership, self._view, settings)
         self._repairer = Repairer(identity.sender, self.copies)
+        self.routers = RouterList()
         self._own_roles: dict[str, int] = {}
         self._acting: dict[str, Acting] = {}
         # Own digest at the time when a heartbeat showed another one, by service and sender.
@@ -213,6 +215,7 @@
             map_digests={},
             relay_address=self.identity.relay_address,
             passive=True,
+            routers_digest=self.routers.digest,
         )
         return self._heartbeat_send(feeder, message)
 
@@ -309,7 +312,8 @@
         """Take over a heartbeat of a member or of an attached router."""
         if message.passive:
             self._pusher.attach(message.sender.node_id, message.rpc_address, now_ms)
-            return self._acknowledge()
+            members = self.membership.members()
+            return answer_routers(message, self._acknowledge(), self.identity, members)
         if self.membership.hear_heartbeat(message, now_ms):
             for service_name, role_epoch in message.role_epochs.items():
                 self._learn_acting(service_name, RoleEpoch(role_epoch), message.sender.node_id)
@@ -370,6 +374,8 @@
             self._feeder.fail(send.node_id)
         else:
             self._feeder.hear(reply.sender.node_id, now_ms)
+            if isinstance(reply, Acknowledged):
+                self.routers.take_over(reply)
 
     def _note_repair(self, send: Send, context: Fetch, changed: list[PlacementPage]) -> None:
         self._changed += changed
--- a/nutmeglead/dissemination/service.py
+++ b/nutmeglead/dissemination/service.py
@@ -18,6 +18,7 @@
     PagesReply,
     PagesRequest,
     PlacementPage,
+    RouterEntry,
 )
 from nutmeglead._generated.settings.ttypes import DisseminationSettings
 from nutmeglead.core.clock import Clock
@@ -67,6 +68,8 @@
         self._vm_list = vm_list
         self._vm_list_poll_interval_ms = vm_list_poll_interval_ms
         self._callbacks: list[PageCallback] = []
+        self._router_callbacks: list[Callable[[], None]] = []
+        self._routers_version = 0
         self._loops: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
         self._was_cut_off = False
@@ -99,6 +102,10 @@
         """Call back with each page that changes, each version in order."""
         self._callbacks.append(callback)
 
+    def subscribe_routers(self, callback: Callable[[], None]) -> None:
+        """Call back after each change of the list of routers."""
+        self._router_callbacks.append(callback)
+
     # ---- the acting controller ----
 
     def publish(self, page: PlacementPage) -> None:
@@ -144,6 +151,10 @@
         """List what is known of the other entry VMs."""
         return self._machine.membership.members()
 
+    def routers(self) -> Sequence[RouterEntry]:
+        """List the routers of all entry VMs as the feeder last told them; empty before that."""
+        return self._machine.routers.entries
+
     def acting(self, service_name: ServiceName) -> Acting | None:
         """Return the controller that last announced that it acts for a service."""
         return self._machine.acting(service_name)
@@ -222,6 +233,10 @@
         """Log the machine's notices and pass its changed pages on."""
         for notice in self._machine.take_notices():
             log_event(_LOGGER, notice.event, **notice.fields)
+        if self._machine.routers.version != self._routers_version:
+            self._routers_version = self._machine.routers.version
+            for listener in self._router_callbacks:
+                listener()
         for page in self._machine.take_changed():
             for callback in self._callbacks:
                 try:
--- a/nutmeglead/dissemination/tests/service.feature
+++ b/nutmeglead/dissemination/tests/service.feature
@@ -26,3 +26,9 @@
     Given 3 controllers and a router on loopback
     When one controller handles a delta to version 1
     Then its subscribers have version 1 already
+
+  Scenario: A router that hears no other controller still knows all routers, and forgets one that leaves
+    Given 3 controllers and a router on loopback
+    Then the router lists the routers of entry-00, entry-01 and entry-02
+    When one controller stops
+    Then the router lists the routers of entry-00 and entry-01
--- a/nutmeglead/dissemination/tests/steps/service_steps.py
+++ b/nutmeglead/dissemination/tests/steps/service_steps.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from nutmeglead._generated.common.ttypes import Address, Sender
+from nutmeglead._generated.messages.ttypes import RouterEntry
 from nutmeglead._generated.settings.ttypes import DisseminationSettings
 from nutmeglead.core.clock import SystemClock
 from nutmeglead.dissemination.deltas import make_delta
@@ -47,6 +48,7 @@
         self.vm_list = ListedVms(cluster.entries, vm_list_failures)
         self.versions = []
         self.changed = asyncio.Event()
+        self.router_changes = 0
 
     async def bind(self):
         self.handlers = HandlerRegistry()
@@ -57,7 +59,8 @@
     async def start(self):
         clock, rng = SystemClock(), random.Random(self.node_id)
         self.client = RpcClient(clock, rng)
-        identity = Identity(self.node_id, "1", "halle-a", self.address)
+        relay = next((e.rpc_address for e in self.cluster.relays if e.vm_id == self.node_id), None)
+        identity = Identity(self.node_id, "1", "halle-a", self.address, relay)
         configured = DisseminationSettings(
             heartbeat_interval_ms=50, silent_after_ms=2000, digest_interval_ms=100
         )
@@ -66,8 +69,12 @@
         )
         self.service.register(self.handlers)
         self.service.subscribe(self.note)
+        self.service.subscribe_routers(self.note_routers)
         await self.service.start()
 
+    def note_routers(self):
+        self.router_changes += 1
+
     def note(self, page):
         self.versions.append(page.version)
         self.changed.set()
@@ -89,6 +96,7 @@
         self.runner = asyncio.Runner()
         self.entries = []
         self.processes = {}
+        self.relays = [RouterEntry(f"entry-0{n}", Address("127.0.0.1", n + 1)) for n in range(3)]
 
     async def start(self):
         for number in range(3):
@@ -217,3 +225,18 @@
 @then("its subscribers have version 1 already")
 def step_already(context):
     assert context.seen == [1], context.seen
+
+
+@then("the router lists the routers of {names}")
+def step_lists(context, names):
+    process = context.cluster.processes["router-01"]
+    expected = names.replace(" and ", ", ").split(", ")
+    has_relay = {entry.vm_id: entry.rpc_address for entry in context.cluster.relays}
+
+    def is_told():
+        return {e.vm_id: e.rpc_address for e in process.service.routers()} == {
+            name: has_relay[name] for name in expected
+        }
+
+    context.cluster.runner.run(process.until(is_told))
+    assert process.router_changes > 0
--- a/nutmeglead/routing/process.py
+++ b/nutmeglead/routing/process.py
@@ -8,7 +8,12 @@
 from prometheus_client import CollectorRegistry
 
 from nutmeglead._generated.common.ttypes import Address
-from nutmeglead._generated.messages.ttypes import Acknowledged, MessageType
+from nutmeglead._generated.messages.ttypes import (
+    Acknowledged,
+    LendReply,
+    LendSlots,
+    MessageType,
+)
 from nutmeglead._generated.settings.ttypes import Settings
 from nutmeglead.admin.server import AdminServer, Readiness
 from nutmeglead.core.clock import Clock
@@ -23,6 +28,7 @@
 from nutmeglead.routing.load_reports import LoadReporter, RequestMetrics
 from nutmeglead.routing.map_view import MapView
 from nutmeglead.routing.router import RouterService
+from nutmeglead.routing.router_peers import RpcRouterPeers
 from nutmeglead.routing.timers import LoopTimers
 from nutmeglead.rpc.client import RpcClient
 from nutmeglead.rpc.server import HandlerRegistry, RpcServer
@@ -46,7 +52,7 @@
         self._rpc = RpcClient(clock, rng)
         self._fetcher = HttpFetcher()
         identity = Identity(
-            NodeId(f"{node.node_id}/router"),
+            NodeId(_router_id(node.node_id)),
             incarnation,
             FailureDomainName(node.failure_domain),
             Address(node.ip, node.router_rpc_port),
@@ -72,8 +78,15 @@
         self._reporter = LoadReporter(settings.services, metrics, rng, clock.now_ms())
         timers = LoopTimers(clock)
         self.router = RouterService(
-            settings, self.map_view, self.map_view, timers, rng, observer=self._reporter
+            settings,
+            self.map_view,
+            self.map_view,
+            timers,
+            rng,
+            observer=self._reporter,
+            peers=RpcRouterPeers(self._sender, self._routers, self._rpc),
         )
+        self.dissemination.subscribe_routers(self.router.refresh_routers)
         self._http = HttpServer(self.router.handle)
         services = {service.name: service for service in settings.services}
         self.gate = GateService(services, self.map_view.server_address, timers, rng)
@@ -89,6 +102,7 @@
         """Bind the ports; the balancer sends requests once /readyz answers 200."""
         node = self._settings.node
         self.dissemination.register(self._handlers)
+        self._handlers.add(MessageType.LEND_SLOTS, LendSlots, self._lend)
         await self._rpc_server.start(node.ip, node.router_rpc_port)
         await self._admin.start(node.ip, node.router_admin_port)
         await self.dissemination.start()
@@ -123,9 +137,23 @@
                     await asyncio.sleep(0.02)
         await self._gate_http.stop(0)
 
+    async def _lend(self, message: LendSlots) -> LendReply:
+        return self.router.lend(message)
+
     def _count_routers(self) -> int:
+        return len({self._sender.node_id, *self._routers()})
+
+    def _routers(self) -> dict[str, Address | None]:
+        """Map the routers' node ids to their rpc addresses.
+
+        Only controllers hear of each other's state, so the list comes from the one that feeds this
+        router. Before its first answer, the VMs of the VM list count, without addresses.
+        """
+        told = self.dissemination.routers()
+        if told:
+            return {_router_id(entry.vm_id): entry.rpc_address for entry in told}
         members = self.dissemination.members()
-        return sum(member.state is not MemberState.GONE for member in members)
+        return {_router_id(m.node_id): None for m in members if m.state is not MemberState.GONE}
 
     def _readiness(self) -> Readiness:
         missing = []
@@ -150,3 +178,7 @@
                     Acknowledged,
                     RPC_TIMEOUT_MS,
                 )
+
+
+def _router_id(vm_id: str) -> str:
+    return f"{vm_id}/router"
--- a/nutmeglead/routing/router_peers.py
+++ b/nutmeglead/routing/router_peers.py
@@ -16,10 +16,13 @@
 
 
 class RpcRouterPeers:
-    """Be the RouterPeers of a RouterService; `routers` maps all node ids to rpc addresses."""
+    """Be the RouterPeers of a RouterService; `routers` maps all node ids to rpc addresses.
+
+    A router without a known address has its part of the slots but cannot be asked for them.
+    """
 
     def __init__(
-        self, sender: Sender, routers: Callable[[], Mapping[str, Address]], rpc: RpcClient
+        self, sender: Sender, routers: Callable[[], Mapping[str, Address | None]], rpc: RpcClient
     ) -> None:
         self.sender = sender
         self._routers = routers
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -227,6 +227,8 @@
   10: optional bool leaving = false,
   // Where the sender's VM serves as the gate of servers that do not check grants.
   11: optional common.Address gate_address,
+  // Of the router list that a passive sender has; the answer carries the list if it differs.
+  12: optional i64 routers_digest,
 }
 
 // Content of `PageDelta.changes`. The new page has `unit_count` units; those at `positions` get the given owners
@@ -396,8 +398,15 @@
   4: required binary body,
 }
 
-// `sequence` is that of the sender's last heartbeat.
+// The router of an entry VM; without an address if the VM's controller was not heard yet.
+struct RouterEntry {
+  1: required string vm_id,
+  2: optional common.Address rpc_address,
+}
+
+// `sequence` is that of the sender's last heartbeat. `routers` answers a passive heartbeat.
 struct Acknowledged {
   1: required common.Sender sender,
   2: optional i64 sequence,
+  3: optional list<RouterEntry> routers,
 }
