--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -42,6 +42,8 @@
     # Whether all lease epochs up to that of the row are proven to have ended.
     has_ended: bool = False
     is_lost: bool = False
+    # No ticket names the server and it owns nothing: its lease ends and no other begins.
+    is_retired: bool = False
     assigned: set[str] = field(default_factory=set)
     next_probe_ms: int = 0
     next_assign_ms: int = 0
@@ -129,7 +131,7 @@
         for lease in self.servers.values():
             if self.uses_gates:
                 self._follow_gate(lease, nodes, now_ms)
-            if lease.address is None:
+            if lease.address is None or lease.is_retired:
                 continue
             if now_ms >= lease.next_probe_ms and not (lease.is_confirmed and lease.has_answered):
                 interval_ms = LOST_PROBE_INTERVAL_MS if lease.is_lost else PROBE_INTERVAL_MS
@@ -184,8 +186,14 @@
             lease.incarnation = None
 
     def rows_to_write(self, nodes: Mapping[NodeId, EntryNode]) -> list[tuple[int, ServerRow]]:
-        """Return the rows that have to change, each with the row version that it replaces."""
-        changed = []
+        """Return the rows that have to change, each with the row version that it replaces.
+
+        A controller that hears less than half of the entry VMs is probably cut off. It would choose
+        renewers on its own side only, and the other side could not stop the leases of its servers.
+        """
+        changed: list[tuple[int, ServerRow]] = []
+        if 2 * sum(node.is_alive for node in nodes.values()) < len(nodes):
+            return changed
         for lease in self.servers.values():
             row = self._next_row(lease, nodes)
             if row is not None:
@@ -193,7 +201,7 @@
         return changed
 
     def _next_row(self, lease: ServerLease, nodes: Mapping[NodeId, EntryNode]) -> ServerRow | None:
-        if lease.incarnation is None:
+        if lease.incarnation is None or lease.is_retired:
             return None
         if lease.row is None or lease.has_ended or not lease.has_answered:
             return self._fresh_lease(lease, lease.incarnation, nodes)
