--- a/nutmeglead/dissemination/membership.py
+++ b/nutmeglead/dissemination/membership.py
@@ -8,7 +8,7 @@
 from nutmeglead._generated.settings.ttypes import DisseminationSettings
 from nutmeglead.core.ids import FailureDomainName, NodeId
 from nutmeglead.dissemination.members import NEVER_MS, Identity, Member, MemberEvent, MemberState
-from nutmeglead.dissemination.news import NewsQueue
+from nutmeglead.dissemination.news import NewsQueue, news_of
 from nutmeglead.dissemination.rings import Rings
 from nutmeglead.platform.ports import VmEntry, VmState
 
@@ -241,7 +241,7 @@
 
     def _tell(self, member: Member, status: MemberStatus) -> None:
         member.news_sequence = member.sequence
-        self._news.add(_news_of(member, status), len(self._members))
+        self._news.add(news_of(member, status), len(self._members))
 
     def _announce_self(self) -> None:
         self._sequence += 1
@@ -332,7 +332,7 @@
         news = self._news.take()
         if target.state is MemberState.SILENT and target.incarnation:
             # A member that is wrongly held for silent must learn of it to announce itself again.
-            news.append(_news_of(target, MemberStatus.SILENT))
+            news.append(news_of(target, MemberStatus.SILENT))
         if leaving:
             self._sequence += 1
         return Heartbeat(
@@ -386,13 +386,3 @@
             self._rings.remove(member.node_id)
         if state is MemberState.GONE:
             self._watched.discard(member.node_id)
-
-
-def _news_of(member: Member, status: MemberStatus) -> MemberNews:
-    return MemberNews(
-        Sender(member.node_id, member.incarnation),
-        member.sequence,
-        status,
-        member.failure_domain,
-        member.address,
-    )
--- a/nutmeglead/dissemination/news.py
+++ b/nutmeglead/dissemination/news.py
@@ -2,9 +2,11 @@
 
 import random
 
-from nutmeglead._generated.messages.ttypes import MemberNews
+from nutmeglead._generated.common.ttypes import Sender
+from nutmeglead._generated.messages.ttypes import MemberNews, MemberStatus
+from nutmeglead.dissemination.members import Member
 
-__all__ = ["NewsQueue"]
+__all__ = ["NewsQueue", "news_of"]
 
 # About 60 bytes each, so a heartbeat stays below 1 kB also while a failure domain is lost.
 NEWS_PER_HEARTBEAT = 8
@@ -49,3 +51,14 @@
             if self._sends_left[node_id] <= 0:
                 self.discard(node_id)
         return taken
+
+
+def news_of(member: Member, status: MemberStatus) -> MemberNews:
+    """Return what this node tells others of a member."""
+    return MemberNews(
+        Sender(member.node_id, member.incarnation),
+        member.sequence,
+        status,
+        member.failure_domain,
+        member.address,
+    )
