--- a/benchmarks/dissemination.py
+++ b/benchmarks/dissemination.py
@@ -60,13 +60,13 @@
         for number in range(node_count):
             domain = DOMAINS[number % len(DOMAINS)]
             self.network.add(f"entry-{number:04d}", domain, [SERVICE])
-        entries = [
+        self.entries = [
             VmEntry(node_id, "entry", "10.0.0.1", 8083, n.machine.identity.failure_domain,
                     VmState.LIVE, "v")
             for node_id, n in self.network.nodes.items()
         ]  # fmt: skip
         for node in self.network.nodes.values():
-            node.machine.learn_vms(entries, int(self.network.now_ms))
+            node.machine.learn_vms(self.entries, int(self.network.now_ms))
         self.network.publish("entry-0000", bench_page(1))
         self.network.run(8000)
 
