placement: check pinning rules and the limits on donors

Cause: mutations of the donors' floor, the second chance of large units, claimed buckets, the order of hot keys and withdrawn prefixes passed all features. Change: add a row or scenario for each.

--- a/nutmeglead/placement/tests/planner.feature
+++ b/nutmeglead/placement/tests/planner.feature
@@ -54,6 +54,7 @@
       | hot key in a bucket claimed for s0           | no key is pinned                                 | pinning takes a key away from its ticket                 |
       | a pinned key's bucket is claimed for s5      | the pin is removed for TICKET_CLAIM              | an old pin keeps a key away from its ticket              |
       | the claim of prefix "gear" is withdrawn      | the pin is removed for TICKET_CLAIM              | a withdrawn claim stays in force                         |
+      | the claim of prefix "gear" is withdrawn from a hot key | the pin is removed for TICKET_CLAIM | load counted for the prefix is taken from a bucket |
       | s0 is lost and bucket 0 is claimed for s0    | bucket 0 moves for SERVER_LOST, unmet SERVER_LOST | a claimed key waits for a server that is gone           |
       | s0 leaves with a claimed key "gear"          | key "gear" moves for SERVER_LEAVING, unmet SERVER_LEAVING | a leaving server keeps getting new work         |
       | a claimed server is back                     | bucket 0 moves to s0 for TICKET_CLAIM            | a claim is forgotten when its server was lost            |
--- a/nutmeglead/placement/tests/rebalancing.feature
+++ b/nutmeglead/placement/tests/rebalancing.feature
@@ -28,6 +28,7 @@
       | twice the load on s0           | steady   | 1.3   | steady never acts                              |
       | half the hot keys on s0        | balanced | 1.1   | hot keys in one bucket cannot be divided       |
       | twice the weight for s0        | balanced | 1.1   | a large server gets the load of a small one    |
+      | 10 large units per server and 2 more on s0 | balanced | 1.1 | units too large for the settle level never move |
 
   Scenario: A server with a key larger than its share sheds all other load
     Given 6 servers with one hot key larger than a server's share
@@ -46,6 +47,12 @@
     Then the load of s6 never exceeds its part of the cold start by more than 10%
     And the load of s6 ends at 80% or more of the mean
 
+  Scenario: Filling a joining server does not empty another
+    Given 6 servers with one pinned key that is 80% of the load of s0 and no cold start
+    When s6 joins and the planner runs every 5 s for 60 s
+    Then the pinned key never moves
+    And the load of s6 ends at 80% or more of the mean
+
   Scenario Outline: Pins follow the hot keys
     Given 6 servers with <load>
     When the planner runs for 20 rounds under policy balanced
@@ -59,6 +66,7 @@
       | a cold pin that was moved in the last round | the pin stays        | a new pin is removed before its load is measured  |
       | 5 pinned keys and max_pins 3               | 3 pins are left       | pins grow beyond their bound                      |
       | 9 hot keys on s0 and max_pins 3            | at most 3 pins are left | pins grow beyond their bound                    |
+      | 9 hot keys of 4 to 12 and max_pins 1       | the hottest key is pinned | cooler keys use up max_pins                       |
 
   Scenario: Moves of one round stay within the budget
     Given 6 servers with twice the load on s0
--- a/nutmeglead/placement/tests/steps/planner_steps.py
+++ b/nutmeglead/placement/tests/steps/planner_steps.py
@@ -23,11 +23,20 @@
 def _claim_hot_bucket(case):
     bucket = case.bucket("gear")
     case.owners[bucket] = 0
-    case.rates[bucket] = 100.0
-    case.hot["gear"] = 90.0
+    # s0 is overloaded, and a pin of 15 would fit on any other server.
+    case.rates[bucket] = 40.0
+    case.hot["gear"] = 15.0
     case.claim_bucket(bucket, bucket, "s0")
 
 
+def _withdraw_hot(case):
+    case.pins[prefix("gear")] = 1
+    bucket = case.bucket("gear")
+    case.owners[bucket] = 0
+    case.rates[bucket] = 40.0
+    case.hot["gear"] = 15.0
+
+
 def _claim_bucket_of_pin(case):
     case.pins[exact("gear")] = 1
     case.pin_rates[exact("gear")] = 10.0
@@ -87,6 +96,7 @@
 
 
 EVENTS = {
+    'the claim of prefix "gear" is withdrawn from a hot key': _withdraw_hot,
     "s1 is lost and none of its 11 units had load": _lose_idle,
     "s1 is lost and its bucket 1 is claimed for s5": _lose_claimed_elsewhere,
     "s1 is lost with one unit of 100 requests/s after its units of 10": _lose_uneven,
--- a/nutmeglead/placement/tests/steps/rebalancing_steps.py
+++ b/nutmeglead/placement/tests/steps/rebalancing_steps.py
@@ -113,6 +113,26 @@
     scenario.add_hot_key("gear", 300.0, 0)
 
 
+def _large_units(scenario):
+    case = scenario.case = Case(buckets=62, settings=scenario.case.settings)
+    case.owners[61] = 0
+    case.rates = array("d", [10.0 if owner == 0 else 9.8 for owner in case.owners])
+
+
+def _one_large_pin(scenario):
+    # s0 is the most loaded server by a little, so it gives first.
+    scenario.scale(0, 0.21)
+    scenario.add_pin("gear", 80.0, 0)
+    scenario.case.settings.cold_start_ms = 0
+
+
+def _graded_hot(scenario):
+    # The coolest comes first in the list of hot keys.
+    for number in range(4, 13):
+        scenario.add_hot_key(f"gear-{number}", float(number), 0)
+    scenario.case.settings.max_pins = 1
+
+
 def _large_server(scenario):
     servers = scenario.case.servers
     servers[0] = replace(servers[0], weight=2.0)
@@ -126,6 +146,9 @@
     "one bucket larger than a server's share": lambda s: s.case.rates.__setitem__(0, 300.0),
     "one hot key larger than a server's share": lambda s: s.add_hot_key("gear", 300.0, 0),
     "one hot key larger than a server's share and twice the load on s1": _hot_and_double,
+    "10 large units per server and 2 more on s0": _large_units,
+    "one pinned key that is 80% of the load of s0 and no cold start": _one_large_pin,
+    "9 hot keys of 4 to 12 and max_pins 1": _graded_hot,
     "rates 16 s old and twice the load on s0": _stale_double,
     "half the hot keys on s0": _half_hot,
     "twice the weight for s0": _large_server,
@@ -218,6 +241,16 @@
     assert load >= 0.8 * part, context.shares
 
 
+@then("the pinned key never moves")
+def step_pin_unmoved(context):
+    assert exact("gear") not in context.balance.times, context.balance.times
+
+
+@then("the hottest key is pinned")
+def step_hottest_pin(context):
+    assert list(context.balance.case.pins) == [exact("gear-12")], context.balance.case.pins
+
+
 @then("no pin is left")
 def step_no_pins(context):
     assert context.balance.case.pins == {}
