--- a/nutmeglead/placement/load.py
+++ b/nutmeglead/placement/load.py
@@ -108,7 +108,9 @@
         self._last_report_ms: int | None = None
 
     def merge(self, report: LoadReport, now_ms: int) -> bool:
-        """Add a report; return False if it was merged before or is too late."""
+        """Add a report; return False if it was merged before, is too late or has no sane window."""
+        if not 0 < report.window_ms <= FORGET_HALF_LIVES * self._half_life_ms:
+            return False
         source = (report.sender.node_id, report.sender.incarnation)
         window = self._windows.setdefault(source, SequenceWindow())
         behind = window.accept(report.sequence, now_ms)
--- a/nutmeglead/placement/tests/load.feature
+++ b/nutmeglead/placement/tests/load.feature
@@ -43,6 +43,17 @@
       | 10    | 99999  | a bucket beyond the last ends the merger       |
       | 10    | -1     | a negative bucket counts for the last one      |
 
+  Scenario Outline: A report without a sane window is refused
+    Given a merger that has heard a router for 60 s
+    When a report of 10 requests/s covers <window_ms> ms
+    Then the report is refused and no rate changes
+
+    Examples: each row names the failure it guards against
+      | window_ms | failure                                              |
+      | 0         | a report without a window counts as an outlier       |
+      | -5000     | a negative window takes load away                    |
+      | 600000    | a router that was paused for minutes dilutes all rates |
+
   Scenario: A new pin takes its load along
     Given a merger that has heard a router for 60 s
     When a plan that pins "saw" with 40 requests/s is written
--- a/nutmeglead/placement/tests/steps/load_steps.py
+++ b/nutmeglead/placement/tests/steps/load_steps.py
@@ -6,10 +6,11 @@
 
 from nutmeglead._generated.common.ttypes import Sender, UnitId, UnitKind
 from nutmeglead._generated.messages.ttypes import LoadReport, UnitLoad
+from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.ids import ServiceName
 from nutmeglead.placement.load import UNKNOWN_AGE_MS, LoadCounter, LoadMerger
 from nutmeglead.placement.model import Move, MoveReason
-from nutmeglead.placement.tests.cases import exact
+from nutmeglead.placement.tests.cases import Case, exact
 
 HALF_LIFE_MS = 5000
 WINDOW_MS = 1000
@@ -39,7 +40,8 @@
                 for _ in range(50):
                     counter.count(exact("gear"))
                 sender = Sender(name, str(self.incarnations[name]))
-                made.append((self.now_ms, counter.report(sender, SERVICE, [], self.now_ms)))
+                report = counter.report(sender, SERVICE, [], self.now_ms)
+                made.append((self.now_ms, decode(LoadReport, encode(report)).unwrap()))
         return made
 
     def restart(self, name):
@@ -137,6 +139,22 @@
     context.load.merger.merge(report, context.load.now_ms)
 
 
+@when("a report of 10 requests/s covers {window_ms:d} ms")
+def step_window(context, window_ms):
+    scenario = context.load
+    unit = UnitId(kind=UnitKind.HASH_BUCKET, bucket=5)
+    loads = [UnitLoad(unit, 10.0)]
+    report = LoadReport(Sender("r9", "1"), SERVICE, 1, window_ms, loads, [])
+    context.before = list(scenario.snapshot().bucket_rates)
+    context.merged = scenario.merger.merge(report, scenario.now_ms)
+
+
+@then("the report is refused and no rate changes")
+def step_window_refused(context):
+    assert context.merged is False
+    assert list(context.load.snapshot().bucket_rates) == context.before
+
+
 @then("all rates are finite and not negative")
 def step_finite(context):
     snapshot = context.load.snapshot()
@@ -153,7 +171,7 @@
 def step_pin(context):
     scenario = context.load
     # "saw" is a key of some bucket; give that bucket load first.
-    bucket = context.bucket = scenario_bucket("saw")
+    bucket = context.bucket = Case(buckets=BUCKETS).bucket("saw")
     unit = UnitId(kind=UnitKind.HASH_BUCKET, bucket=bucket)
     report = LoadReport(Sender("r8", "1"), SERVICE, 1, 1000, [UnitLoad(unit, 2000.0)], [])
     scenario.merger.merge(report, scenario.now_ms)
@@ -161,12 +179,6 @@
     scenario.merger.apply([_pin_move(40.0, False)], scenario.now_ms)
 
 
-def scenario_bucket(key):
-    from nutmeglead.placement.tests.cases import Case
-
-    return Case(buckets=BUCKETS).bucket(key)
-
-
 @then("the pin has 40 requests/s and its bucket has 40 requests/s less")
 def step_pinned(context):
     snapshot = context.load.snapshot()
