placement: bound the moves of units without an owner

Cause: the first placement of 400,000 units made one plan of as many moves, which would not fit in a controller's 32 MB. Change: units without an owner count against the ticket budget (57,600) and the rest is deferred.

--- a/nutmeglead/placement/planner.py
+++ b/nutmeglead/placement/planner.py
@@ -119,7 +119,8 @@
             if reason is not None:
                 stranded[reason].append(pin)
         for reason, units in stranded.items():
-            if reason is MoveReason.SERVER_LEAVING and any(self.ledger.capacity):
+            # The first placement of 400,000 units at once would not fit in a controller's memory.
+            if reason is not MoveReason.SERVER_LOST and any(self.ledger.capacity):
                 units = [unit for unit in units if self._spend_ticket_move()]
             self.unplaced += self.ledger.spread(units, reason)
 
--- a/nutmeglead/placement/tests/steps/planner_steps.py
+++ b/nutmeglead/placement/tests/steps/planner_steps.py
@@ -1,11 +1,12 @@
 """Steps for the planner's mandatory moves."""
 
 import re
+from array import array
 from collections import Counter
 
 from behave import given, then, when
 
-from nutmeglead.placement.model import MoveReason, ServerStatus
+from nutmeglead.placement.model import NO_OWNER, MoveReason, ServerStatus
 from nutmeglead.placement.planner import plan
 from nutmeglead.placement.tests.cases import Case, exact, prefix
 
@@ -95,7 +96,12 @@
     _lose(case, "s1")
 
 
+def _disown(case):
+    case.owners = array("i", [NO_OWNER] * len(case.owners))
+
+
 EVENTS = {
+    "no unit has an owner": _disown,
     'the claim of prefix "gear" is withdrawn from a hot key': _withdraw_hot,
     "s1 is lost and none of its 11 units had load": _lose_idle,
     "s1 is lost and its bucket 1 is claimed for s5": _lose_claimed_elsewhere,
