--- a/nutmeglead/placement/tests/planner.feature
+++ b/nutmeglead/placement/tests/planner.feature
@@ -54,6 +54,7 @@
       | hot key in a bucket claimed for s0           | no key is pinned                                 | pinning takes a key away from its ticket                 |
       | a pinned key's bucket is claimed for s5      | the pin is removed for TICKET_CLAIM              | an old pin keeps a key away from its ticket              |
       | the claim of prefix "gear" is withdrawn      | the pin is removed for TICKET_CLAIM              | a withdrawn claim stays in force                         |
+      | the claim of prefix "gear" is withdrawn from a hot key | the pin is removed for TICKET_CLAIM | load counted for the prefix is taken from a bucket |
       | s0 is lost and bucket 0 is claimed for s0    | bucket 0 moves for SERVER_LOST, unmet SERVER_LOST | a claimed key waits for a server that is gone           |
       | s0 leaves with a claimed key "gear"          | key "gear" moves for SERVER_LEAVING, unmet SERVER_LEAVING | a leaving server keeps getting new work         |
       | a claimed server is back                     | bucket 0 moves to s0 for TICKET_CLAIM            | a claim is forgotten when its server was lost            |
@@ -64,14 +65,19 @@
     And the planner runs
     Then the reasons come in the order SERVER_LOST, TICKET_CLAIM, SERVER_LEAVING, IMBALANCE, HOT_KEY_PINNED
 
-  Scenario: A ticket beyond its budget is deferred and done by the next plans
+  Scenario Outline: Moves beyond the ticket budget are deferred and done by the next plans
     Given 6 servers in 3 failure domains with even load
     And a budget of 0 policy moves and 4 ticket moves
-    When it happens that s2 leaves
+    When it happens that <event>
     And the planner runs until it moves nothing
     Then no plan had more than 4 moves
     And every unit has one present owner
 
+    Examples: each row names the failure it guards against
+      | event                 | failure                                                      |
+      | s2 leaves             | a large ticket needs more table writes than there are        |
+      | no unit has an owner  | the first placement of a large service exceeds the memory    |
+
   Scenario: Without any present server nothing moves
     Given 6 servers in 3 failure domains with even load
     When it happens that 6 of 6 servers are lost
--- a/nutmeglead/placement/tests/steps/planner_steps.py
+++ b/nutmeglead/placement/tests/steps/planner_steps.py
@@ -1,11 +1,12 @@
 """Steps for the planner's mandatory moves."""
 
 import re
+from array import array
 from collections import Counter
 
 from behave import given, then, when
 
-from nutmeglead.placement.model import MoveReason, ServerStatus
+from nutmeglead.placement.model import NO_OWNER, MoveReason, ServerStatus
 from nutmeglead.placement.planner import plan
 from nutmeglead.placement.tests.cases import Case, exact, prefix
 
@@ -23,11 +24,20 @@
 def _claim_hot_bucket(case):
     bucket = case.bucket("gear")
     case.owners[bucket] = 0
-    case.rates[bucket] = 100.0
-    case.hot["gear"] = 90.0
+    # s0 is overloaded, and a pin of 15 would fit on any other server.
+    case.rates[bucket] = 40.0
+    case.hot["gear"] = 15.0
     case.claim_bucket(bucket, bucket, "s0")
 
 
+def _withdraw_hot(case):
+    case.pins[prefix("gear")] = 1
+    bucket = case.bucket("gear")
+    case.owners[bucket] = 0
+    case.rates[bucket] = 40.0
+    case.hot["gear"] = 15.0
+
+
 def _claim_bucket_of_pin(case):
     case.pins[exact("gear")] = 1
     case.pin_rates[exact("gear")] = 10.0
@@ -86,7 +96,13 @@
     _lose(case, "s1")
 
 
+def _disown(case):
+    case.owners = array("i", [NO_OWNER] * len(case.owners))
+
+
 EVENTS = {
+    "no unit has an owner": _disown,
+    'the claim of prefix "gear" is withdrawn from a hot key': _withdraw_hot,
     "s1 is lost and none of its 11 units had load": _lose_idle,
     "s1 is lost and its bucket 1 is claimed for s5": _lose_claimed_elsewhere,
     "s1 is lost with one unit of 100 requests/s after its units of 10": _lose_uneven,
