--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -141,6 +141,11 @@
             # Only an answer that is sent after this moment shows that the server is back.
             lease.incarnation = None
 
+    def has_ended(self, server_id: ServerId) -> bool:
+        """Tell whether a server is known to hold nothing."""
+        lease = self.servers.get(server_id)
+        return lease is None or lease.row is None or lease.has_ended
+
     def rows_to_write(self, nodes: Mapping[NodeId, EntryNode]) -> list[tuple[int, ServerRow]]:
         """Return the rows that have to change, each with the row version that it replaces.
 
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -50,8 +50,6 @@
     ServiceName,
     TicketNumber,
 )
-from nutmeglead.dissemination.digests import VersionDigest
-from nutmeglead.dissemination.page_ids import PageId
 from nutmeglead.ownership.handover import HandoverTable, Suspicion
 from nutmeglead.ownership.handover import SendStop as StopDecision
 from nutmeglead.ownership.pages import role_key, server_key
@@ -281,7 +279,7 @@
         self, ticket_number: TicketNumber, live_nodes: Iterable[tuple[str, str]]
     ) -> list[MissingParty]:
         """List who keeps a ticket from being in force everywhere."""
-        waiting = [s for s in self.grants.unacknowledged() if not self._has_lapsed(s)]
+        waiting = [s for s in self.grants.unacknowledged() if not self.leases.has_ended(s)]
         unproven = [MissingParty(s, "has not acknowledged its grants") for s in waiting]
         progress = self.writer.progress
         unproven += [MissingParty(reason, "move postponed") for reason in progress.postponed]
@@ -294,17 +292,9 @@
         unique = {(party.id, party.reason): party for party in unproven}
         return self.in_force.missing(ticket_number, live_nodes, unique.values())
 
-    def _has_lapsed(self, server_id: ServerId) -> bool:
-        """Tell whether a server is known to hold nothing."""
-        lease = self.leases.servers.get(server_id)
-        return lease is None or lease.row is None or lease.has_ended
-
     def map_digest(self) -> int:
         """Return a digest of the page versions."""
-        digest = VersionDigest()
-        for place, version in self.placer.unit_map.versions().items():
-            digest.replace(PageId(*place), 0, version)
-        return digest.value
+        return self.placer.digest()
 
     # ---- private ----
 
--- a/nutmeglead/controller/placer.py
+++ b/nutmeglead/controller/placer.py
@@ -9,6 +9,8 @@
 from nutmeglead._generated.messages.ttypes import PlacementPage, ServerEntry
 from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.ids import RowKey, ServerId, ServiceName
+from nutmeglead.dissemination.digests import VersionDigest
+from nutmeglead.dissemination.page_ids import PageId
 from nutmeglead.ownership.directory import directory_key, directory_page
 from nutmeglead.ownership.errors import OwnershipError
 from nutmeglead.ownership.keys import PAGE_UNITS, Unit
@@ -200,6 +202,13 @@
                 return removed
         return move_units(page, {unit: move.to_server}, stamp)
 
+    def digest(self) -> int:
+        """Return a digest of the page versions."""
+        digest = VersionDigest()
+        for place, version in self.unit_map.versions().items():
+            digest.replace(PageId(*place), 0, version)
+        return digest.value
+
     @property
     def page_count(self) -> int:
         """Count the hash pages of the service."""
