ownership: index pending units by the server that may hold them

Cause: each round looked through all pending units once per server; the loss of a failure domain leaves thousands of units of many servers pending. Change: HandoverTable keeps them by server. The rig samples all keys in one pass.

--- a/nutmeglead/controller/tests/rig_checks.py
+++ b/nutmeglead/controller/tests/rig_checks.py
@@ -70,28 +70,34 @@
         """Note which keys a server that answers serves at this time."""
         rig = self.rig
         rig.network.at(rig.now_ms + rig.options.sample_ms, self.sample)
+        served = self._served()
         for key in self.keys:
-            is_served = self.server_of(key) is not None
+            is_served = key in served
             if not is_served and self.since_ms[key] is None:
                 self.since_ms[key] = rig.now_ms
             elif is_served and self.since_ms[key] is not None:
                 self.gaps.append((key, self.since_ms[key], rig.now_ms))
                 self.since_ms[key] = None
 
-    def server_of(self, key):
-        """Return the server that serves a key and answers, or None."""
-        for name, known in self.serving.items():
+    def _served(self):
+        """Map the keys that are served now to the servers that serve them and answer."""
+        found = {}
+        for name, known in list(self.serving.items()):
             server = self.rig.servers[name]
             if not known or not server.is_running:
                 continue
             if not self._is_current(server, known):
                 self._refresh(server)
-            if key in self.serving[name]:
-                return name
-        return None
+            found.update(dict.fromkeys(self.serving[name], name))
+        return found
+
+    def server_of(self, key):
+        """Return the server that serves a key and answers, or None."""
+        return self._served().get(key)
 
     def unserved(self):
-        return [key for key in self.keys if self.server_of(key) is None]
+        served = self._served()
+        return [key for key in self.keys if key not in served]
 
     def longest_gap_ms(self, since_ms):
         """Return the longest time since a moment in which a key had no serving owner."""
--- a/nutmeglead/ownership/handover.py
+++ b/nutmeglead/ownership/handover.py
@@ -123,11 +123,17 @@
         self._after_lapse_ms = after_lapse_ms
         self._servers: dict[ServerId, _Server] = {}
         self._pending: dict[Unit, tuple[Holder, ...]] = {}
+        # The loss of a failure domain leaves units of many servers pending at once.
+        self._pending_of: dict[ServerId, list[tuple[Unit, Holder]]] = {}
         self._proofs: dict[tuple[Unit, ServerId], tuple[Epoch, Proof]] = {}
 
     def set_pending(self, records: Iterable[UnitRecord]) -> None:
         """Take over the units with previous holders as the table lists them."""
         self._pending = {record.unit: record.previous for record in records}
+        self._pending_of = {}
+        for unit, holders in self._pending.items():
+            for holder in holders:
+                self._pending_of.setdefault(holder.server_id, []).append((unit, holder))
         listed = {(unit, h.server_id) for unit, holders in self._pending.items() for h in holders}
         self._proofs = {place: proof for place, proof in self._proofs.items() if place in listed}
 
@@ -257,12 +263,8 @@
 
     def unproven(self, server_id: ServerId) -> list[tuple[Unit, Epoch]]:
         """List the units that a server may still hold, with the epochs."""
-        return [
-            (unit, holder.epoch)
-            for unit, holders in self._pending.items()
-            for holder in holders
-            if holder.server_id == server_id and not self.is_proven(unit, holder)
-        ]
+        pending = self._pending_of.get(server_id, ())
+        return [(unit, h.epoch) for unit, h in pending if not self.is_proven(unit, h)]
 
     def _prove(self, unit: Unit, holder: Holder, proof: Proof) -> None:
         known, _ = self._proofs.get((unit, holder.server_id), (Epoch(-1), proof))
@@ -272,10 +274,8 @@
     def _record_end(self, server_id: ServerId, server: _Server) -> None:
         if server.ended is None:
             return
-        for unit, holders in self._pending.items():
-            for holder in holders:
-                if holder.server_id == server_id:
-                    self._prove(unit, holder, server.ended)
+        for unit, holder in self._pending_of.get(server_id, ()):
+            self._prove(unit, holder, server.ended)
 
     def _note_gone(self, server: _Server, now_ms: int) -> None:
         if server.gone_at_ms is None:
