--- a/nutmeglead/controller/acting.py
+++ b/nutmeglead/controller/acting.py
@@ -218,7 +218,7 @@
 
     async def _poll_digest(self, name: str, address: Address) -> None:
         machine = self.machine
-        request = DigestRequest(self._sender, self.name, machine.map_digest() if machine else 0)
+        request = DigestRequest(self._sender, self.name, machine.placer.digest() if machine else 0)
         reply = await self._parts.rpc.call(
             address, MessageType.DIGEST, request, DigestReply, RPC_TIMEOUT_MS
         )
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -54,8 +54,6 @@
     ServiceName,
     TicketNumber,
 )
-from nutmeglead.dissemination.digests import VersionDigest
-from nutmeglead.dissemination.page_ids import PageId
 from nutmeglead.ownership.commands import CommandFactory
 from nutmeglead.ownership.handover import HandoverTable, Suspicion
 from nutmeglead.ownership.handover import SendStop as StopDecision
@@ -130,7 +128,7 @@
                 if page is not None:
                     self.grants.mark(map(ServerId, page.servers))
         self.handover.set_pending(self.placer.unit_map.pending())
-        self.in_force.map_changed(self.map_digest())
+        self.in_force.map_changed(self.placer.digest())
         self._mark_proven()
 
     def load_servers(self, rows: Iterable[Row]) -> None:
@@ -300,13 +298,6 @@
         unique = {(party.id, party.reason): party for party in parties}
         return self.in_force.missing(ticket_number, live_nodes, unique.values())
 
-    def map_digest(self) -> int:
-        """Return a digest of the page versions."""
-        digest = VersionDigest()
-        for place, version in self.placer.unit_map.versions().items():
-            digest.replace(PageId(*place), 0, version)
-        return digest.value
-
     # ---- private ----
 
     def _handover_messages(self, now_ms: int) -> list[Decision]:
