--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -16,6 +16,7 @@
     PROGRAM_STOPPING = (1002, logging.INFO, "the program has begun its graceful shutdown")
     PROGRAM_STOPPED = (1003, logging.INFO, "the program has stopped")
     SETTINGS_REFUSED = (1004, logging.ERROR, "the settings have faults; the program does not start")
+    LISTEN_FAILED = (1005, logging.ERROR, "a port of the settings could not be bound")
 
     ROLE_TAKEN = (2001, logging.INFO, "this controller now acts for a service")
     ROLE_LOST = (2002, logging.WARNING, "another controller acts for a service")
@@ -28,6 +29,7 @@
     SERVER_SUSPECTED = (2009, logging.WARNING, "a renewer reports a silent server")
     TICKET_PLANNED = (2010, logging.INFO, "all placement pages of a ticket are written")
     TICKET_IN_FORCE = (2011, logging.INFO, "a ticket is in force everywhere")
+    TICKET_UNREADABLE = (2012, logging.ERROR, "a ticket row cannot be read; later tickets wait")
 
     REQUEST_FAILED = (3001, logging.WARNING, "a request got an answer of the router's own")
     SERVER_EJECTED = (3002, logging.WARNING, "the router sends a server fewer or no requests")
