--- a/nutmeglead/controller/tests/steps/activity_steps.py
+++ b/nutmeglead/controller/tests/steps/activity_steps.py
@@ -2,8 +2,7 @@
 
 from behave import given, then, when
 
-from nutmeglead.controller.tests.activity_rig import OLDEST, VICTIM, ActivityScenario
-from nutmeglead.controller.tests.rig import SERVICE
+from nutmeglead.controller.tests.activity_rig import OLDEST, SERVICE, VICTIM, ActivityScenario
 from nutmeglead.platform.memory import TableFault
 
 
@@ -39,8 +38,7 @@
 
 @when("the controller loses its role")
 def step_lose(context):
-    context.activity.service.machine = None
-    context.activity.update()
+    context.activity.update(is_acting=False)
 
 
 @then(
@@ -48,7 +46,7 @@
 )
 def step_measured(context, excess_ms):
     found = context.activity
-    longest_ms = max(found.gaps_ms.values())
+    longest_ms = found.longest_gap_ms()
     measured_ms = max(found.finished_ms)
     assert longest_ms > 0 and found.finished_ms
     # A reply that was on its way when the server froze makes it heard up to 7 ms later.
@@ -79,7 +77,7 @@
 @then("the metrics show units of lost servers")
 def step_lost_units(context):
     found = context.activity
-    owned = len(found.rig.machine.placer.unit_map.units_of(VICTIM))
+    owned = len(found.rig.acting().machine.placer.unit_map.units_of(VICTIM))
     shown = found.value(f'nutmeglead_units_of_lost_servers{{service="{SERVICE}"}}')
     assert shown == owned > 0, (shown, owned)
 
@@ -99,7 +97,7 @@
 @then("the imbalance is the load of the fullest server over the mean")
 def step_imbalance(context):
     found = context.activity
-    unit_map = found.rig.machine.placer.unit_map
+    unit_map = found.rig.acting().machine.placer.unit_map
     # Without measured load every bucket counts the same.
     counts = [len(unit_map.units_of(name)) for name in found.rig.servers if name != VICTIM]
     expected = max(counts) / (sum(counts) / len(counts))
--- a/nutmeglead/programs/tests/shell.py
+++ b/nutmeglead/programs/tests/shell.py
@@ -71,7 +71,8 @@
     if state == "a lost server":
         observed.happen("a frozen server")
     elif state == "a lost failure domain":
-        _lose_domain(observed.rig, "halle-b")
+        acting = observed.rig.acting().domain
+        observed.rig.lose_domain(next(d for d in observed.rig.options.domains if d != acting))
         observed.run_ms(5000)
     else:
         assert state == "a lost server while the table is down", state
@@ -79,10 +80,3 @@
         observed.table(TableFault.UNAVAILABLE)
         observed.run_ms(4000)
     return observed
-
-
-def _lose_domain(rig, domain):
-    for server in rig.servers.values():
-        server.is_frozen = server.is_frozen or server.failure_domain == domain
-    for node in rig.nodes.values():
-        node.is_down = node.is_down or node.failure_domain == domain
