--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -192,13 +192,13 @@
         self.plan_input.recently_moved = self._recent.units(now_ms)
         request = build_request(self._settings, self._placer, leases, self.plan_input, now_ms)
         planned = plan(request)
+        self.imbalance = planned.imbalance_before
         moves = planned.moves
         self.progress.unmet = [
             f"{unmet.server_id}: {unmet.reason.value}"
             for unmet in planned.unmet_claims
             if unmet.reason is UnmetReason.SERVER_LOST
         ]
-        self.imbalance = planned.imbalance_before
         if now_ms < self._balance_ms:
             return [move for move in moves if move.reason not in _OPTIONAL_REASONS]
         self._balance_ms = now_ms + self._settings.placement.round_interval_ms
