routing: make time limits cheap and leave out those that cannot wait

Cause: five time limits per request, each a generator, an asyncio.timeout and a timer, also where the bytes are there already. Change: TimeLimit cancels the task itself; a body that is whole and body parts that have arrived need no limit. Mutations (no watch of the caller, limit that never ends) each fail callers.feature or server_faults.feature.

--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -76,6 +76,10 @@
                 await self._reader
             finally:
                 self._reader = None
+        return self.take()
+
+    def take(self) -> bytes:
+        """Return the bytes that have arrived, or b"" if there are none."""
         data = bytes(self._buffer)
         self._buffer.clear()
         if self._reading_paused and self.transport:
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -70,12 +70,12 @@
 
     async def read_body(self) -> bytes:
         """Return the next part of the response body, or b"" at its end."""
-        event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            return b""
-        raise PeerClosed("in the middle of the response")
+        return _body_part(await self._next_event())
+
+    def take_body(self) -> bytes | None:
+        """Return what `read_body` would, or None if it would have to wait."""
+        event = self._take_event()
+        return None if event is None else _body_part(event)
 
     def finish_exchange(self) -> bool:
         """End the exchange; close the connection and return False if it cannot be reused."""
@@ -100,6 +100,12 @@
             await self.channel.write(data)
 
     async def _next_event(self) -> object:
+        while (event := self._take_event()) is None:
+            self._connection.receive_data(await self.channel.read())
+        return event
+
+    def _take_event(self) -> object | None:
+        """Return the next event in the bytes that have arrived, or None."""
         while True:
             try:
                 event = self._connection.next_event()
@@ -109,7 +115,18 @@
                 raise MalformedMessage(str(error), 502) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._connection.receive_data(await self.channel.read())
+            data = self.channel.take()
+            if not data:
+                return None
+            self._connection.receive_data(data)
+
+
+def _body_part(event: object) -> bytes:
+    if isinstance(event, h11.Data):
+        return bytes(event.data)
+    if isinstance(event, h11.EndOfMessage):
+        return b""
+    raise PeerClosed("in the middle of the response")
 
 
 async def connect(ip: str, port: int, timeout_ms: int) -> Result[ClientConnection, ConnectFailed]:
--- a/nutmeglead/routing/delivery.py
+++ b/nutmeglead/routing/delivery.py
@@ -1,8 +1,7 @@
 """Pass a server's answer to the caller: small ones whole, large ones with back-pressure."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from enum import Enum
+from types import TracebackType
 from typing import Protocol
 
 from result import Err, Result
@@ -13,7 +12,7 @@
 from nutmeglead.routing.errors import CallerGone, RequestError
 from nutmeglead.routing.exchange import BODILESS_STATUSES
 from nutmeglead.routing.inbound import InboundRequest, answer_headers
-from nutmeglead.routing.timers import Timers, time_limit
+from nutmeglead.routing.timers import TimeLimit, Timers
 
 __all__ = ["AnswerSource", "SMALL_ANSWER_BYTES", "Delivery", "DeliveryState"]
 
@@ -100,7 +99,7 @@
         unframed = [(name, value) for name, value in headers if name not in framing]
         self.status = status
         self.state = DeliveryState.STARTED
-        async with _caller_limit(self._timers, self._stall_ms):
+        async with _CallerLimit(self._timers, self._stall_ms):
             await self._caller.respond(status, unframed, body)
         self.state = DeliveryState.WHOLE
 
@@ -126,24 +125,33 @@
 
     async def _start(self, status: int, headers: Headers) -> None:
         self.state = DeliveryState.STARTED
-        async with _caller_limit(self._timers, self._stall_ms):
+        async with _CallerLimit(self._timers, self._stall_ms):
             await self._caller.start_response(status, headers)
 
     async def _send(self, data: bytes) -> None:
-        async with _caller_limit(self._timers, self._stall_ms):
+        async with _CallerLimit(self._timers, self._stall_ms):
             if data:
                 await self._caller.send_body(data)
             else:
                 await self._caller.finish_response()
 
 
-@asynccontextmanager
-async def _caller_limit(timers: Timers, stall_ms: int) -> AsyncIterator[None]:
+class _CallerLimit(TimeLimit):
     """Raise CallerGone if the caller takes no byte for too long or has left."""
-    try:
-        async with time_limit(timers, timers.clock.now_ms() + stall_ms):
-            yield
-    except TimeoutError as late:
-        raise CallerGone(f"it took no byte for {stall_ms} ms") from late
-    except HttpError as cause:
-        raise CallerGone(str(cause)) from cause
+
+    def __init__(self, timers: Timers, stall_ms: int) -> None:
+        super().__init__(timers, timers.clock.now_ms() + stall_ms)
+        self._stall_ms = stall_ms
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        try:
+            await super().__aexit__(kind, error, trace)
+        except TimeoutError as late:
+            raise CallerGone(f"it took no byte for {self._stall_ms} ms") from late
+        if isinstance(error, HttpError):
+            raise CallerGone(str(error)) from error
--- a/nutmeglead/routing/exchange.py
+++ b/nutmeglead/routing/exchange.py
@@ -61,6 +61,10 @@
         """Return the next part of the response body, or b"" at its end."""
         ...
 
+    def take_body(self) -> bytes | None:
+        """Return what `read_body` would, or None if it would have to wait."""
+        ...
+
     def finish_exchange(self) -> bool:
         """End the exchange; return whether the connection can be reused."""
         ...
@@ -217,12 +221,10 @@
     async def read_body(self) -> Result[bytes, RequestError]:
         """Return the next part of the answer's body, or b"" at its end."""
         assert self.connection is not None
-        end_ms = self._deadline_ms
-        if self._is_streaming:
-            end_ms = self._timers.clock.now_ms() + self._stall_ms
         try:
-            async with time_limit(self._timers, end_ms):
-                data = await self.connection.read_body()
+            data = self.connection.take_body()
+            if data is None:
+                data = await self._wait_for_body(self.connection)
         except TimeoutError:
             return Err(self._fail(AnswerLate("the body was not whole in time")))
         except HttpError as error:
@@ -235,6 +237,13 @@
             self.state = ExchangeState.DONE
         return Ok(data)
 
+    async def _wait_for_body(self, connection: BackendConnection) -> bytes:
+        end_ms = self._deadline_ms
+        if self._is_streaming:
+            end_ms = self._timers.clock.now_ms() + self._stall_ms
+        async with time_limit(self._timers, end_ms):
+            return await connection.read_body()
+
     def begin_streaming(self) -> None:
         """Let the rest of the body take longer than the deadline, as long as bytes come.
 
--- a/nutmeglead/routing/job.py
+++ b/nutmeglead/routing/job.py
@@ -96,6 +96,8 @@
             self._caller.abort()
 
     async def _read_small_body(self) -> None:
+        if self._body.is_whole:
+            return
         try:
             async with time_limit(self._parts.timers, self._request.deadline_ms):
                 await self._body.buffer_small()
--- a/nutmeglead/routing/timers.py
+++ b/nutmeglead/routing/timers.py
@@ -3,13 +3,21 @@
 import asyncio
 import heapq
 import itertools
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
+from types import TracebackType
 from typing import Protocol
 
 from nutmeglead.core.clock import Clock, ManualClock
 
-__all__ = ["Alarm", "LoopTimers", "ManualTimers", "Timers", "sleep_until", "time_limit"]
+__all__ = [
+    "Alarm",
+    "LoopTimers",
+    "ManualTimers",
+    "TimeLimit",
+    "Timers",
+    "sleep_until",
+    "time_limit",
+]
 
 
 class Alarm(Protocol):
@@ -78,15 +86,49 @@
         self.clock.advance(end_ms - self.clock.now_ms())
 
 
-@asynccontextmanager
-async def time_limit(timers: Timers, deadline_ms: int) -> AsyncIterator[None]:
-    """Raise TimeoutError in the block once the deadline has passed."""
-    async with asyncio.timeout(None) as scope:
-        alarm = timers.call_at(deadline_ms, lambda: scope.reschedule(0))
-        try:
-            yield
-        finally:
-            alarm.cancel()
+class TimeLimit:
+    """Raise TimeoutError in the block once the deadline has passed.
+
+    It cancels the task as asyncio.timeout does, without the cost of a generator and of a second
+    timer per block.
+    """
+
+    __slots__ = ("_alarm", "_cancelling", "_deadline_ms", "_is_over", "_task", "_timers")
+
+    def __init__(self, timers: Timers, deadline_ms: int) -> None:
+        self._timers = timers
+        self._deadline_ms = deadline_ms
+        self._is_over = False
+
+    async def __aenter__(self) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._task = task
+        self._cancelling = task.cancelling()
+        self._alarm = self._timers.call_at(self._deadline_ms, self._end)
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._alarm.cancel()
+        if not self._is_over:
+            return
+        # Another cancellation that came as well must not be hidden by the timeout.
+        is_only = self._task.uncancel() <= self._cancelling
+        if is_only and kind is asyncio.CancelledError:
+            raise TimeoutError from error
+
+    def _end(self) -> None:
+        self._is_over = True
+        self._task.cancel()
+
+
+def time_limit(timers: Timers, deadline_ms: int) -> TimeLimit:
+    """Return a context manager that raises TimeoutError in its block after the deadline."""
+    return TimeLimit(timers, deadline_ms)
 
 
 async def sleep_until(timers: Timers, when_ms: int) -> None:
