routing: keep the metric of each service and result

Cause: prometheus_client looks three sets of labels up per request. Change: RequestMetrics keeps the labelled metrics; the server edge makes no closure per request.

--- a/nutmeglead/http/server.py
+++ b/nutmeglead/http/server.py
@@ -133,6 +133,9 @@
         """Count the exchanges that are running."""
         return len(self._busy)
 
+    def _is_stopping(self) -> bool:
+        return self._stopping
+
     def _accept(self) -> ByteChannel:
         channel = _ServerChannel(self)
         self._channels.add(channel)
@@ -167,7 +170,7 @@
         if head is None:
             return False
         self._busy.add(channel)
-        exchange = ServerExchange(channel, connection, head, lambda: self._stopping)
+        exchange = ServerExchange(channel, connection, head, self._is_stopping)
         try:
             await self._handler(exchange)
         except MalformedMessage as error:
--- a/nutmeglead/routing/load_reports.py
+++ b/nutmeglead/routing/load_reports.py
@@ -47,13 +47,26 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        # Looking labels up costs more than counting; there are few services and results.
+        self._counted: dict[tuple[ServiceName, str], Counter] = {}
+        self._measured: dict[ServiceName, tuple[Counter, Histogram]] = {}
 
     def count(self, record: RequestRecord) -> None:
         """Count one finished request."""
         result = record.failure or ("answered" if record.status else "caller left")
-        self._requests.labels(record.service_name, result).inc()
-        self._attempts.labels(record.service_name).inc(record.attempts)
-        self._duration.labels(record.service_name).observe(record.duration_ms / 1000)
+        name = record.service_name
+        counted = self._counted.get((name, result))
+        if counted is None:
+            counted = self._counted[name, result] = self._requests.labels(name, result)
+        counted.inc()
+        attempts, duration = self._measured.get(name) or self._start_measuring(name)
+        attempts.inc(record.attempts)
+        duration.observe(record.duration_ms / 1000)
+
+    def _start_measuring(self, name: ServiceName) -> tuple[Counter, Histogram]:
+        measured = self._attempts.labels(name), self._duration.labels(name)
+        self._measured[name] = measured
+        return measured
 
 
 class LoadReporter:
