--- a/benchmarks/forwarder.py
+++ b/benchmarks/forwarder.py
@@ -17,7 +17,7 @@
 from benchmarks.registry import BENCHMARKS, Options
 from benchmarks.report import Report, Spread, Table
 
-__all__ = ["forwarder"]
+__all__ = ["Process", "forwarder", "started"]
 
 ROLES = ("direct", "bare", "router")
 CONNECTIONS = 16
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True)
-class _Process:
+class Process:
     """Hold one started process; `port` takes requests."""
 
     pid: int
@@ -45,12 +45,12 @@
 
 
 @contextmanager
-def _started(role: str, backend_port: int = 0) -> Iterator[_Process]:
+def started(role: str, backend_port: int = 0) -> Iterator[Process]:
     command = [sys.executable, "-m", "benchmarks.forwarder_subjects", role, str(backend_port)]
     with subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as process:
         assert process.stdout is not None
         # Leaving the block closes standard input, which ends the process.
-        yield _Process(process.pid, int(process.stdout.readline()))
+        yield Process(process.pid, int(process.stdout.readline()))
 
 
 class _Caller(asyncio.Protocol):
@@ -163,7 +163,7 @@
 
 
 async def _measure(
-    processes: dict[str, _Process], rounds: int, duration_s: float, seed: int
+    processes: dict[str, Process], rounds: int, duration_s: float, seed: int
 ) -> dict[str, _Figures]:
     figures = {role: _Figures() for role in ROLES}
     for number in range(rounds):
@@ -223,10 +223,10 @@
     """Measure the three side by side."""
     rounds, duration_s = (2, 1.0) if options.quick else (ROUNDS, ROUND_S)
     with ExitStack() as stack:
-        backend = stack.enter_context(_started("backend"))
+        backend = stack.enter_context(started("backend"))
         processes = {"direct": backend}
         for role in ("bare", "router"):
-            processes[role] = stack.enter_context(_started(role, backend.port))
+            processes[role] = stack.enter_context(started(role, backend.port))
         figures = asyncio.run(_measure(processes, rounds, duration_s, options.seed))
     report = Report("Router against a direct call and a bare forwarder", METHOD)
     columns = ("called", "requests/s", "processor time [µs/request]", "p50 [ms]", "p99 [ms]")
--- a/benchmarks/forwarder_subjects.py
+++ b/benchmarks/forwarder_subjects.py
@@ -1,4 +1,4 @@
-"""Be one process of the forwarder benchmark: backend server, bare forwarder or router.
+"""Be one process of the forwarder benchmark: a backend server, bare forwarder or router.
 
 `python -m benchmarks.forwarder_subjects ROLE [BACKEND_PORT [PROFILE_FILE]]` prints its port and
 ends when its standard input is closed, or after MAX_LIFE_S.
@@ -37,6 +37,7 @@
 SERVERS = 24
 HASH_BUCKETS = 2048
 ANSWER_BODY = b"x" * 1024
+STREAM_PART = b"x" * 65_536
 ANSWER = (
     b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 1024\r\n\r\n"
     + ANSWER_BODY
@@ -55,6 +56,35 @@
             self._transport.write(ANSWER)
 
 
+class _StreamBackend(asyncio.Protocol):
+    """Answer `...?bytes=N` with N bytes, as fast as the peer takes them."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._left = 0
+        self._is_paused = False
+
+    def data_received(self, data: bytes) -> None:
+        if data.endswith(b"\r\n\r\n"):
+            self._left = int(data.split(b"?bytes=")[1].split()[0])
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % self._left
+            self._transport.write(head)
+            self._send()
+
+    def pause_writing(self) -> None:
+        self._is_paused = True
+
+    def resume_writing(self) -> None:
+        self._is_paused = False
+        self._send()
+
+    def _send(self) -> None:
+        while self._left and not self._is_paused and not self._transport.is_closing():
+            part = STREAM_PART[: self._left]
+            self._left -= len(part)
+            self._transport.write(part)
+
+
 class _BareInbound(asyncio.Protocol):
     """Forward one caller's requests with h11 on both sides and nothing else."""
 
@@ -176,7 +206,8 @@
         pool = _BarePool(backend_port)
         port = await _start_protocol(lambda: _BareInbound(pool))
     else:
-        port = await _start_protocol(_Backend)
+        backend = _StreamBackend if role == "stream-backend" else _Backend
+        port = await _start_protocol(backend)
     print(port, flush=True)
     closed = asyncio.Event()
     asyncio.get_running_loop().add_reader(sys.stdin.fileno(), closed.set)
