controller: guard pins during repeated releases and suspicion after one lost message

Change: a row with a request in flight that has a release repeated; rows for the reports of one renewer.

--- a/nutmeglead/controller/tests/faults.py
+++ b/nutmeglead/controller/tests/faults.py
@@ -123,6 +123,22 @@
     rig.at_step("after", "pages written", lambda: file_ticket(rig, claims=owners))
 
 
+@FAULTS.register("key claimed during a request")
+def _claimed_during_request(rig):
+    """Move one of two pins of a server while a request in flight has the release repeated."""
+    file_ticket(rig, claims={"auftrag-3": "lb-01"})
+    assert rig.run_until(rig.in_force, 5_000) is not None
+    server = rig.servers["lb-01"]
+    _, epoch = server.holder.serves("auftrag-2", server.clock_ms())
+    request = server.holder.admit("auftrag-2", epoch, server.clock_ms()).unwrap()
+    file_ticket(rig, claims={"auftrag-2": "lb-00"})
+
+    def finish_later():
+        rig.network.at(rig.now_ms + 90, lambda: server.holder.finish(request))
+
+    rig.at_step("after", "release", finish_later)
+
+
 @FAULTS.register("two tickets at once")
 def _two_tickets(rig):
     file_ticket(rig, leaving=["lb-04"])
--- a/nutmeglead/controller/tests/parts.feature
+++ b/nutmeglead/controller/tests/parts.feature
@@ -74,3 +74,14 @@
       | 100   | 100    | 10000 | 75        | 75         | an idle time is saved up                  |
       | 75    | 10     | 40    | 75        | 3          | the rate is not kept within a second      |
       | 75    | 10     | -500  | 75        | 0          | a clock that goes back gives rows         |
+
+  Scenario Outline: A renewer reports a silent server
+    Given a renewer with late rounds whose renewals <lost> are lost
+    Then it has reported the server as silent within 1500 ms: <reported>
+
+    Examples: Each row names the failure it guards against
+      | lost  | reported | failure                                  |
+      | none  | no       | a server that answers is suspect         |
+      | 3     | no       | one lost message makes a server suspect  |
+      | 3 5   | no       | losses with an answer in between add up  |
+      | 3 4   | yes      | a silent server is not reported          |
--- a/nutmeglead/controller/tests/recovery.feature
+++ b/nutmeglead/controller/tests/recovery.feature
@@ -22,6 +22,7 @@
       | server leaving                                                     | 6    | 6000   | 200   | the new owner waits for a lapse although the old one answers |
       | server leaving and back                                            | 7    | 6000   | 200   | a reversal during the move loses units                       |
       | keys claimed and back                                              | 8    | 6000   | 200   | a claim back accepts the proof of the first move             |
+      | key claimed during a request                                       | 8    | 6000   | 200   | a repeated release drops the pins that the server keeps      |
       | two tickets at once                                                | 9    | 6000   | 200   | one of two tickets is not carried out                        |
       | renewer paused for 3 s                                             | 10   | 6000   | 0     | one renewer ends a lease                                     |
       | renewer restarted                                                  | 11   | 6000   | 0     | a renewer without memory ends a lease or keeps one alive     |
@@ -38,7 +39,7 @@
       | table down                                                         | 22   | 120000 | 0     | something expires in a long outage                           |
       | answers lost                                                       | 23   | 6000   | 0     | a lost answer is taken as not applied                        |
       | 1% loss                                                            | 24   | 6000   | 0     | one lost message makes a server suspect                      |
-      | 5% loss, doubling and reordering                                   | 3    | 6000   | 2000  | a repeated release drops the pins that the server keeps      |
+      | 5% loss, doubling and reordering                                   | 3    | 6000   | 2000  | a repeated or late message undoes a newer one                |
 
   Scenario Outline: The acting controller is paused at a step, another takes the role, it resumes
     Given a service in force with seed <seed>
