controller: record the epoch at which a moved unit was written

Cause: the audit record of a new pin named epoch 1 while the table held the epoch above the bucket's, so explain could not tell since when a key has its owner ("since: unknown" in the README). Change: the records are built after the pages are applied, from the map's epochs.

--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -245,8 +245,8 @@
     def on_committed(self, tag: CommitTag, versions: Mapping[RowKey, int], now_ms: int) -> None:
         """Take the result of an applied transaction."""
         if tag is CommitTag.PAGES:
-            self._outbox += [RecordAudit(record) for record in self.writer.audit_moves()]
             self.load_pages(self.writer.committed(versions, now_ms))
+            self._outbox += [RecordAudit(record) for record in self.writer.audit_moves()]
             return
         self._outbox += [RecordAudit(r) for r in self._server_writer.audit_leases(self._trail)]
         self.load_servers(self._server_writer.committed(versions))
--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -86,6 +86,7 @@
         self._first_placement_ms: int | None = None
         self._recent = RecentMoves(settings.placement.round_interval_ms)
         self._written: list[Move] = []
+        self._unaudited: list[Move] = []
 
     def replan(self, at_ms: int) -> None:
         """Plan again at a time, or earlier if that is due already."""
@@ -120,6 +121,7 @@
         self.in_flight = None
         self._recent.add(moves, now_ms)
         self._written += moves
+        self._unaudited = list(moves)
         if moves or not self._placer.has_pages:
             self.replan(now_ms)
         return [Row(key, versions[key], encode(edit.page)) for key, edit in edits.items()]
@@ -139,20 +141,26 @@
         return keys
 
     def audit_moves(self) -> list[AuditRecord]:
-        """Return the records of the moves in flight; called before they are applied to the map."""
-        if self.in_flight is None:
-            return []
+        """Return the records of the moves written last; called when the map holds them."""
         records = []
-        for move in self.in_flight.moves:
+        moves, self._unaudited = self._unaudited, []
+        for move in moves:
             unit = unit_of_move(move)
-            present = self._placer.unit_map.record(unit)
-            epoch = Epoch(present.epoch + 1 if present else 1)
             evidence = f"{move.reason.name.lower()}, load {move.load:.1f}/s"
             records.append(
-                self._trail.moved(unit, move.from_server, move.to_server, epoch, evidence)
+                self._trail.moved(
+                    unit, move.from_server, move.to_server, self._epoch(unit), evidence
+                )
             )
         return records
 
+    def _epoch(self, unit: Unit) -> Epoch:
+        """Return a unit's epoch; a pin that was removed has that of the unit below."""
+        unit_map = self._placer.unit_map
+        found = unit_map.record(unit)
+        records = [found] if found else unit_map.records_below(unit)
+        return max((record.epoch for record in records), default=Epoch(0))
+
     def _write_directory(
         self, budget: WriteBudget, now_ms: int, gates: Mapping[ServerId, Address]
     ) -> Commit | None:
--- a/nutmeglead/controller/tests/page_writes.feature
+++ b/nutmeglead/controller/tests/page_writes.feature
@@ -24,6 +24,12 @@
       | 3     | 0 1  | none      | the limit of holders is one too low             |
       | 4     | 1    | 0         | a fifth unproven holder is forgotten            |
 
+  Scenario: The audit trail names the epoch at which each moved unit was written
+    # Guards against an explanation that cannot tell which move gave a key its owner.
+    Given a service in force with seed 4
+    When keys are claimed and server "lb-04" leaves
+    Then the last record of each moved unit names its epoch in the table
+
   Scenario: A unit's previous holders are cleared only as far as they are proven
     Given a hash page of 4 buckets whose bucket 0 has moved 2 times without any proof
     When the first previous holder of bucket 0 is cleared
--- a/nutmeglead/controller/tests/steps/page_writes_steps.py
+++ b/nutmeglead/controller/tests/steps/page_writes_steps.py
@@ -2,10 +2,12 @@
 
 from behave import given, then, when
 
+from nutmeglead._generated.common.ttypes import UnitKind
+from nutmeglead._generated.messages.ttypes import AuditKind
 from nutmeglead.controller.placer import PagePlacer
 from nutmeglead.controller.tests.rig import run
 from nutmeglead.core.codec import encode
-from nutmeglead.ownership.keys import Unit
+from nutmeglead.ownership.keys import Unit, unit_from_id
 from nutmeglead.ownership.pages import WriteStamp, page_key
 from nutmeglead.ownership.units import Holder
 from nutmeglead.placement.model import Move, MoveReason
@@ -45,6 +47,25 @@
     context.recovery.settle()
 
 
+@when('keys are claimed and server "{server}" leaves')
+def step_claims(context, server):
+    rig = context.recovery.rig
+    rig.file_ticket(claims={"auftrag-1": "lb-01", "auftrag-2": "lb-02"})
+    assert rig.run_until(rig.in_force, 5_000) is not None
+    rig.file_ticket(leaving=[server])
+    assert rig.run_until(rig.in_force, 5_000) is not None
+
+
+@then("the last record of each moved unit names its epoch in the table")
+def step_audit_epochs(context):
+    rig = context.recovery.rig
+    moved = {unit_from_id(r.unit): r for r in rig.audit if r.kind == AuditKind.UNIT_MOVED}
+    assert {unit.kind for unit in moved} == {UnitKind.EXACT, UnitKind.HASH_BUCKET}
+    unit_map = rig.acting().machine.placer.unit_map
+    for unit, record in moved.items():
+        assert record.epoch == unit_map.record(unit).epoch, (unit, record)
+
+
 class PlacerScenario:
     """Hold a page of 4 buckets; bucket 0 goes from s0 to s1, s2 and so on, without any proof."""
 
