--- a/nutmeglead/controller/tests/steps/page_writes_steps.py
+++ b/nutmeglead/controller/tests/steps/page_writes_steps.py
@@ -50,7 +50,7 @@
 @when('keys are claimed and server "{server}" leaves')
 def step_claims(context, server):
     rig = context.recovery.rig
-    rig.file_ticket(claims={"auftrag-1": "lb-01", "auftrag-2": "lb-02"})
+    rig.file_ticket(claims={"auftrag-1": "lb-01", "auftrag-3": "lb-02"})
     assert rig.run_until(rig.in_force, 5_000) is not None
     rig.file_ticket(leaving=[server])
     assert rig.run_until(rig.in_force, 5_000) is not None
