--- a/nutmeglead/controller/tests/faults.py
+++ b/nutmeglead/controller/tests/faults.py
@@ -60,6 +60,31 @@
     pause(rig, rig.servers["lb-02"], 3_000)
 
 
+@FAULTS.register("server frozen for 480 ms")
+def _frozen_480_ms(rig):
+    """Freeze a server until after it is suspected and before its lease ends."""
+    pause(rig, rig.servers["lb-02"], 480)
+
+
+def leave_behind_cut(rig, renewer_count):
+    """Have a server leave that the acting controller does not reach, nor some of its renewers."""
+    acting = rig.acting()
+    server = next(s for s in rig.servers.values() if acting not in rig.renewers_of(s.name))
+    others = [server, *rig.renewers_of(server.name)[:renewer_count]]
+    rig.network.cut_links |= {frozenset((acting.name, other.name)) for other in others}
+    file_ticket(rig, leaving=[server.name])
+
+
+@FAULTS.register("server leaving behind a cut link")
+def _leaving_behind_cut(rig):
+    leave_behind_cut(rig, 0)
+
+
+@FAULTS.register("server and two renewers behind cut links")
+def _leaving_behind_cuts(rig):
+    leave_behind_cut(rig, 2)
+
+
 @FAULTS.register("server lost")
 def _lost(rig):
     rig.lose_server("lb-01")
@@ -98,6 +123,22 @@
     rig.at_step("after", "pages written", lambda: file_ticket(rig, claims=owners))
 
 
+@FAULTS.register("key claimed during a request")
+def _claimed_during_request(rig):
+    """Move one of two pins of a server while a request in flight has the release repeated."""
+    file_ticket(rig, claims={"auftrag-3": "lb-01"})
+    assert rig.run_until(rig.in_force, 5_000) is not None
+    server = rig.servers["lb-01"]
+    _, epoch = server.holder.serves("auftrag-2", server.clock_ms())
+    request = server.holder.admit("auftrag-2", epoch, server.clock_ms()).unwrap()
+    file_ticket(rig, claims={"auftrag-2": "lb-00"})
+
+    def finish_later():
+        rig.network.at(rig.now_ms + 90, lambda: server.holder.finish(request))
+
+    rig.at_step("after", "release", finish_later)
+
+
 @FAULTS.register("two tickets at once")
 def _two_tickets(rig):
     file_ticket(rig, leaving=["lb-04"])
--- a/nutmeglead/controller/tests/recovery.feature
+++ b/nutmeglead/controller/tests/recovery.feature
@@ -15,10 +15,14 @@
       | server lost, VM list prompt                                        | 2    | 6000   | 2000  | a GONE report of the VM list is not taken as proof           |
       | server frozen                                                      | 3    | 6000   | 2000  | a frozen server keeps its units                              |
       | server frozen for 3 s                                              | 4    | 6000   | 2000  | a resumed server serves units that moved meanwhile           |
+      | server frozen for 480 ms                                           | 5    | 6000   | 2000  | a lease is taken as ended when its renewals are stopped      |
+      | server and two renewers behind cut links                           | 26   | 9000   | 2000  | one stop statement counts as a lapse                         |
+      | server leaving behind a cut link                                   | 27   | 9000   | 2000  | a renewer renews again what it has stopped                   |
       | server restarted                                                   | 5    | 6000   | 2000  | a new incarnation is not granted its units again             |
       | server leaving                                                     | 6    | 6000   | 200   | the new owner waits for a lapse although the old one answers |
       | server leaving and back                                            | 7    | 6000   | 200   | a reversal during the move loses units                       |
       | keys claimed and back                                              | 8    | 6000   | 200   | a claim back accepts the proof of the first move             |
+      | key claimed during a request                                       | 8    | 6000   | 200   | a repeated release drops the pins that the server keeps      |
       | two tickets at once                                                | 9    | 6000   | 200   | one of two tickets is not carried out                        |
       | renewer paused for 3 s                                             | 10   | 6000   | 0     | one renewer ends a lease                                     |
       | renewer restarted                                                  | 11   | 6000   | 0     | a renewer without memory ends a lease or keeps one alive     |
@@ -35,7 +39,7 @@
       | table down                                                         | 22   | 120000 | 0     | something expires in a long outage                           |
       | answers lost                                                       | 23   | 6000   | 0     | a lost answer is taken as not applied                        |
       | 1% loss                                                            | 24   | 6000   | 0     | one lost message makes a server suspect                      |
-      | 5% loss, doubling and reordering                                   | 3    | 6000   | 2000  | a repeated release drops the pins that the server keeps      |
+      | 5% loss, doubling and reordering                                   | 3    | 6000   | 2000  | a repeated or late message undoes a newer one                |
 
   Scenario Outline: The acting controller is paused at a step, another takes the role, it resumes
     Given a service in force with seed <seed>
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -50,6 +50,21 @@
         self.exchange_count += 1
         await self._send(h11.Request(method=head.method, target=head.target, headers=head.headers))
 
+    async def send_request(self, head: RequestHead, body: bytes) -> None:
+        """Send a whole request in one write.
+
+        With a write for the head and one for the body, the kernel sends and acknowledges two
+        segments, and the peer wakes up twice.
+        """
+        self._written_before = self.channel.bytes_written
+        self.exchange_count += 1
+        events: list[h11.Event] = [
+            h11.Request(method=head.method, target=head.target, headers=head.headers)
+        ]
+        events += [h11.Data(data=body)] if body else []
+        events.append(h11.EndOfMessage())
+        await self.channel.write(b"".join(map(self._encoded, events)))
+
     async def send_body(self, data: bytes) -> None:
         """Send a part of the request body."""
         await self._send(h11.Data(data=data))
@@ -70,12 +85,12 @@
 
     async def read_body(self) -> bytes:
         """Return the next part of the response body, or b"" at its end."""
-        event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            return b""
-        raise PeerClosed("in the middle of the response")
+        return _body_part(await self._next_event())
+
+    def take_body(self) -> bytes | None:
+        """Return what `read_body` would, or None if it would have to wait."""
+        event = self._take_event()
+        return None if event is None else _body_part(event)
 
     def finish_exchange(self) -> bool:
         """End the exchange; close the connection and return False if it cannot be reused."""
@@ -92,14 +107,23 @@
         self.channel.abort()
 
     async def _send(self, event: h11.Event) -> None:
+        data = self._encoded(event)
+        if data:
+            await self.channel.write(data)
+
+    def _encoded(self, event: h11.Event) -> bytes:
         try:
-            data = self._connection.send(event)
+            return self._connection.send(event) or b""
         except h11.LocalProtocolError as error:
             raise MalformedMessage(str(error)) from error
-        if data:
-            await self.channel.write(data)
 
     async def _next_event(self) -> object:
+        while (event := self._take_event()) is None:
+            self._connection.receive_data(await self.channel.read())
+        return event
+
+    def _take_event(self) -> object | None:
+        """Return the next event in the bytes that have arrived, or None."""
         while True:
             try:
                 event = self._connection.next_event()
@@ -109,7 +133,18 @@
                 raise MalformedMessage(str(error), 502) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._connection.receive_data(await self.channel.read())
+            data = self.channel.take()
+            if not data:
+                return None
+            self._connection.receive_data(data)
+
+
+def _body_part(event: object) -> bytes:
+    if isinstance(event, h11.Data):
+        return bytes(event.data)
+    if isinstance(event, h11.EndOfMessage):
+        return b""
+    raise PeerClosed("in the middle of the response")
 
 
 async def connect(ip: str, port: int, timeout_ms: int) -> Result[ClientConnection, ConnectFailed]:
@@ -191,10 +226,7 @@
     ) -> tuple[ResponseHead, bytes]:
         framing = [(b"host", ip.encode()), (b"content-length", str(len(body)).encode())]
         full_head = RequestHead(head.method, head.target, framing + head.headers)
-        await connection.send_head(full_head)
-        if body:
-            await connection.send_body(body)
-        await connection.finish_request()
+        await connection.send_request(full_head, body)
         response = await connection.read_head()
         received = bytearray()
         while data := await connection.read_body():
