http: read before asking h11 for the next head

Cause: each side asked h11 for an event before any byte of the next message had come, which costs a pass through its state machine. Change: the head is waited for first, unless h11 holds bytes already.

--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -60,6 +60,9 @@
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the response; informational responses are passed over."""
+        # The answer has hardly ever begun yet; asking h11 first costs more than this test.
+        if not self._connection.trailing_data[0]:
+            self._connection.receive_data(await self.channel.read())
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
--- a/nutmeglead/http/server.py
+++ b/nutmeglead/http/server.py
@@ -221,6 +221,9 @@
 
 
 async def _read_head(channel: ByteChannel, connection: h11.Connection) -> RequestHead | None:
+    # A caller seldom sends the next request early; asking h11 first costs more than this test.
+    if not connection.trailing_data[0]:
+        connection.receive_data(await channel.read())
     event = await _next_event(channel, connection)
     if not isinstance(event, h11.Request):
         return None
