--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -185,6 +185,17 @@
         if gate is not None and gate.gate_address is not None:
             lease.address = gate.gate_address
 
+    def gate_addresses(self, nodes: Mapping[NodeId, EntryNode]) -> dict[ServerId, Address]:
+        """Return where the gates of this service's servers are reached."""
+        if not self.uses_gates:
+            return {}
+        gates = {}
+        for lease in self.servers.values():
+            node = nodes.get(lease.gate_node_id) if lease.gate_node_id else None
+            if node is not None and node.gate_address is not None:
+                gates[lease.server_id] = node.gate_address
+        return gates
+
     def end(self, server_id: ServerId) -> None:
         """Note that the lease epoch in the table is proven to have ended."""
         lease = self.servers[server_id]
@@ -213,6 +224,11 @@
             # Only an answer that is sent after this moment shows that the server is back.
             lease.incarnation = None
 
+    def has_ended(self, server_id: ServerId) -> bool:
+        """Tell whether a server is known to hold nothing."""
+        lease = self.servers.get(server_id)
+        return lease is None or lease.row is None or lease.has_ended
+
     def rows_to_write(self, nodes: Mapping[NodeId, EntryNode]) -> list[tuple[int, ServerRow]]:
         """Return the rows that have to change, each with the row version that it replaces.
 
--- a/nutmeglead/controller/page_writer.py
+++ b/nutmeglead/controller/page_writer.py
@@ -74,6 +74,8 @@
         self.plan_input = PlanInput()
         self.progress = TicketProgress()
         self.in_flight: _InFlight | None = None
+        # Load of the fullest server over the mean when the last plan was made; None before that.
+        self.imbalance: float | None = None
         self._settings = settings
         self._placer = placer
         self._role_check = role_check
@@ -202,6 +204,7 @@
         self.plan_input.recently_moved = self._recent.units(now_ms)
         request = build_request(self._settings, self._placer, leases, self.plan_input, now_ms)
         planned = plan(request)
+        self.imbalance = planned.imbalance_before
         moves = planned.moves
         self.progress.unmet = [
             f"{unmet.server_id}: {unmet.reason.value}"
--- a/nutmeglead/http/server.py
+++ b/nutmeglead/http/server.py
@@ -40,6 +40,10 @@
         """Return the event that is set when the caller has closed its connection."""
         return self.channel.peer_gone
 
+    def watch_caller(self, callback: Callable[[], None] | None) -> None:
+        """Call back when the caller closes its connection; None ends the watch."""
+        self.channel.on_peer_gone = callback
+
     async def read_body(self) -> bytes:
         """Return the next part of the request body, or b"" at its end."""
         if self._connection.they_are_waiting_for_100_continue:
@@ -129,6 +133,9 @@
         """Count the exchanges that are running."""
         return len(self._busy)
 
+    def _is_stopping(self) -> bool:
+        return self._stopping
+
     def _accept(self) -> ByteChannel:
         channel = _ServerChannel(self)
         self._channels.add(channel)
@@ -163,7 +170,7 @@
         if head is None:
             return False
         self._busy.add(channel)
-        exchange = ServerExchange(channel, connection, head, lambda: self._stopping)
+        exchange = ServerExchange(channel, connection, head, self._is_stopping)
         try:
             await self._handler(exchange)
         except MalformedMessage as error:
