dissemination: forward a delta to a page that was fetched before it arrived

A node that had fetched the page by a comparison just before the delta arrived took it for stale and cut off the branch of the tree below it; the nodes there got no push at all. Change: a delta to the known version is forwarded once if its digest is that of the own page.

--- a/nutmeglead/dissemination/machine.py
+++ b/nutmeglead/dissemination/machine.py
@@ -148,7 +148,7 @@
         """Take over a page that is in the table and push it to the others."""
         copy = self.copies[ServiceName(page.service_name)]
         old = copy.store.get(page_id(page))
-        changed = copy.put(page)
+        changed = copy.originate(page)
         self._changed += changed
         if not changed:
             return []
--- a/nutmeglead/dissemination/pages.py
+++ b/nutmeglead/dissemination/pages.py
@@ -81,6 +81,11 @@
         encoded = self._encoded.get(place)
         return None if encoded is None else decode(PlacementPage, encoded).unwrap()
 
+    def page_digest(self, place: PageId) -> int | None:
+        """Return the digest of a page's encoding."""
+        encoded = self._encoded.get(place)
+        return None if encoded is None else page_digest(encoded)
+
     def pages(self) -> Iterator[PlacementPage]:
         """Yield a new copy of each page."""
         for place in list(self._encoded):
--- a/nutmeglead/dissemination/service_copy.py
+++ b/nutmeglead/dissemination/service_copy.py
@@ -6,7 +6,7 @@
 
 from nutmeglead._generated.messages.ttypes import PageDelta, PageVersion, PlacementPage
 from nutmeglead.core.ids import ServiceName
-from nutmeglead.dissemination.deltas import apply_delta
+from nutmeglead.dissemination.deltas import apply_delta, decode_changes
 from nutmeglead.dissemination.errors import DeltaGap
 from nutmeglead.dissemination.page_ids import PageId, page_id
 from nutmeglead.dissemination.pages import PageStore, check_page
@@ -47,6 +47,8 @@
         self.gaps: dict[PageId, Gap] = {}
         self._waiting: dict[PageId, dict[int, PageDelta]] = {}
         self._offered: dict[PageId, set[int]] = {}
+        # The known version of a page, if a delta to it was forwarded or originated here.
+        self._forwarded: dict[PageId, int] = {}
         self._confirmed_ms: float | None = None
 
     def age_ms(self, now_ms: int) -> int | None:
@@ -67,8 +69,9 @@
     def offer(self, delta: PageDelta) -> tuple[DeltaVerdict, list[PlacementPage]]:
         """Apply a delta, or keep it until the version before it is there."""
         place = page_id(delta)
-        if delta.to_version <= self.store.version(place):
-            return DeltaVerdict(), []
+        known = self.store.version(place)
+        if delta.to_version <= known:
+            return DeltaVerdict(delta.to_version == known and self._is_unsent(place, delta)), []
         base = self.store.get(place)
         applied = apply_delta(base, delta)
         wanted = PageVersion(delta.pins, delta.page_number, delta.to_version)
@@ -81,6 +84,27 @@
         page = applied.ok_value
         return DeltaVerdict(is_new), self.put(page) if page else []
 
+    def originate(self, page: PlacementPage) -> list[PlacementPage]:
+        """Take over a page that is pushed from here."""
+        changed = self.put(page)
+        if changed:
+            self._forwarded[page_id(page)] = page.version
+        return changed
+
+    def _is_unsent(self, place: PageId, delta: PageDelta) -> bool:
+        """Tell whether a delta to the known version is still to be forwarded.
+
+        A node that fetched the page just before the delta arrived would otherwise cut off the
+        branch of the tree below it. Its own page shows whether the delta belongs to it.
+        """
+        decoded = decode_changes(delta)
+        if isinstance(decoded, Err) or self._forwarded.get(place) == delta.to_version:
+            return False
+        if decoded.ok_value.page_digest != self.store.page_digest(place):
+            return False
+        self._forwarded[place] = delta.to_version
+        return True
+
     def _wait(self, place: PageId, delta: PageDelta) -> bool:
         waiting = self._waiting.setdefault(place, {})
         if len(waiting) < _MAX_WAITING_PER_PAGE or delta.from_version in waiting:
@@ -121,6 +145,9 @@
         gap = self.gaps.get(place)
         if gap is not None and gap.version <= version:
             del self.gaps[place]
-        offered = {v for v in self._offered.pop(place, set()) if v > version}
-        if offered:
-            self._offered[place] = offered
+        offered = self._offered.pop(place, set())
+        if version in offered:
+            self._forwarded[place] = version
+        later = {v for v in offered if v > version}
+        if later:
+            self._offered[place] = later
--- a/nutmeglead/dissemination/tests/steps/node_steps.py
+++ b/nutmeglead/dissemination/tests/steps/node_steps.py
@@ -10,11 +10,13 @@
     DigestReply,
     Heartbeat,
     MessageType,
+    PageChanges,
     PagesReply,
     PagesRequest,
     PageVersion,
 )
 from nutmeglead._generated.settings.ttypes import DisseminationSettings
+from nutmeglead.core.codec import decode, encode
 from nutmeglead.dissemination.deltas import make_delta
 from nutmeglead.dissemination.fanout import MAX_HOPS
 from nutmeglead.dissemination.feeder import Feeder
@@ -60,12 +62,21 @@
         low, high = int(text.split()[0]), int(text.split()[2])
         sender = Sender(self.sender_id, "1")
         delta = make_delta(self.pages.get(low), self.pages[high], sender, MAX_HOPS - 1)
+        if text.endswith("altered"):
+            changes = decode(PageChanges, delta.changes).unwrap()
+            changes.page_digest += 1
+            delta.changes = encode(changes)
         if text.endswith("corrupt"):
             delta.changes = delta.changes[:-4] + b"\x15" + delta.changes[-3:]
         return delta
 
     def receive(self, text):
         for part in text.split(", "):
+            if part.startswith("p"):
+                kind, version = part.split()
+                take = self.copy.put if kind == "page" else self.copy.originate
+                take(self.pages[int(version)])
+                continue
             self.sends += self.node.handle_delta(self.delta(part), self.now_ms)[1]
 
     def of_type(self, message_type, sends=None):
