dissemination: refuse news without a process of a member that was heard

A node that knew a member from the VM list only reported it silent with an empty incarnation; receivers took that for a later process and then refused the real one for good. Change: an empty incarnation never replaces a known one; a row of membership.feature.

--- a/nutmeglead/dissemination/membership.py
+++ b/nutmeglead/dissemination/membership.py
@@ -156,8 +156,10 @@
         Incarnations begin with their start time, so the higher one is the later process. A clock
         that was set back breaks this order, therefore any new process replaces one that is silent.
         """
-        if incarnation in member.superseded:
-            return False
+        if incarnation in member.superseded or (member.incarnation and not incarnation):
+            return (
+                False  # news without an incarnation comes from a node that never heard the member
+            )
         return incarnation >= member.incarnation or member.state is not MemberState.ALIVE
 
     def _hear(self, member: Member, incarnation: str, now_ms: int) -> None:
--- a/nutmeglead/dissemination/tests/membership.feature
+++ b/nutmeglead/dissemination/tests/membership.feature
@@ -15,6 +15,7 @@
       | heartbeat 1, wait 1000, reply, wait 1000        | alive   | a member whose heartbeats are lost one way is silent |
       | VM list live                                    | alive   | a process that starts alone asks nobody              |
       | VM list live, wait 2500                         | silent  | a late VM list keeps a lost member alive             |
+      | heartbeat 1, wait 2500, nameless news silent 9, heartbeat 2 | alive | news without a process shuts the process out for ever |
       | heartbeat 1, wait 2500, news alive 9            | silent  | a member that only others reach gets pushes from here |
       | heartbeat 1, VM list gone                       | alive   | a wrong VM list takes out a member that is heard     |
       | heartbeat 1, wait 2500, VM list gone            | gone    | heartbeats are sent to a lost VM for ever            |
--- a/nutmeglead/dissemination/tests/steps/membership_steps.py
+++ b/nutmeglead/dissemination/tests/steps/membership_steps.py
@@ -76,6 +76,10 @@
         entries = [*self.others, vm(self.member_id, VmState(state))]
         self.membership.learn_vms(entries, self.now_ms)
 
+    def on_nameless(self, _, __, status, sequence):
+        """Hear news from a node that knows the member from the VM list only."""
+        self.on_news("", status, sequence)
+
     def on_news(self, process, status, sequence):
         subject = Sender(self.member_id, process)
         self.hear_news(subject, int(sequence), MemberStatus[status.upper()])
