--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -335,7 +335,7 @@
     def _transactions(self, now_ms: int, nodes: Mapping[NodeId, EntryNode]) -> list[Decision]:
         if self._to_read:
             return [ReadRows(tuple(sorted(self._to_read)))]
-        servers = self._server_writer.next_commit(nodes, self._budget, now_ms)
+        # Moves come first: the loss of a failure domain makes many renewers be replaced, too.
         pages = self.writer.next_commit(
             self.leases.servers,
             self.handover.proven(),
@@ -343,7 +343,8 @@
             now_ms,
             self.leases.gate_addresses(nodes),
         )
-        return [commit for commit in (servers, pages) if commit is not None]
+        servers = self._server_writer.next_commit(nodes, self._budget, now_ms)
+        return [commit for commit in (pages, servers) if commit is not None]
 
     def _note_incarnation(
         self, server_id: ServerId, incarnation: str, sent_ms: int, now_ms: int
--- a/nutmeglead/controller/server_writer.py
+++ b/nutmeglead/controller/server_writer.py
@@ -35,10 +35,11 @@
         """Return the transaction that is due, if none is in flight."""
         if self._in_flight:
             return None
-        due = self._leases.rows_to_write(nodes)
-        due = due[: budget.take_up_to(min(len(due), MAX_ROWS), now_ms)]
+        limit = min(budget.available(now_ms), MAX_ROWS)
+        due = self._leases.rows_to_write(nodes, limit)
         if not due:
             return None
+        budget.take_up_to(len(due), now_ms)
         self._in_flight = [row for _, row in due]
         checks = [self._role_check, *(RowCheck(self._key(row), v) for v, row in due)]
         writes = [RowWrite(self._key(row), encode(row)) for _, row in due]
