controller: keep the list of unwanted servers with the leases

Change: LeaseKeeper lists unwanted servers and adds waiting ones to the attended ones; no behaviour changes.

--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -86,17 +86,20 @@
         # round over all of them took 10 µs for each.
         self._attended: set[ServerId] = set()
         self._seen_nodes: dict[NodeId, tuple[str, bool]] = {}
+        # Known servers that no ticket wants any more.
+        self._unwanted: list[ServerId] = []
 
     def attend(self, server_id: ServerId) -> None:
         """Look after a server until nothing is due for it."""
         if server_id in self.servers:
             self._attended.add(server_id)
 
-    def attended(self) -> list[ServerLease]:
-        """List the servers that something may be due for."""
+    def attended(self, others: Iterable[ServerId] = ()) -> list[ServerLease]:
+        """List the servers that something may be due for, and others that are known."""
         if self.uses_gates:
             return list(self.servers.values())
-        return [self.servers[server_id] for server_id in sorted(self._attended)]
+        listed = self._attended | (self.servers.keys() & set(others))
+        return [self.servers[server_id] for server_id in sorted(listed)]
 
     def dismiss_settled(self, nodes: Mapping[NodeId, EntryNode]) -> None:
         """Leave alone the servers that need nothing until something is heard of them."""
@@ -114,6 +117,23 @@
             if not self.uses_gates:
                 lease.address = address
 
+    def set_wanted(self, wanted: Iterable[ServerId]) -> None:
+        """Note which servers the tickets want; the leases of others end when they own nothing."""
+        self._unwanted = sorted(self.servers.keys() - set(wanted))
+        for server_id in self.servers.keys() - set(self._unwanted):
+            self.servers[server_id].is_retired = False
+
+    def unwanted(self) -> list[ServerId]:
+        """List the servers that no ticket wants and that may still have a lease."""
+        leases = [self.servers[server_id] for server_id in self._unwanted]
+        due = (lease for lease in leases if lease.row is not None and not lease.is_retired)
+        return [lease.server_id for lease in due]
+
+    def retire(self, server_id: ServerId) -> None:
+        """Begin no other lease for a server."""
+        self.servers[server_id].is_retired = True
+        self.attend(server_id)
+
     def load_row(self, row: ServerRow, version: int) -> None:
         """Take over a row of the table; a new lease epoch starts without assignments."""
         lease = self.servers.get(ServerId(row.server_id))
--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -40,7 +40,7 @@
     unplanned_party,
     unproven_parties,
 )
-from nutmeglead.controller.leases import LeaseKeeper, ServerLease
+from nutmeglead.controller.leases import LeaseKeeper
 from nutmeglead.controller.page_writer import PageWriter, TicketProgress
 from nutmeglead.controller.placer import PagePlacer
 from nutmeglead.controller.server_writer import ServerWriter
@@ -107,7 +107,6 @@
         self._server_writer = ServerWriter(self.service_name, self.leases, self._role_check)
         self._to_read: set[RowKey] = set()
         self._outbox: list[Decision] = []
-        self._unwanted: list[ServerId] = []
         self._node_incarnations: dict[NodeId, str] = {}
         self._record(self._trail.role_taken(f"role epoch {role_epoch} was written to the table"))
 
@@ -152,7 +151,8 @@
             for server in desired.servers.values()
             if server.address is not None
         )
-        self._note_unwanted(desired)
+        servers = desired.servers.values()
+        self.leases.set_wanted(s.server_id for s in servers if s.state != ServerState.REMOVED)
         self.writer.replan(now_ms)
         for server in desired.servers.values():
             if server.state == ServerState.LEAVING and server.ticket_number == number:
@@ -276,7 +276,7 @@
         self._retire_servers()
         decisions: list[Decision] = self.leases.decide(now_ms, nodes)
         decisions += self._handover_messages(now_ms)
-        leases = self._leases_to_grant()
+        leases = self.leases.attended(self.grants.waiting())
         decisions += self.grants.decide(leases, self.placer.unit_map, self.handover, now_ms)
         decisions += self._transactions(now_ms, nodes)
         if self.writer.progress.is_planned:
@@ -366,32 +366,12 @@
 
     def _retire_servers(self) -> None:
         """End the leases of removed servers that own nothing any more."""
-        unwanted = [self.leases.servers[server_id] for server_id in self._unwanted]
-        due = [lease for lease in unwanted if lease.row is not None and not lease.is_retired]
-        owners = self.placer.holders() if due else set()
-        for lease in due:
-            if lease.server_id not in owners:
-                lease.is_retired = True
-                self.leases.attend(lease.server_id)
-                self.handover.require_lapse(lease.server_id)
-
-    def _note_unwanted(self, desired: ServiceState) -> None:
-        """Note which of the known servers no ticket wants any more."""
-        self._unwanted = []
-        for server_id, lease in self.leases.servers.items():
-            server = desired.servers.get(server_id)
-            if server is None or server.state == ServerState.REMOVED:
-                self._unwanted.append(server_id)
-            else:
-                lease.is_retired = False
-
-    def _leases_to_grant(self) -> list[ServerLease]:
-        leases = {lease.server_id: lease for lease in self.leases.attended()}
-        for server_id in self.grants.waiting():
-            lease = self.leases.servers.get(server_id)
-            if lease is not None:
-                leases[server_id] = lease
-        return list(leases.values())
+        unwanted = self.leases.unwanted()
+        owners = self.placer.holders() if unwanted else set()
+        for server_id in unwanted:
+            if server_id not in owners:
+                self.leases.retire(server_id)
+                self.handover.require_lapse(server_id)
 
     def _note_restarted_nodes(self, nodes: Mapping[NodeId, EntryNode], now_ms: int) -> None:
         """Tell the handover table of renewers whose earlier incarnation is gone."""
