--- a/nutmeglead/placement/hashing.py
+++ b/nutmeglead/placement/hashing.py
@@ -1,12 +1,10 @@
-"""Hash keys to buckets."""
+"""Hash keys to buckets, as the unit map does."""
 
-import xxhash
+from nutmeglead.ownership.keys import bucket_shift, hash_key
 
 __all__ = ["bucket_of"]
 
-_HASH_BITS = 64
-
 
 def bucket_of(key: str, hash_buckets: int) -> int:
-    """Return the bucket of a key: the top bits of its xxh64; `hash_buckets` is a power of two."""
-    return xxhash.xxh64_intdigest(key.encode()) >> (_HASH_BITS - hash_buckets.bit_length() + 1)
+    """Return the bucket of a key; `hash_buckets` is a power of two."""
+    return hash_key(key) >> bucket_shift(hash_buckets)
