--- a/nutmeglead/controller/machine.py
+++ b/nutmeglead/controller/machine.py
@@ -151,7 +151,8 @@
             for server in desired.servers.values()
             if server.address is not None
         )
-        self.leases.set_wanted(_wanted(desired))
+        servers = desired.servers.values()
+        self.leases.set_wanted(s.server_id for s in servers if s.state != ServerState.REMOVED)
         self.writer.replan(now_ms)
         for server in desired.servers.values():
             if server.state == ServerState.LEAVING and server.ticket_number == number:
@@ -277,7 +278,7 @@
         self._retire_servers()
         decisions: list[Decision] = self.leases.decide(now_ms, nodes)
         decisions += self._handover_messages(now_ms)
-        leases = self.leases.attended_with(self.grants.waiting())
+        leases = self.leases.attended(self.grants.waiting())
         decisions += self.grants.decide(leases, self.placer.unit_map, self.handover, now_ms)
         decisions += self._transactions(now_ms, nodes)
         if self.writer.progress.is_planned:
@@ -368,13 +369,12 @@
 
     def _retire_servers(self) -> None:
         """End the leases of removed servers that own nothing any more."""
-        due = self.leases.unwanted()
-        owners = self.placer.holders() if due else set()
-        for lease in due:
-            if lease.server_id not in owners:
-                lease.is_retired = True
-                self.leases.attend(lease.server_id)
-                self.handover.require_lapse(lease.server_id)
+        unwanted = self.leases.unwanted()
+        owners = self.placer.holders() if unwanted else set()
+        for server_id in unwanted:
+            if server_id not in owners:
+                self.leases.retire(server_id)
+                self.handover.require_lapse(server_id)
 
     def _note_restarted_nodes(self, nodes: Mapping[NodeId, EntryNode], now_ms: int) -> None:
         """Tell the handover table of renewers whose earlier incarnation is gone."""
@@ -395,9 +395,3 @@
     run what it has received until the deadline.
     """
     return 0 if service.checks_grants else int(service.request_timeout_ms)
-
-
-def _wanted(desired: ServiceState) -> set[ServerId]:
-    """Return the servers that tickets want, leaving ones included."""
-    servers = desired.servers.values()
-    return {server.server_id for server in servers if server.state != ServerState.REMOVED}
