core: wait for an event without losing a cancellation

Ruled out: RpcServer.close, whose connections always run before they are listed. Change: wait_at_most uses asyncio.timeout; the demo caps request timeouts at 5 s, because a stopping gate waits for requests without an answer until their deadline.

--- a/nutmeglead/controller/acting.py
+++ b/nutmeglead/controller/acting.py
@@ -1,7 +1,6 @@
 """Hold the controller role of one service and run its machine while it is held."""
 
 import asyncio
-import contextlib
 import logging
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
@@ -36,6 +35,7 @@
     ServiceName,
     TicketNumber,
 )
+from nutmeglead.core.waiting import wait_at_most
 from nutmeglead.dissemination.service import DisseminationService
 from nutmeglead.ownership.pages import role_key
 from nutmeglead.placement.load import LoadMerger
@@ -113,8 +113,7 @@
                 logger.exception("a round of service %s failed", self.name)
             is_busy = self.machine is not None and self.machine.is_busy
             interval_ms = BUSY_INTERVAL_MS if is_busy else IDLE_INTERVAL_MS
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), interval_ms / 1000)
+            await wait_at_most(self._wake, interval_ms)
             self._wake.clear()
 
     async def close(self) -> None:
--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -88,7 +88,6 @@
         self._attended: set[ServerId] = set()
         self._seen_nodes: dict[NodeId, tuple[str, bool]] = {}
         # Known servers that no ticket wants any more.
-        self._unwanted: list[ServerId] = []
 
     def attend(self, server_id: ServerId) -> None:
         """Look after a server until nothing is due for it."""
--- a/nutmeglead/demo/scenario.py
+++ b/nutmeglead/demo/scenario.py
@@ -40,6 +40,8 @@
     def __init__(self, settings: Settings) -> None:
         for service in settings.services:
             service.checks_grants = service.name not in UNCHECKED_SERVICES
+            # A stopping gate waits for a request without an answer until its deadline.
+            service.request_timeout_ms = min(service.request_timeout_ms, 5000)
         options = FleetOptions(SERVERS, {"konturablage": LARGE_BODY_BYTES})
         self.fleet = Fleet(settings, options)
         self.counts = Counts()
