--- a/nutmeglead/core/tests/steps/waiting_steps.py
+++ b/nutmeglead/core/tests/steps/waiting_steps.py
@@ -19,6 +19,7 @@
         while self.rounds < MAX_ROUNDS:
             self.rounds += 1
             await wait_at_most(event, WAIT_MS)
+            event.clear()
 
     async def play(self):
         event = asyncio.Event()
