--- a/benchmarks/handover.py
+++ b/benchmarks/handover.py
@@ -193,7 +193,8 @@
         aim = 1 if hit is None else TABLE_WRITES_PER_S // 4
         verdict = f"{aim}: {'met' if most <= aim else 'not met'}"
         gap_ms = rig.checks.longest_gap_ms(begun_ms)
-        rows.append([server_count, name, total, most, verdict, reads, gap_ms])
+        gap_verdict = f"{LOSS_AIM_MS}: {'met' if gap_ms <= LOSS_AIM_MS else 'not met'}"
+        rows.append([server_count, name, total, most, verdict, reads, gap_ms, gap_verdict])
     return rows
 
 
@@ -208,6 +209,7 @@
             "aim [writes/s]",
             "most reads in one second",
             "longest time without an owner [ms]",
+            "aim [ms]",
         ),
     )
     for count in counts[: 1 if options.quick else None]:
@@ -217,7 +219,7 @@
 
 def _findings(tables: list[Table]) -> list[str]:
     missed = [
-        f"{row[0]} {row[1] if isinstance(row[0], int) else ''}".strip()
+        f"{row[0]} servers, {row[1]}" if isinstance(row[0], int) else str(row[0])
         for table in tables
         for row in table.rows
         if any("not met" in str(cell) for cell in row)
