audit: say that a key has its owner since the first placement

Cause: a bucket that never moved has no record, so explain said "since: unknown" for most keys of a new service.

--- a/nutmeglead/audit/explain.py
+++ b/nutmeglead/audit/explain.py
@@ -55,8 +55,7 @@
         yield f"owner: {owner}, epoch {self.epoch}, as {describe_unit(self.unit)}"
         for holder in self.waits_for:
             yield f"waits for: proof that {holder.server_id} is done up to epoch {holder.epoch}"
-        since = "unknown" if self.since_ticket is None else f"ticket {self.since_ticket}"
-        yield f"since: {since}"
+        yield f"since: {self._since()}"
         yield f"reason: {self.reason}"
         yield f"history: {describe_count(len(self.history), 'record')}"
         for record in self.history:
@@ -64,6 +63,13 @@
         for text in self.missing:
             yield f"missing: {text}"
 
+    def _since(self) -> str:
+        if self.since_ticket is not None:
+            return f"ticket {self.since_ticket}"
+        # Only the first placement writes buckets at epoch 1, all at once and without records.
+        is_first = self.unit.kind == UnitKind.HASH_BUCKET and self.epoch == 1
+        return "the first placement of the service" if is_first else "unknown"
+
     def plain(self) -> dict[str, Any]:
         """Return the explanation as values for JSON."""
         return {
--- a/nutmeglead/audit/tests/explain.feature
+++ b/nutmeglead/audit/tests/explain.feature
@@ -12,6 +12,8 @@
       | a pinned key       | k-1 | reason: ticket 4 claims it for lb-02 (operator@example: shift change)                                        | the reason of the ticket is lost                       |
       | a pinned key       | k-2 | reason: the placement policy; no ticket claims the key                                                       | a claim is made up                                     |
       | a pinned key       | k-2 | since: unknown                                                                                               | a ticket is named without a record                     |
+      | a first placement  | k-2 | since: the first placement of the service                                                                    | a key that never moved seems to have lost its history  |
+      | a first placement  | k-1 | since: ticket 4                                                                                              | a pin is taken for a first placement                   |
       | a pending handover | k-1 | waits for: proof that lb-01 is done up to epoch 5                                                            | an operator is told of an owner that may not serve yet |
       | an unwritten claim | k-1 | reason: ticket 4 claims it for lb-02 (operator@example: shift change); the move is not written yet           | a claim is taken for an owner                          |
       | a leaving claimant | k-1 | reason: the placement policy; claims of servers that take no keys have no effect: that of ticket 4 for lb-02 | a suspended claim goes unexplained                     |
--- a/nutmeglead/audit/tests/steps/explain_steps.py
+++ b/nutmeglead/audit/tests/steps/explain_steps.py
@@ -28,7 +28,7 @@
         tickets = [first, fourth]
         if state == "a leaving claimant":
             tickets.append(ticket("t5", servers=[server("lb-02", ServerState.LEAVING)], number=5))
-        pages = [self.hash_page()]
+        pages = [self.hash_page(1 if state == "a first placement" else 3)]
         if state != "an unwritten claim":
             pages.append(self.pin_page(pending=state == "a pending handover"))
         gap = MissingRecords(MissingKind.BUFFER_FULL, Writer("entry-1", "1"), LostRange(7, 9))
@@ -42,8 +42,8 @@
             trail=Trail(self.records(), missing),
         )
 
-    def hash_page(self):
-        return PlacementPage(SERVICE, False, 0, 1, 2, 3, ["lb-01"], [0, 0], [3, 3], {})
+    def hash_page(self, epoch):
+        return PlacementPage(SERVICE, False, 0, 1, 2, 3, ["lb-01"], [0, 0], [epoch, epoch], {})
 
     def pin_page(self, pending):
         previous = {0: [PreviousHolder("lb-01", 5)]} if pending else {}
