--- a/nutmeglead/dissemination/machine.py
+++ b/nutmeglead/dissemination/machine.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 from nutmeglead._generated.messages.ttypes import (
@@ -21,6 +20,7 @@
 from nutmeglead.core.events import Event
 from nutmeglead.core.ids import RoleEpoch, ServiceName
 from nutmeglead.dissemination.deltas import make_delta
+from nutmeglead.dissemination.facts import Acting, Notice
 from nutmeglead.dissemination.fanout import FanoutView
 from nutmeglead.dissemination.feeder import Feeder, FeederChoice
 from nutmeglead.dissemination.members import Identity, Member, MemberState
@@ -33,7 +33,7 @@
 from nutmeglead.dissemination.service_copy import ServiceCopy
 from nutmeglead.platform.ports import VmEntry
 
-__all__ = ["Acting", "DisseminationMachine", "Notice"]
+__all__ = ["DisseminationMachine"]
 
 # Links between failure domains are costly; one comparison in this many crosses one.
 _COMPARISONS_PER_CROSSING = 4
@@ -43,22 +43,6 @@
 _FIRST_TICKS = 20
 
 
-@dataclass(frozen=True)
-class Acting:
-    """Name the controller that last announced that it acts for a service."""
-
-    node_id: str
-    role_epoch: RoleEpoch
-
-
-@dataclass(frozen=True)
-class Notice:
-    """Hold a log event for the service to write."""
-
-    event: Event
-    fields: dict[str, object]
-
-
 class DisseminationMachine:
     """Combine membership, pushes and repair of one process.
 
--- a/nutmeglead/dissemination/service.py
+++ b/nutmeglead/dissemination/service.py
@@ -24,8 +24,9 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import RoleEpoch, ServiceName
+from nutmeglead.dissemination.facts import Acting
 from nutmeglead.dissemination.feeder import Feeder
-from nutmeglead.dissemination.machine import Acting, DisseminationMachine
+from nutmeglead.dissemination.machine import DisseminationMachine
 from nutmeglead.dissemination.members import Identity, Member
 from nutmeglead.dissemination.page_ids import PageId
 from nutmeglead.dissemination.sends import Send
