--- a/nutmeglead/controller/acting.py
+++ b/nutmeglead/controller/acting.py
@@ -206,8 +206,9 @@
     def _parties(self) -> list[tuple[str, Address]]:
         """List every other live process that has a copy of the map."""
         parties: list[tuple[str, Address]] = [("own router", self._own_router)]
+        nodes = self._nodes()
         for member in self._dissemination.members():
-            node = self._nodes().get(member.node_id)
+            node = nodes.get(member.node_id)
             if node is None or not node.is_alive:
                 continue
             if member.node_id != self._sender.node_id:
--- a/nutmeglead/controller/leases.py
+++ b/nutmeglead/controller/leases.py
@@ -9,8 +9,7 @@
 from nutmeglead.controller.decisions import Decision, EntryNode, ProbeServer, SendAssign
 from nutmeglead.controller.renewers import choose_gate, choose_renewers, replace_renewer
 from nutmeglead.core.ids import Incarnation, NodeId, RoleEpoch, ServerId, ServiceName
-from nutmeglead.ownership.commands import holder_name
-from nutmeglead.ownership.server_rows import confirm_lease, first_row, next_lease
+from nutmeglead.ownership.server_rows import confirm_lease, first_row, holder_name, next_lease
 
 __all__ = ["LeaseKeeper", "ServerLease"]
 
--- a/nutmeglead/controller/placer.py
+++ b/nutmeglead/controller/placer.py
@@ -13,7 +13,7 @@
 from nutmeglead.dissemination.page_ids import PageId
 from nutmeglead.ownership.directory import directory_key, directory_page
 from nutmeglead.ownership.errors import OwnershipError
-from nutmeglead.ownership.keys import PAGE_UNITS, Unit
+from nutmeglead.ownership.keys import Unit
 from nutmeglead.ownership.pages import (
     WriteStamp,
     add_unit,
@@ -252,8 +252,3 @@
         for place, version in self.unit_map.versions().items():
             digest.replace(PageId(*place), 0, version)
         return digest.value
-
-    @property
-    def page_count(self) -> int:
-        """Count the hash pages of the service."""
-        return -(-self.hash_buckets // PAGE_UNITS)
--- a/nutmeglead/controller/service.py
+++ b/nutmeglead/controller/service.py
@@ -239,8 +239,10 @@
         return nodes
 
     def _address_of(self, node_id: NodeId) -> Address | None:
-        node = self._entry_nodes().get(node_id)
-        return node.address if node else None
+        if node_id == self.sender.node_id:
+            return self.address
+        member = self.dissemination.member(node_id)
+        return member.address if member and member.incarnation else None
 
     def _acting_address(self, service_name: ServiceName) -> Address | None:
         acting = self.dissemination.acting(service_name)
--- a/nutmeglead/demo/fleet.py
+++ b/nutmeglead/demo/fleet.py
@@ -15,12 +15,11 @@
 from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState
 from nutmeglead.controller.service import ControllerService
 from nutmeglead.core.clock import SystemClock
-from nutmeglead.core.ids import FailureDomainName, Incarnation
-from nutmeglead.platform.ports import VmEntry, VmState
 from nutmeglead.routing.process import RouterProcess
 from nutmeglead.standin.backend import BackendOptions, BackendStandin
 from nutmeglead.standin.ledger import RunLedger
 from nutmeglead.standin.platform import PlatformStandin
+from nutmeglead.standin.process import entry_vm
 
 __all__ = ["Backend", "EntryVm", "Fleet", "FleetOptions"]
 
@@ -78,7 +77,7 @@
         for service in self.settings.services:
             await self._start_backends(service)
         vm_settings = [self._vm_settings(domain.name) for domain in self.settings.failure_domains]
-        self.platform.vms.entries = [_entry(settings) for settings in vm_settings]
+        self.platform.vms.entries = [entry_vm(settings.node) for settings in vm_settings]
         for settings in vm_settings:
             controller = ControllerService(settings, self.clock, self.rng)
             router = RouterProcess(settings, self.clock, self.rng)
@@ -130,19 +129,6 @@
         return settings
 
 
-def _entry(settings: Settings) -> VmEntry:
-    node = settings.node
-    return VmEntry(
-        vm_id=node.node_id,
-        role="entry",
-        ip=node.ip,
-        port=node.controller_rpc_port,
-        failure_domain=FailureDomainName(node.failure_domain),
-        state=VmState.LIVE,
-        incarnation=Incarnation(""),
-    )
-
-
 def _free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
--- a/nutmeglead/dissemination/service.py
+++ b/nutmeglead/dissemination/service.py
@@ -160,6 +160,10 @@
         """List the routers of all entry VMs as the feeder last told them; empty before that."""
         return self._machine.routers.entries
 
+    def member(self, node_id: str) -> Member | None:
+        """Return what is known of another entry VM."""
+        return self._machine.membership.member(node_id)
+
     def acting(self, service_name: ServiceName) -> Acting | None:
         """Return the controller that last announced that it acts for a service."""
         return self._machine.acting(service_name)
--- a/nutmeglead/ownership/commands.py
+++ b/nutmeglead/ownership/commands.py
@@ -13,14 +13,10 @@
 )
 from nutmeglead.core.ids import RoleEpoch, ServerId, ServiceName
 from nutmeglead.ownership.handover import HandoverTable, SendRelease, SendStop
+from nutmeglead.ownership.server_rows import holder_name
 from nutmeglead.ownership.units import UnitMap
 
-__all__ = ["CommandFactory", "holder_name"]
-
-
-def holder_name(service_name: str, server_id: str) -> str:
-    """Return the name by which a gate knows the holder of a server's lease."""
-    return f"{service_name}/{server_id}"
+__all__ = ["CommandFactory"]
 
 
 @dataclass
--- a/nutmeglead/ownership/renewer.py
+++ b/nutmeglead/ownership/renewer.py
@@ -15,6 +15,7 @@
 )
 from nutmeglead._generated.settings.ttypes import OwnershipSettings
 from nutmeglead.core.ids import Incarnation, LeaseEpoch, NodeId, RoleEpoch, ServerId, ServiceName
+from nutmeglead.ownership.server_rows import holder_name
 
 __all__ = ["RenewalOrder", "Renewer", "lapse_margin_ms"]
 
@@ -224,7 +225,7 @@
             renewer_node_ids=list(assignment.renewers.node_ids),
             lease_end_ms=end_ms,
             role_epoch=assignment.renewers.role_epoch,
-            holder_name=f"{assignment.service_name}/{assignment.server_id}",
+            holder_name=holder_name(assignment.service_name, assignment.server_id),
         )
         return RenewalOrder(
             ServiceName(assignment.service_name),
--- a/nutmeglead/ownership/server_rows.py
+++ b/nutmeglead/ownership/server_rows.py
@@ -5,7 +5,19 @@
 from nutmeglead._generated.messages.ttypes import GrantReply, RenewerSet, RenewReply, ServerRow
 from nutmeglead.core.ids import Incarnation, LeaseEpoch, NodeId, RoleEpoch, ServerId, ServiceName
 
-__all__ = ["confirm_lease", "first_row", "is_confirmed", "next_lease", "renewer_sets"]
+__all__ = [
+    "confirm_lease",
+    "first_row",
+    "holder_name",
+    "is_confirmed",
+    "next_lease",
+    "renewer_sets",
+]
+
+
+def holder_name(service_name: str, server_id: str) -> str:
+    """Return the name by which a gate knows the holder of a server's lease."""
+    return f"{service_name}/{server_id}"
 
 
 def first_row(
--- a/nutmeglead/routing/attempt.py
+++ b/nutmeglead/routing/attempt.py
@@ -7,7 +7,7 @@
 
 from nutmeglead.core.ids import ServerId
 from nutmeglead.http.messages import RequestHead, ResponseHead
-from nutmeglead.ownership.commands import holder_name
+from nutmeglead.ownership.server_rows import holder_name
 from nutmeglead.routing.admission import QueuedRequest
 from nutmeglead.routing.body import RequestBody
 from nutmeglead.routing.errors import RequestError, ServerRefused
--- a/nutmeglead/standin/process.py
+++ b/nutmeglead/standin/process.py
@@ -48,7 +48,7 @@
         for item in self._servers:
             await self._start_backend(item)
         vms = self.platforms[PlatformService.VM_LIST].vms
-        vms.entries = [_entry_vm(node) for node in self._entry_vms]
+        vms.entries = [entry_vm(node) for node in self._entry_vms]
         vms.entries += [_backend_vm(item) for item in self._servers]
 
     async def stop(self) -> None:
@@ -89,7 +89,8 @@
     return ipaddress.ip_address(address.ip).is_loopback
 
 
-def _entry_vm(node: NodeSettings) -> VmEntry:
+def entry_vm(node: NodeSettings) -> VmEntry:
+    """Return the VM list's entry of an entry VM."""
     return VmEntry(
         vm_id=node.node_id,
         role="entry",
