--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -31,11 +31,25 @@
     TICKET_IN_FORCE = (2011, logging.INFO, "a ticket is in force everywhere")
     TICKET_UNREADABLE = (2012, logging.ERROR, "a ticket row cannot be read; later tickets wait")
 
+    GRANT_REFUSED = (2013, logging.WARNING, "a server refused to renew a grant")
+    RANGE_MOVED = (2014, logging.INFO, "a range map that gives keys to another server was written")
+    RANGE_GRANTED = (2015, logging.INFO, "a server has the grant of a range")
+    SERVER_LOST = (2016, logging.WARNING, "a server that owns keys does not answer")
+
     REQUEST_FAILED = (3001, logging.WARNING, "a request got an answer of the router's own")
     SERVER_EJECTED = (3002, logging.WARNING, "the router sends a server fewer or no requests")
     SERVER_RESTORED = (3003, logging.INFO, "the router sends a server requests again")
     MAP_STALE = (3004, logging.WARNING, "the unit map is old and no neighbour answers")
 
+    MANIFEST_APPLIED = (3005, logging.INFO, "a newer manifest is in force on this node")
+    MANIFEST_REFUSED = (3006, logging.ERROR, "a manifest cannot be read; the last one holds")
+    SERVER_CHANGED = (3007, logging.INFO, "the store's entry of a server has changed")
+    SERVER_REFUSED = (3008, logging.WARNING, "a server entry cannot be read; it names no server")
+    STORE_LOST = (3009, logging.WARNING, "the store does not answer this node")
+    STORE_REGAINED = (3010, logging.INFO, "the store answers this node again")
+    REQUEST_ANSWERED = (3011, logging.INFO, "a request was answered from a server")
+    SETTINGS_RELOADED = (3012, logging.INFO, "the settings file was read again")
+
     PEER_SILENT = (4001, logging.WARNING, "an entry VM sends no heartbeats")
     PEER_SEEN = (4002, logging.INFO, "an entry VM sends heartbeats")
     MAP_REPAIRED = (4003, logging.INFO, "missing placement pages were fetched from a neighbour")
--- /dev/null
+++ b/nutmeglead/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Run all parts of one entry VM in one process."""
--- /dev/null
+++ b/nutmeglead/entry/process.py
@@ -0,0 +1,324 @@
+"""Run one entry VM: request path, membership and range controllers in one loop."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Coroutine, Mapping
+
+from result import Err
+
+from nutmeglead._generated.peers.ttypes import LoadReport, MapPush, NodeRow, ServiceView
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.codec import encode
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.entry.tables import (
+    NODES_TABLE,
+    apply_manifest_rows,
+    apply_node_rows,
+    apply_server_rows,
+)
+from nutmeglead.entry.watch import StoreContact, TableWatch
+from nutmeglead.forwarding.forwarder import Forwarder
+from nutmeglead.forwarding.model import ClientLimits
+from nutmeglead.forwarding.registry import ServerRegistry
+from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
+from nutmeglead.peers.codec import decode_keys, encode_keys
+from nutmeglead.peers.membership import Membership, Peer
+from nutmeglead.peers.service import PeerHandler, PeerService
+from nutmeglead.platform.grants import GrantClient
+from nutmeglead.platform.node_settings import NodeSettings
+from nutmeglead.platform.store import StoreClient, StoreRow, StoreRows
+from nutmeglead.platform.wire import MANIFEST_TABLE, READY_TARGET, SERVERS_TABLE
+from nutmeglead.ranges.controller import ControllerContext, RangeController
+from nutmeglead.ranges.model import RangeMap, from_wire, to_wire
+from nutmeglead.ranges.role import RoleRows
+
+__all__ = ["EntryProcess"]
+
+logger = logging.getLogger(__name__)
+
+STORE_TIMEOUT_MS = 1_500
+HOUSEKEEPING_MS = 250
+# A map is sent again to a peer that lacks it no sooner than this.
+PUSH_INTERVAL_MS = 250
+MAX_REPORTED_KEYS = 2_000
+# After SIGTERM the balancer takes two questions, one a second, to leave a node out.
+LEAVE_ROTATION_MS = 2_300
+STOP_MARGIN_MS = 500
+# Several server entries change together; their feed is asked again after a pause.
+SERVERS_SETTLE_MS = 150
+MANIFEST_SETTLE_MS = 50
+NODES_SETTLE_MS = 300
+
+
+class EntryProcess(PeerHandler):
+    """Connect the parts of one entry VM."""
+
+    def __init__(self, settings: NodeSettings, clock: Clock, rng: random.Random) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = clock.wall_ms()
+        self._rng = rng
+        self.contact = StoreContact(clock)
+        self._store_fetcher = HttpFetcher(max_idle_count=6)
+        self.store = StoreClient(
+            settings.store.ip, settings.store.port, self._store_fetcher, STORE_TIMEOUT_MS
+        )
+        self._order_fetcher = HttpFetcher(max_idle_count=3, max_body_bytes=65_536)
+        self.membership = Membership(settings.node_id)
+        self.registry = ServerRegistry()
+        self.peers = PeerService(self.membership, self.incarnation, self, clock)
+        self.controllers: dict[ServiceName, RangeController] = {}
+        self._work_by_peer: dict[NodeId, dict[int, int]] = {}
+        self._work_elsewhere: dict[int, int] = {}
+        self._pushed_ms: dict[NodeId, int] = {}
+        self._keys: dict[ServiceName, list[int]] = {}
+        self.forwarder = Forwarder(
+            self.registry,
+            self,
+            clock,
+            rng,
+            settings.failure_domain,
+            settings.bounds,
+            self._count_nodes,
+            lambda tag: self._work_elsewhere.get(tag, 0),
+        )
+        self.front = PipelineServer(self.forwarder.handle, self._limits, clock)
+        self.ready = PipelineServer(self._answer_ready, self._limits, clock)
+        self._tasks: list[asyncio.Task[None]] = []
+        self.is_stopping = False
+
+    # ---- life ----
+
+    async def start(self) -> None:
+        """Bind the ports and begin to follow the store and the peers."""
+        settings = self.settings
+        await self.ready.start(settings.ip, settings.ready_port)
+        await self.front.start(settings.ip, settings.front_port)
+        await self.peers.start(settings.ip, settings.peer_port)
+        for table, apply, settle_ms in (
+            (MANIFEST_TABLE, self._on_manifest, MANIFEST_SETTLE_MS),
+            (SERVERS_TABLE, self._on_servers, SERVERS_SETTLE_MS),
+            (NODES_TABLE, self._on_nodes, NODES_SETTLE_MS),
+        ):
+            watch = TableWatch(self.store, table, apply, self.contact, self._rng, settle_ms)
+            self._spawn(watch.run())
+        self._spawn(self._register())
+        self._spawn(self.peers.run())
+        self._spawn(self._keep_house())
+
+    async def stop(self) -> int:
+        """Leave rotation, answer what has arrived, end; return how many answers were cut off."""
+        self.is_stopping = True
+        self.peers.is_leaving = True
+        for controller in self.controllers.values():
+            controller.is_leaving_node = True
+        self.peers.send_heartbeats()
+        self.front.begin_stop()
+        await asyncio.sleep(LEAVE_ROTATION_MS / 1000)
+        self.front.close_idle()
+        grace_ms = self.settings.bounds.stop_grace_ms - LEAVE_ROTATION_MS - STOP_MARGIN_MS
+        cut_off = await self.front.wait_closed(max(0, grace_ms))
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.peers.close()
+        self._store_fetcher.close()
+        self._order_fetcher.close()
+        return cut_off
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        task.add_done_callback(_raise_failure)
+        self._tasks.append(task)
+
+    async def _register(self) -> None:
+        """Write this node's row, so that the peers find it."""
+        settings = self.settings
+        row = NodeRow(
+            settings.ip,
+            settings.peer_port,
+            self.incarnation,
+            settings.failure_domain,
+            settings.cpu_cores,
+        )
+        target = StoreRow(NODES_TABLE, "", settings.node_id, encode(row), 0)
+        while True:
+            written = await self.store.transact([], [target])
+            if not isinstance(written, Err):
+                return
+            self.contact.on_failure(NODES_TABLE, str(written.err_value))
+            await asyncio.sleep(0.5)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_MS / 1000)
+            self.registry.expire(self.clock.now_ms())
+            self.forwarder.close_idle()
+            self._report_load()
+
+    def _count_nodes(self) -> int:
+        return len(self.membership.alive_ids(self.clock.now_ms()))
+
+    def _limits(self) -> CallerLimits:
+        manifest = self.forwarder.manifest
+        limits = manifest.limits if manifest is not None else ClientLimits()
+        return CallerLimits(
+            limits.head_size_bytes,
+            limits.body_size_bytes,
+            limits.head_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+
+    # ---- readiness ----
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return not self.is_stopping and self.forwarder.manifest is not None
+
+    async def _answer_ready(self, exchange: CallerExchange) -> None:
+        if exchange.head.target.partition(b"?")[0] != READY_TARGET:
+            await exchange.respond(404, [], b"")
+            return
+        await exchange.respond(200 if self.is_ready else 503, [], b"")
+
+    # ---- the store's tables ----
+
+    def _on_manifest(self, rows: StoreRows, is_snapshot: bool) -> None:
+        apply_manifest_rows(self.forwarder, rows)
+        manifest = self.forwarder.manifest
+        if manifest is None:
+            return
+        for spec in manifest.services.values():
+            if spec.has_keys and spec.takes_grants and spec.name not in self.controllers:
+                self._add_controller(spec.name)
+
+    def _on_servers(self, rows: StoreRows, is_snapshot: bool) -> None:
+        apply_server_rows(self.registry, self.contact, self.clock, rows, is_snapshot)
+
+    def _on_nodes(self, rows: StoreRows, is_snapshot: bool) -> None:
+        apply_node_rows(self.membership, rows, is_snapshot)
+
+    def _add_controller(self, service: ServiceName) -> None:
+        node_id = self.settings.node_id
+        rows = RoleRows(self.store, service, node_id, self.incarnation)
+        context = ControllerContext(
+            node_id,
+            self.incarnation,
+            self.clock,
+            self.membership,
+            self.registry,
+            GrantClient(self._order_fetcher),
+            self.settings.bounds.max_hold_ms,
+            self._push_map,
+            self.forwarder.set_ranges,
+        )
+        controller = RangeController(service, rows, context)
+        self.controllers[service] = controller
+        self._spawn(controller.run())
+
+    # ---- peers ----
+
+    def views(self) -> list[ServiceView]:
+        """Return what this node knows of each service with keys."""
+        return [controller.view() for controller in self.controllers.values()]
+
+    def manifest_version(self) -> int:
+        """Return the version of the manifest in force."""
+        manifest = self.forwarder.manifest
+        return 0 if manifest is None else manifest.version
+
+    def store_age_ms(self) -> int:
+        """Return the time since the store last answered."""
+        return self.contact.age_ms
+
+    def work(self) -> Mapping[int, int]:
+        """Return the requests in flight per server tag."""
+        return self.forwarder.work()
+
+    def on_heartbeat(self, peer: Peer, work: dict[int, int]) -> None:
+        """Follow a peer's views and its work in flight."""
+        self._set_work(peer.node_id, work)
+        now_ms = self.clock.now_ms()
+        for controller in self.controllers.values():
+            view = peer.views.get(controller.service)
+            if view is not None:
+                controller.take_view(view.view)
+            self._push_if_behind(peer, controller, now_ms)
+        self.forwarder.wake()
+
+    def _set_work(self, node_id: NodeId, work: dict[int, int]) -> None:
+        for tag, count in self._work_by_peer.get(node_id, {}).items():
+            self._work_elsewhere[tag] -= count
+        self._work_by_peer[node_id] = work
+        for tag, count in work.items():
+            self._work_elsewhere[tag] = self._work_elsewhere.get(tag, 0) + count
+
+    def _push_if_behind(self, peer: Peer, controller: RangeController, now_ms: int) -> None:
+        if controller.ranges is None or not controller.speaks(now_ms):
+            return
+        known = peer.views.get(controller.service)
+        at = (known.view.map_version, known.view.step) if known is not None else (0, 0)
+        if at >= (controller.ranges.version, controller.step):
+            return
+        if now_ms - self._pushed_ms.get(peer.node_id, 0) < PUSH_INTERVAL_MS:
+            return
+        self._pushed_ms[peer.node_id] = now_ms
+        self.peers.push(self._push_message(controller.ranges, controller.step), peer)
+
+    def _push_map(self, ranges: RangeMap, step: int) -> None:
+        self.peers.push(self._push_message(ranges, step))
+
+    def _push_message(self, ranges: RangeMap, step: int) -> MapPush:
+        return MapPush(self.settings.node_id, step, to_wire(ranges))
+
+    def on_map_push(self, push: MapPush) -> None:
+        """Take a range map."""
+        controller = self.controllers.get(ServiceName(push.ranges.service_name))
+        if controller is None:
+            return
+        try:
+            ranges = from_wire(push.ranges)
+        except (ValueError, IndexError) as error:
+            log_event(logger, Event.MESSAGE_REFUSED, sender=push.node_id, error=str(error))
+            return
+        controller.take_map(ranges, push.step, NodeId(push.node_id))
+
+    # ---- load ----
+
+    def note_key(self, service: ServiceName, key: int) -> None:
+        """Count a request for a key."""
+        keys = self._keys.setdefault(service, [])
+        if len(keys) < MAX_REPORTED_KEYS:
+            keys.append(key)
+
+    def on_key_refused(self, service: ServiceName, key: int) -> None:
+        """Note that the owner of a key says that it does not hold it."""
+
+    def _report_load(self) -> None:
+        """Tell the acting controllers which keys were asked for."""
+        now_ms = self.clock.now_ms()
+        for service, controller in self.controllers.items():
+            keys = self._keys.pop(service, [])
+            if controller.is_acting:
+                controller.hits.add(keys, now_ms)
+            elif controller.acting_id is not None and keys:
+                report = LoadReport(self.settings.node_id, service, 1, encode_keys(keys), b"", b"")
+                self.peers.report(report, controller.acting_id)
+
+    def on_load_report(self, report: LoadReport) -> None:
+        """Enter the keys of a peer's requests."""
+        controller = self.controllers.get(ServiceName(report.service_name))
+        if controller is not None:
+            controller.hits.add(decode_keys(report.keys), self.clock.now_ms())
+
+
+def _raise_failure(task: "asyncio.Task[None]") -> None:
+    """End the process when a part of it has failed; the platform starts it again."""
+    if task.cancelled() or task.exception() is None:
+        return
+    logger.critical("a part of the process failed", exc_info=task.exception())
+    raise SystemExit(70) from task.exception()
--- /dev/null
+++ b/nutmeglead/entry/tables.py
@@ -0,0 +1,94 @@
+"""Apply the rows of the store's tables to this node's state."""
+
+import logging
+
+from result import Err
+
+from nutmeglead._generated.peers.ttypes import NodeRow
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.codec import decode
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.ids import NodeId, ServerId
+from nutmeglead.entry.watch import StoreContact
+from nutmeglead.forwarding.forwarder import Forwarder
+from nutmeglead.forwarding.registry import RETURN_GRACE_MS, ServerRegistry
+from nutmeglead.peers.membership import Membership
+from nutmeglead.platform.manifest import decode_manifest
+from nutmeglead.platform.registry import decode_server
+from nutmeglead.platform.store import StoreRow, StoreRows
+from nutmeglead.platform.wire import MANIFEST_KEY
+
+__all__ = ["NODES_TABLE", "apply_manifest_rows", "apply_node_rows", "apply_server_rows"]
+
+logger = logging.getLogger(__name__)
+
+NODES_TABLE = "nodes"
+
+
+def apply_manifest_rows(forwarder: Forwarder, rows: StoreRows) -> None:
+    """Put the newest manifest among some rows in force; one that is damaged changes nothing."""
+    for row in rows.rows:
+        if row.key != MANIFEST_KEY or row.part or row.value is None:
+            continue
+        decoded = decode_manifest(row.value)
+        if isinstance(decoded, Err):
+            log_event(logger, Event.MANIFEST_REFUSED, row=row.version, error=str(decoded.err_value))
+        else:
+            forwarder.apply_manifest(decoded.ok_value)
+
+
+def apply_server_rows(
+    registry: ServerRegistry,
+    contact: StoreContact,
+    clock: Clock,
+    rows: StoreRows,
+    is_snapshot: bool,
+) -> None:
+    """Enter changed servers and drop those whose entries are gone."""
+    changed = []
+    removed = set()
+    present = set()
+    for row in rows.rows:
+        if row.part:
+            continue
+        server_id = ServerId(row.key)
+        if row.value is None:
+            removed.add(server_id)
+            continue
+        decoded = decode_server(row.key, row.value)
+        if isinstance(decoded, Err):
+            log_event(logger, Event.SERVER_REFUSED, server=row.key, error=str(decoded.err_value))
+            continue
+        present.add(server_id)
+        changed.append(decoded.ok_value)
+        _log_server(row, decoded.ok_value.state.value)
+    if is_snapshot:
+        removed |= registry.ids() - present
+    for server_id in removed:
+        log_event(logger, Event.SERVER_CHANGED, server=server_id, state="removed")
+    after_outage = contact.was_away_within(RETURN_GRACE_MS)
+    registry.apply(changed, removed, clock.now_ms(), after_outage)
+
+
+def _log_server(row: StoreRow, state: str) -> None:
+    log_event(logger, Event.SERVER_CHANGED, server=row.key, state=state, row=row.version)
+
+
+def apply_node_rows(membership: Membership, rows: StoreRows, is_snapshot: bool) -> None:
+    """Enter the entry VMs."""
+    present = set()
+    for row in rows.rows:
+        node_id = NodeId(row.key)
+        if row.value is None:
+            membership.remove_node(node_id)
+            continue
+        decoded = decode(NodeRow, row.value)
+        if isinstance(decoded, Err):
+            logger.warning("node row %s: %s", row.key, decoded.err_value)
+            continue
+        present.add(node_id)
+        membership.set_node(node_id, decoded.ok_value)
+    if is_snapshot:
+        for peer in list(membership):
+            if peer.node_id not in present:
+                membership.remove_node(peer.node_id)
--- /dev/null
+++ b/nutmeglead/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forward callers' requests to servers: routes, selection, budget and retries."""
--- /dev/null
+++ b/nutmeglead/forwarding/answers.py
@@ -0,0 +1,24 @@
+"""Send the answers that this node makes itself."""
+
+from nutmeglead.core.outcome import Outcome
+from nutmeglead.http.messages import Headers
+from nutmeglead.http.pipeline import CallerExchange
+
+__all__ = ["final_status", "refuse"]
+
+
+async def refuse(
+    exchange: CallerExchange, status: int, reason: str, retry_after_ms: int | None
+) -> None:
+    """Send an answer of this node's own; 503 promises that the request has not run."""
+    headers: Headers = [(b"content-type", b"text/plain")]
+    if retry_after_ms is not None:
+        headers.append((b"retry-after", b"%.3f" % (retry_after_ms / 1000)))
+    await exchange.respond(status, headers, reason.encode())
+
+
+def final_status(outcome: Outcome, is_late: bool) -> int:
+    """Return the status for a request that got no answer of a server."""
+    if outcome is Outcome.NOT_RUN:
+        return 503
+    return 504 if is_late else 502
--- /dev/null
+++ b/nutmeglead/forwarding/budget.py
@@ -0,0 +1,46 @@
+"""Bound the requests that are sent more than once, over all entry VMs together."""
+
+from collections import deque
+
+__all__ = ["RetryBudget"]
+
+# Kept back, because the nodes' windows and the platform's do not begin at the same time.
+SAFETY = 0.75
+
+
+class RetryBudget:
+    """Allow repeats up to a ratio of the requests in a sliding window, plus a base.
+
+    The base is shared evenly by the living nodes.
+    """
+
+    def __init__(self, ratio: float, base: float, window_ms: int) -> None:
+        self._ratio = ratio * SAFETY
+        self._base = base * SAFETY
+        self._window_ms = window_ms
+        self._requests: deque[int] = deque()
+        self._repeats: deque[int] = deque()
+
+    def count_request(self, now_ms: int) -> None:
+        """Note a request of a caller."""
+        self._requests.append(now_ms)
+        self._expire(now_ms)
+
+    def take(self, node_count: int, now_ms: int) -> bool:
+        """Take one repeat if the budget allows it."""
+        self._expire(now_ms)
+        allowed = self._ratio * len(self._requests) + self._base / max(1, node_count)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now_ms)
+        return True
+
+    def charge(self, now_ms: int) -> None:
+        """Note a repeat that could not be avoided."""
+        self._repeats.append(now_ms)
+
+    def _expire(self, now_ms: int) -> None:
+        start_ms = now_ms - self._window_ms
+        for times in (self._requests, self._repeats):
+            while times and times[0] < start_ms:
+                times.popleft()
--- /dev/null
+++ b/nutmeglead/forwarding/dispatch.py
@@ -0,0 +1,235 @@
+"""Place the requests of one service on its servers, or let them wait for room."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from bisect import insort
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.ids import FailureDomainName, ServiceName
+from nutmeglead.forwarding.errors import Overloaded
+from nutmeglead.forwarding.model import ServerLife, ServerRecord, ServiceSpec
+from nutmeglead.forwarding.registry import ServerRegistry
+from nutmeglead.forwarding.request import CallerRequest
+from nutmeglead.forwarding.upstream import Upstream
+from nutmeglead.peers.codec import server_tag
+from nutmeglead.ranges.model import RangeMap
+
+__all__ = ["DispatchSettings", "ServiceDispatch"]
+
+
+@dataclass(frozen=True)
+class DispatchSettings:
+    """Bound the work that is sent to one server, and what waits on this node.
+
+    `queue_ratio` is the number of requests per slot that may be at a server, counted over all
+    nodes; `other_domain_ms` is what a way to another failure domain costs in the comparison.
+    """
+
+    queue_ratio: float = 2.5
+    max_waiting: int = 200
+    other_domain_ms: float = 8.0
+    large_other_domain_ms: float = 40.0
+    failure_penalty_ms: float = 150.0
+    min_retry_after_ms: int = 100
+
+
+@dataclass(order=True)
+class _Waiter:
+    order: tuple[int, int, int]
+    request: CallerRequest = field(compare=False)
+    tried: frozenset[ServerLife] = field(compare=False)
+    placed: asyncio.Future[Upstream] = field(compare=False)
+
+
+class ServiceDispatch:
+    """Choose a server for each request of a service."""
+
+    def __init__(
+        self,
+        spec: ServiceSpec,
+        registry: ServerRegistry,
+        clock: Clock,
+        rng: random.Random,
+        own_domain: FailureDomainName,
+        settings: DispatchSettings,
+        work_elsewhere: Callable[[int], int],
+    ) -> None:
+        self.spec = spec
+        self.upstreams: dict[ServerLife, Upstream] = {}
+        self.ranges: RangeMap | None = None
+        self._registry = registry
+        self._clock = clock
+        self._rng = rng
+        self._own_domain = own_domain
+        self._settings = settings
+        self._work_elsewhere = work_elsewhere
+        self._waiters: list[_Waiter] = []
+        self._sequence = 0
+        self.refresh()
+
+    @property
+    def name(self) -> ServiceName:
+        """Return the service's name."""
+        return self.spec.name
+
+    @property
+    def waiting_count(self) -> int:
+        """Count the requests that wait on this node."""
+        return len(self._waiters)
+
+    # ---- what changes ----
+
+    def refresh(self) -> None:
+        """Follow the registry."""
+        now_ms = self._clock.now_ms()
+        records = {record.life: record for record in self._registry.records(self.name)}
+        for life, record in records.items():
+            known = self.upstreams.get(life)
+            if known is None:
+                self.upstreams[life] = self._new_upstream(record, now_ms)
+            else:
+                known.record = record
+                known.closed_since_ms = None
+        for life, upstream in list(self.upstreams.items()):
+            if life in records:
+                continue
+            if upstream.closed_since_ms is None:
+                upstream.closed_since_ms = now_ms
+            upstream.close()
+            if not upstream.in_flight:
+                del self.upstreams[life]
+        self.wake()
+
+    def _new_upstream(self, record: ServerRecord, now_ms: int) -> Upstream:
+        cold_until_ms = now_ms + record.cold_left_ms
+        return Upstream(record, server_tag(record.server_id), self._clock, cold_until_ms)
+
+    def set_ranges(self, ranges: RangeMap) -> None:
+        """Take a newer range map."""
+        self.ranges = ranges
+        self.wake()
+
+    def set_spec(self, spec: ServiceSpec) -> None:
+        """Take the service's description of a newer manifest."""
+        self.spec = spec
+
+    # ---- placing ----
+
+    async def acquire(
+        self, request: CallerRequest, tried: frozenset[ServerLife], until_ms: int
+    ) -> Upstream:
+        """Return a server with room for a request; raise Overloaded if there is none in time.
+
+        Servers that were tried are used again only for a key, which has one owner.
+        """
+        placed = self._place(request, tried) if not self._is_overtaking(request) else None
+        if placed is not None:
+            return placed
+        if len(self._waiters) >= self._settings.max_waiting:
+            raise self._overloaded("too many requests wait on this node")
+        return await self._wait(request, tried, until_ms)
+
+    def _is_overtaking(self, request: CallerRequest) -> bool:
+        """Tell whether requests without a key of the same or a higher priority wait already."""
+        if self.spec.has_keys:
+            return False
+        return any(waiter.order[0] <= request.route.priority for waiter in self._waiters)
+
+    async def _wait(
+        self, request: CallerRequest, tried: frozenset[ServerLife], until_ms: int
+    ) -> Upstream:
+        self._sequence += 1
+        order = (request.route.priority, request.deadline_ms, self._sequence)
+        placed: asyncio.Future[Upstream] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(order, request, tried, placed)
+        insort(self._waiters, waiter)
+        left_ms = max(0, until_ms - self._clock.now_ms())
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                return await placed
+        except TimeoutError:
+            raise self._overloaded("no server had room in time") from None
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+            elif placed.done() and not placed.cancelled() and asyncio.current_task() is not None:
+                self._return_unused(placed)
+
+    def _return_unused(self, placed: asyncio.Future[Upstream]) -> None:
+        """Give a slot back whose request was cancelled between placing and waking."""
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            self.release(placed.result())
+
+    def wake(self) -> None:
+        """Place the waiting requests for which there is room now."""
+        for waiter in list(self._waiters):
+            if waiter.placed.done():
+                continue
+            upstream = self._place(waiter.request, waiter.tried)
+            if upstream is not None:
+                self._waiters.remove(waiter)
+                waiter.placed.set_result(upstream)
+
+    def release(self, upstream: Upstream) -> None:
+        """Give back the slot of a request that has ended."""
+        upstream.in_flight -= 1
+        if upstream.closed_since_ms is not None and not upstream.in_flight:
+            self.upstreams.pop(upstream.record.life, None)
+        self.wake()
+
+    def _place(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Upstream | None:
+        chosen = self._owner(request) if self.spec.has_keys else self._best(request, tried)
+        if chosen is None or not self._has_room(chosen):
+            return None
+        chosen.in_flight += 1
+        return chosen
+
+    def _owner(self, request: CallerRequest) -> Upstream | None:
+        if self.ranges is None or request.key is None:
+            return None
+        entry = self.ranges.locate(request.key)
+        if entry.owner is None or entry.is_pending:
+            return None
+        upstream = self.upstreams.get(entry.owner)
+        # A leaving owner serves until its keys have moved, but not beyond its time.
+        return upstream if upstream is not None and upstream.closed_since_ms is None else None
+
+    def _best(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Upstream | None:
+        now_ms = self._clock.now_ms()
+        ready = [
+            upstream
+            for life, upstream in self.upstreams.items()
+            if upstream.is_ready and life not in tried
+        ]
+        if not ready:
+            return None
+        for upstream in ready:
+            upstream.in_flight_elsewhere = self._work_elsewhere(upstream.tag)
+        return min(ready, key=lambda upstream: self._cost_ms(upstream, request, now_ms))
+
+    def _cost_ms(self, upstream: Upstream, request: CallerRequest, now_ms: int) -> float:
+        cost_ms = upstream.expected_ms(now_ms)
+        cost_ms += upstream.failure_rate(now_ms) * self._settings.failure_penalty_ms
+        if upstream.record.failure_domain != self._own_domain:
+            is_large = request.route.kind.value == "large-answer"
+            settings = self._settings
+            cost_ms += settings.large_other_domain_ms if is_large else settings.other_domain_ms
+        # Equal servers are chosen at random, or all nodes would choose the same one.
+        return cost_ms * (1 + 0.05 * self._rng.random())
+
+    def _has_room(self, upstream: Upstream) -> bool:
+        upstream.in_flight_elsewhere = self._work_elsewhere(upstream.tag)
+        limit = upstream.record.slots * self._settings.queue_ratio
+        # Work told by others is up to two heartbeats old; one request may always be tried.
+        return upstream.in_flight == 0 or upstream.total_in_flight < limit
+
+    def _overloaded(self, reason: str) -> Overloaded:
+        ready = [upstream for upstream in self.upstreams.values() if upstream.is_ready]
+        times = sorted(upstream.service_time_ms for upstream in ready)
+        typical_ms = times[len(times) // 2] if times else 300.0
+        return Overloaded(reason, max(self._settings.min_retry_after_ms, round(typical_ms)))
--- /dev/null
+++ b/nutmeglead/forwarding/forwarder.py
@@ -0,0 +1,203 @@
+"""Answer callers' requests from the servers of their routes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+from result import Err
+
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.ids import FailureDomainName, ServiceName
+from nutmeglead.forwarding.answers import refuse
+from nutmeglead.forwarding.budget import RetryBudget
+from nutmeglead.forwarding.dispatch import DispatchSettings, ServiceDispatch
+from nutmeglead.forwarding.job import Job
+from nutmeglead.forwarding.model import Manifest, ServiceSpec
+from nutmeglead.forwarding.registry import ServerRegistry
+from nutmeglead.forwarding.request import BadRequest, CallerRequest, parse_caller_request
+from nutmeglead.forwarding.routes import RouteTable, WeightedChoice
+from nutmeglead.http.pipeline import CallerExchange
+from nutmeglead.platform.node_settings import Bounds
+from nutmeglead.ranges.model import RangeMap
+
+__all__ = ["Forwarder", "KeyOwners"]
+
+logger = logging.getLogger(__name__)
+
+# What a caller waits before it asks a node again that has no manifest yet.
+NO_MANIFEST_RETRY_MS = 500
+
+
+class KeyOwners(Protocol):
+    """Be told of keys in use and of owners that refuse."""
+
+    def note_key(self, service: ServiceName, key: int) -> None:
+        """Count a request for a key."""
+        ...
+
+    def on_key_refused(self, service: ServiceName, key: int) -> None:
+        """Note that the owner of a key says that it does not hold it."""
+        ...
+
+
+class Forwarder:
+    """Handle exchanges; `handle` is the handler of the server edge."""
+
+    def __init__(
+        self,
+        registry: ServerRegistry,
+        owners: KeyOwners,
+        clock: Clock,
+        rng: random.Random,
+        own_domain: FailureDomainName,
+        bounds: Bounds,
+        node_count: Callable[[], int],
+        work_elsewhere: Callable[[int], int],
+        settings: DispatchSettings | None = None,
+    ) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.clock = clock
+        self.owners = owners
+        self.node_count = node_count
+        self.services: dict[ServiceName, ServiceDispatch] = {}
+        self.budgets: dict[ServiceName, RetryBudget] = {}
+        self._registry = registry
+        self._rng = rng
+        self._own_domain = own_domain
+        self._bounds = bounds
+        self._work_elsewhere = work_elsewhere
+        self._settings = settings or DispatchSettings()
+        self._table: RouteTable | None = None
+        self._choice = WeightedChoice()
+        registry.subscribe(self._follow_registry)
+
+    @property
+    def manifest(self) -> Manifest | None:
+        """Return the manifest in force."""
+        return None if self._table is None else self._table.manifest
+
+    def apply_manifest(self, manifest: Manifest) -> bool:
+        """Put a manifest in force unless it is older; requests under way keep theirs."""
+        if self._table is not None and manifest.version <= self._table.manifest.version:
+            return False
+        self._table = RouteTable(manifest)
+        for name, spec in manifest.services.items():
+            if name in self.services:
+                self.services[name].set_spec(spec)
+            else:
+                self._add_service(spec)
+        log_event(
+            logger,
+            Event.MANIFEST_APPLIED,
+            version=manifest.version,
+            routes=len(manifest.routes),
+            services=len(manifest.services),
+        )
+        return True
+
+    def _add_service(self, spec: ServiceSpec) -> None:
+        bounds = self._bounds
+        self.services[spec.name] = ServiceDispatch(
+            spec,
+            self._registry,
+            self.clock,
+            self._rng,
+            self._own_domain,
+            self._settings,
+            self._work_elsewhere,
+        )
+        self.budgets[spec.name] = RetryBudget(
+            bounds.retry_ratio, bounds.retry_base, bounds.retry_window_ms
+        )
+
+    def set_ranges(self, ranges: RangeMap) -> None:
+        """Take a newer range map."""
+        service = self.services.get(ranges.service)
+        if service is not None:
+            service.set_ranges(ranges)
+
+    def work(self) -> dict[int, int]:
+        """Return the requests in flight per server tag."""
+        counts: Counter[int] = Counter()
+        for service in self.services.values():
+            for upstream in service.upstreams.values():
+                if upstream.in_flight:
+                    counts[upstream.tag] += upstream.in_flight
+        return counts
+
+    def wake(self) -> None:
+        """Place waiting requests after other nodes have told of their work."""
+        for service in self.services.values():
+            if service.waiting_count:
+                service.wake()
+
+    def close_idle(self) -> None:
+        """Close connections to servers that have been idle for too long."""
+        now_ms = self.clock.now_ms()
+        for service in self.services.values():
+            for upstream in service.upstreams.values():
+                upstream.close_idle(now_ms)
+
+    def _follow_registry(self) -> None:
+        for service in self.services.values():
+            service.refresh()
+
+    async def handle(self, exchange: CallerExchange) -> None:
+        """Answer one request."""
+        if self._table is None:
+            await refuse(exchange, 503, "no manifest is known yet", NO_MANIFEST_RETRY_MS)
+            return
+        parsed = parse_caller_request(
+            exchange.head, exchange.body, exchange.received_ms, self._table
+        )
+        if isinstance(parsed, Err):
+            await self._reject(exchange, parsed.err_value)
+            return
+        request = parsed.ok_value
+        service = self.services.get(self._choice.choose(request.route))
+        if service is None:
+            await refuse(exchange, 503, "the service is not in the manifest", 500)
+            return
+        await self._forward(exchange, request, service)
+
+    async def _reject(self, exchange: CallerExchange, error: BadRequest) -> None:
+        self.outcomes[f"rejected-{error.status}"] += 1
+        await refuse(exchange, error.status, error.reason, None)
+
+    async def _forward(
+        self, exchange: CallerExchange, request: CallerRequest, service: ServiceDispatch
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        budget = self.budgets[service.name]
+        budget.count_request(now_ms)
+        if service.spec.has_keys and request.key is not None:
+            self.owners.note_key(service.name, request.key)
+        job = Job(self, request, service, budget)
+        try:
+            await job.run(exchange)
+        except asyncio.CancelledError:
+            self.outcomes["caller-left"] += 1
+            raise
+        finally:
+            job.close()
+        self.outcomes[job.outcome] += 1
+        if job.failure is not None:
+            log_event(
+                logger,
+                Event.REQUEST_FAILED,
+                request=request.request_id.decode("latin-1"),
+                service=service.name,
+                route=request.route.name,
+                manifest=request.manifest_version,
+                key=request.key,
+                attempts=job.history,
+                failure=str(job.failure),
+                status=job.status,
+                after_ms=self.clock.now_ms() - request.received_ms,
+            )
--- /dev/null
+++ b/nutmeglead/forwarding/upstream.py
@@ -0,0 +1,145 @@
+"""Hold what this node knows of one server: connections, work in flight, speed and failures."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from nutmeglead.core.clock import Clock
+from nutmeglead.forwarding.errors import NoConnection
+from nutmeglead.forwarding.model import ServerRecord, ServerState
+from nutmeglead.http.client import ClientConnection, connect
+
+__all__ = ["Upstream"]
+
+# A server may close or forget an idle connection; a request that crosses the close is lost.
+MAX_IDLE_MS = 4_000
+MAX_IDLE_AT_MOST_ONCE_MS = 1_500
+CONNECT_TIMEOUT_MS = 300
+# Weight of the newest sample in the estimates.
+TIME_WEIGHT = 0.15
+FAILURE_HALF_LIFE_MS = 2_000
+INITIAL_TIME_MS = 100.0
+
+
+@dataclass
+class _IdleConnection:
+    connection: ClientConnection
+    since_ms: int
+    until_ms: int
+
+
+@dataclass
+class Upstream:
+    """Send to one life of a server."""
+
+    record: ServerRecord
+    tag: int
+    clock: Clock
+    cold_until_ms: int
+    in_flight: int = 0
+    in_flight_elsewhere: int = 0
+    service_time_ms: float = INITIAL_TIME_MS
+    connection_count: int = 0
+    # Time since which the server must not be used, because it leaves or is gone.
+    closed_since_ms: int | None = None
+    _failures: float = 0.0
+    _failures_ms: int = 0
+    _idle: list[_IdleConnection] = field(default_factory=list)
+
+    @property
+    def total_in_flight(self) -> int:
+        """Count the requests that all nodes have at the server, as last told."""
+        return self.in_flight + self.in_flight_elsewhere
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the server takes new work."""
+        return self.closed_since_ms is None and self.record.state is ServerState.READY
+
+    def failure_rate(self, now_ms: int) -> float:
+        """Return the decayed count of recent failures."""
+        age_ms = now_ms - self._failures_ms
+        return float(self._failures * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS))
+
+    def note_failure(self, weight: float, now_ms: int) -> None:
+        """Count a failure."""
+        self._failures = self.failure_rate(now_ms) + weight
+        self._failures_ms = now_ms
+
+    def note_answer(self, duration_ms: int, now_ms: int) -> None:
+        """Take the duration of an answered request; time in the server's queue is taken off."""
+        waiting = max(1.0, (self.total_in_flight + 1) / self.record.slots)
+        sample = duration_ms / waiting
+        self.service_time_ms += TIME_WEIGHT * (sample - self.service_time_ms)
+        self._failures = self.failure_rate(now_ms) * 0.8
+        self._failures_ms = now_ms
+
+    def expected_ms(self, now_ms: int) -> float:
+        """Return the expected time of one more request, its wait for a slot included."""
+        time_ms = self.service_time_ms
+        if now_ms < self.cold_until_ms:
+            time_ms *= 2
+        queued = max(0, self.total_in_flight + 1 - self.record.slots)
+        return time_ms * (1 + queued / self.record.slots)
+
+    async def take_connection(
+        self, may_repeat: bool, timeout_ms: int
+    ) -> Result[tuple[ClientConnection, bool], NoConnection]:
+        """Return a connection and whether it was used before."""
+        now_ms = self.clock.now_ms()
+        max_idle_ms = MAX_IDLE_MS if may_repeat else MAX_IDLE_AT_MOST_ONCE_MS
+        while self._idle:
+            idle = self._idle.pop()
+            is_fresh = now_ms < idle.until_ms and now_ms - idle.since_ms <= max_idle_ms
+            if is_fresh and idle.connection.is_reusable:
+                return Ok((idle.connection, True))
+            self._drop(idle.connection)
+        return await self._open(min(CONNECT_TIMEOUT_MS, timeout_ms))
+
+    async def _open(self, timeout_ms: int) -> Result[tuple[ClientConnection, bool], NoConnection]:
+        self.connection_count += 1
+        opened = None
+        try:
+            opened = await connect(self.record.ip, self.record.port, timeout_ms)
+        finally:
+            if not isinstance(opened, Ok):
+                self.connection_count -= 1
+        if isinstance(opened, Err):
+            return Err(NoConnection(str(opened.err_value)))
+        return Ok((opened.ok_value, False))
+
+    def give_back(self, connection: ClientConnection, idle_ms: int, max_count: int) -> None:
+        """Keep a connection for the next request if it is whole and not one too many."""
+        now_ms = self.clock.now_ms()
+        is_usable = connection.finish_exchange() and self.closed_since_ms is None
+        if not is_usable or idle_ms <= 0 or self.connection_count > max_count:
+            self._drop(connection)
+        else:
+            self._idle.append(_IdleConnection(connection, now_ms, now_ms + idle_ms))
+
+    def drop(self, connection: ClientConnection) -> None:
+        """Close a connection, which cancels its request at the server."""
+        self._drop(connection)
+
+    def _drop(self, connection: ClientConnection) -> None:
+        connection.abort()
+        self.connection_count -= 1
+
+    def close_idle(self, now_ms: int) -> None:
+        """Close the connections that have been idle for too long."""
+        kept = []
+        for idle in self._idle:
+            is_fresh = now_ms < idle.until_ms and now_ms - idle.since_ms <= MAX_IDLE_MS
+            if is_fresh and idle.connection.is_reusable:
+                kept.append(idle)
+            else:
+                self._drop(idle.connection)
+        self._idle = kept
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle:
+            self._drop(idle.connection)
+        self._idle.clear()
--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -28,6 +28,8 @@
         self._reading_paused = False
         self._writing_paused = False
         self._lost = False
+        # Set when the connection ended with a reset or an error instead of the end of the stream.
+        self.was_reset = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -50,6 +52,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the waiting writers and wake the reader."""
         self._lost = True
+        self.was_reset = exc is not None
         self._note_peer_gone()
         self._wake_reader()
         self.resume_writing()
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -14,6 +14,7 @@
     TimedOut,
 )
 from nutmeglead.http.messages import RequestHead, ResponseHead
+from nutmeglead.http.sockets import detect_silence
 
 __all__ = ["ClientConnection", "HttpFetcher", "connect"]
 
@@ -90,6 +91,20 @@
         """Return the next part of the response body, or b"" at its end."""
         return _body_part(await self._next_event())
 
+    async def expect_another(self) -> None:
+        """Read an answer to its end and expect another one for the same request.
+
+        A server's second answer to an earlier request may arrive where the next one is expected.
+        """
+        while await self.read_body():
+            pass
+        unread, _ = self._connection.trailing_data
+        self._connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._connection.send(h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"-")]))
+        self._connection.send(h11.EndOfMessage())
+        if unread:
+            self._connection.receive_data(unread)
+
     def take_body(self) -> bytes | None:
         """Return what `read_body` would, or None if it would have to wait."""
         event = self._take_event()
@@ -122,7 +137,11 @@
 
     async def _next_event(self) -> object:
         while (event := self._take_event()) is None:
-            self._connection.receive_data(await self.channel.read())
+            data = await self.channel.read()
+            # A body without a length ends with the stream; a reset is no end.
+            if not data and self.channel.was_reset:
+                raise PeerClosed("with a reset")
+            self._connection.receive_data(data)
         return event
 
     def _take_event(self) -> object | None:
@@ -160,6 +179,7 @@
         return Err(ConnectFailed(f"{ip}:{port}", f"no answer within {timeout_ms} ms"))
     except OSError as error:
         return Err(ConnectFailed(f"{ip}:{port}", str(error)))
+    detect_silence(channel.transport)
     return Ok(ClientConnection(channel))
 
 
--- /dev/null
+++ b/nutmeglead/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange heartbeats and range maps between entry VMs."""
--- /dev/null
+++ b/nutmeglead/platform/manifest.py
@@ -0,0 +1,111 @@
+"""Decode the operator's manifest."""
+
+from typing import Any
+
+from result import Err, Ok, Result
+
+from nutmeglead.core.errors import CodecError
+from nutmeglead.core.ids import ServiceName
+from nutmeglead.forwarding.model import (
+    Backend,
+    ClientLimits,
+    Manifest,
+    RequestKind,
+    Route,
+    ServiceSpec,
+)
+from nutmeglead.platform.fields import FieldError, milliseconds, number, parse_object, text, whole
+
+__all__ = ["decode_manifest"]
+
+_KINDS = {
+    "safe": RequestKind.IDEMPOTENT,
+    "unsafe": RequestKind.AT_MOST_ONCE,
+    "download": RequestKind.LARGE_ANSWER,
+}
+
+
+def decode_manifest(data: bytes) -> Result[Manifest, CodecError]:
+    """Return the manifest; a fault anywhere refuses the whole version."""
+    parsed = parse_object("a manifest", data)
+    if isinstance(parsed, Err):
+        return parsed
+    fields = parsed.ok_value
+    try:
+        services = {}
+        for entry in _objects(fields, "services"):
+            service = _service(entry)
+            services[service.name] = service
+        routes = tuple(_route(entry) for entry in _objects(fields, "routes"))
+        version = _version(text(fields, "version"))
+        return Ok(Manifest(version, routes, services, _limits(fields.get("limits"))))
+    except FieldError as error:
+        return Err(CodecError("a manifest", str(error)))
+
+
+def _objects(fields: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    value = fields.get(name)
+    if not isinstance(value, list) or not all(isinstance(entry, dict) for entry in value):
+        raise FieldError(name, "a list of objects", value)
+    return value
+
+
+def _version(given: str) -> int:
+    if given[:1] != "r" or not given[1:].isdigit():
+        raise FieldError("version", "'r' and a number", given)
+    return int(given[1:])
+
+
+def _service(fields: dict[str, Any]) -> ServiceSpec:
+    return ServiceSpec(
+        ServiceName(text(fields, "name")),
+        text(fields, "health_check_path"),
+        whole(fields, "max_connections"),
+        has_keys=fields.get("sharded") is True,
+        # "call": the service's servers take grants on their own address.
+        takes_grants=fields.get("grants") == "call",
+        # `warm_s` is how long keys that arrive without a handover are slow.
+        cold_keys_ms=milliseconds(fields, "warm_s", 0),
+    )
+
+
+def _route(fields: dict[str, Any]) -> Route:
+    kind = _KINDS.get(text(fields, "kind"))
+    if kind is None:
+        raise FieldError("kind", f"one of {', '.join(_KINDS)}", fields["kind"])
+    return Route(
+        text(fields, "name"),
+        text(fields, "host").lower(),
+        text(fields, "prefix"),
+        kind,
+        milliseconds(fields, "timeout_s"),
+        milliseconds(fields, "target_latency_s"),
+        whole(fields, "priority", 0),
+        # `max_attempts` counts servers, not sends.
+        max(1, whole(fields, "max_attempts", 1)),
+        _backends(fields),
+    )
+
+
+def _backends(fields: dict[str, Any]) -> tuple[Backend, ...]:
+    if fields.get("backends") is None:
+        return (Backend(ServiceName(text(fields, "service")), 1.0),)
+    entries = _objects(fields, "backends")
+    backends = tuple(
+        Backend(ServiceName(text(entry, "service")), number(entry, "weight")) for entry in entries
+    )
+    if not sum(backend.weight for backend in backends) > 0:
+        raise FieldError("backends", "a positive sum of weights", entries)
+    return backends
+
+
+def _limits(given: Any) -> ClientLimits:
+    if not isinstance(given, dict):
+        return ClientLimits()
+    default = ClientLimits()
+    return ClientLimits(
+        whole(given, "max_header_bytes", default.head_size_bytes),
+        whole(given, "max_body_bytes", default.body_size_bytes),
+        milliseconds(given, "header_timeout_s", default.head_timeout_ms / 1000),
+        milliseconds(given, "idle_timeout_s", default.idle_timeout_ms / 1000),
+    )
--- /dev/null
+++ b/nutmeglead/platform/registry.py
@@ -0,0 +1,42 @@
+"""Decode the entries that servers register in the store."""
+
+from result import Err, Ok, Result
+
+from nutmeglead.core.errors import CodecError
+from nutmeglead.core.ids import FailureDomainName, ServerId, ServiceName
+from nutmeglead.forwarding.model import ServerLife, ServerRecord, ServerState
+from nutmeglead.platform.addresses import parse_address
+from nutmeglead.platform.fields import FieldError, milliseconds, parse_object, text, whole
+
+__all__ = ["decode_server"]
+
+_STATES = {"ready": ServerState.READY, "draining": ServerState.LEAVING}
+
+
+def decode_server(server_id: str, data: bytes) -> Result[ServerRecord, CodecError]:
+    """Return a server's record; an entry of another writer has faults and names no server."""
+    parsed = parse_object("a server entry", data)
+    if isinstance(parsed, Err):
+        return parsed
+    fields = parsed.ok_value
+    try:
+        state = _STATES.get(text(fields, "state"))
+        if state is None:
+            raise FieldError("state", f"one of {', '.join(_STATES)}", fields["state"])
+        ip, port = parse_address(text(fields, "address"))
+        return Ok(
+            ServerRecord(
+                # `born` is the start of this life in Unix ms.
+                ServerLife(ServerId(server_id), whole(fields, "born")),
+                ServiceName(text(fields, "service")),
+                ip,
+                port,
+                FailureDomainName(text(fields, "zone")),
+                max(1, whole(fields, "slots")),
+                state,
+                # `warmup_left_s` counts from the last write, which need not be recent.
+                milliseconds(fields, "warmup_left_s", 0),
+            )
+        )
+    except ValueError as error:
+        return Err(CodecError("a server entry", str(error)))
--- /dev/null
+++ b/nutmeglead/platform/wire.py
@@ -0,0 +1,37 @@
+"""Name the platform's headers, calls and tables."""
+
+__all__ = [
+    "ANSWER_ID_HEADER",
+    "DEADLINE_HEADER",
+    "GRANT_TARGET",
+    "HANDOVER_HEADER",
+    "KEY_HEADER",
+    "MANIFEST_KEY",
+    "MANIFEST_TABLE",
+    "NOT_RUN_HEADER",
+    "READY_TARGET",
+    "RELEASE_TARGET",
+    "REQUEST_ID_HEADER",
+    "SERVERS_TABLE",
+    "SIGNATURE_HEADER",
+    "TARGET_SERVER_HEADER",
+]
+
+# Header names are lower case, as h11 gives them.
+REQUEST_ID_HEADER = b"x-request-id"
+# A server echoes the request's id, so that a late second answer can be told from the right one.
+ANSWER_ID_HEADER = REQUEST_ID_HEADER
+DEADLINE_HEADER = b"x-deadline-ms"
+SIGNATURE_HEADER = b"x-response-signature"
+TARGET_SERVER_HEADER = b"x-target-instance"
+NOT_RUN_HEADER = b"x-not-executed"
+KEY_HEADER = b"x-shard-key"
+HANDOVER_HEADER = b"x-handover"
+
+READY_TARGET = b"/v1/ready"
+GRANT_TARGET = b"/v1/grant"
+RELEASE_TARGET = b"/v1/release"
+
+MANIFEST_TABLE = "op"
+MANIFEST_KEY = "config"
+SERVERS_TABLE = "servers"
--- /dev/null
+++ b/nutmeglead/ranges/load.py
@@ -0,0 +1,37 @@
+"""Keep the keys of recent requests, as the sample that the balancer works on."""
+
+from collections import deque
+from collections.abc import Sequence
+
+__all__ = ["HitWindow"]
+
+# Long enough to tell servers apart at 25 requests/s each, short enough to follow a hot key.
+WINDOW_MS = 2_500
+MAX_SAMPLE = 6_000
+
+
+class HitWindow:
+    """Hold the keys that were reported in the last seconds."""
+
+    def __init__(self, window_ms: int = WINDOW_MS) -> None:
+        self._window_ms = window_ms
+        self._reports: deque[tuple[int, Sequence[int]]] = deque()
+
+    def add(self, keys: Sequence[int], now_ms: int) -> None:
+        """Enter the keys of a report."""
+        if keys:
+            self._reports.append((now_ms, keys))
+        self._expire(now_ms)
+
+    def sample(self, now_ms: int) -> list[int]:
+        """Return the keys of the window, thinned evenly above the sample's limit."""
+        self._expire(now_ms)
+        keys = [key for _, report in self._reports for key in report]
+        if len(keys) > MAX_SAMPLE:
+            step = len(keys) // MAX_SAMPLE + 1
+            keys = keys[::step]
+        return keys
+
+    def _expire(self, now_ms: int) -> None:
+        while self._reports and self._reports[0][0] < now_ms - self._window_ms:
+            self._reports.popleft()
--- /dev/null
+++ b/nutmeglead/ranges/model.py
@@ -0,0 +1,211 @@
+"""Hold the key ranges of a service with their owners and fences."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from nutmeglead._generated.peers import ttypes
+from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.errors import CodecError
+from nutmeglead.core.ids import ServerId, ServiceName
+from nutmeglead.forwarding.model import ServerLife
+
+__all__ = ["KEY_COUNT", "KeyRange", "RangeMap", "decode_map", "encode_map", "from_wire", "to_wire"]
+
+KEY_COUNT = 65_536
+
+
+@dataclass(frozen=True)
+class KeyRange:
+    """Hold the keys from `first` to `last`, both included.
+
+    A pending range waits for its owner's grant; `previous` may still hold it until then.
+    """
+
+    first: int
+    last: int
+    owner: ServerLife | None
+    fence: int
+    is_pending: bool = False
+    previous: tuple[ServerLife, ...] = ()
+
+    @property
+    def size(self) -> int:
+        """Count the keys."""
+        return self.last - self.first + 1
+
+
+class RangeMap:
+    """Cover all keys of a service with ranges; a map is not changed after it is made."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        ranges: Iterable[KeyRange],
+        version: int = 0,
+        epoch: int = 0,
+        fence: int = 0,
+    ) -> None:
+        self.service = service
+        self.version = version
+        self.epoch = epoch
+        self.fence = fence
+        self.ranges = tuple(ranges)
+        self._first_keys = [entry.first for entry in self.ranges]
+
+    def __iter__(self) -> Iterator[KeyRange]:
+        return iter(self.ranges)
+
+    def locate(self, key: int) -> KeyRange:
+        """Return the range that holds a key."""
+        return self.ranges[bisect_right(self._first_keys, key) - 1]
+
+    def owned_by(self, owner: ServerLife) -> list[KeyRange]:
+        """List the ranges of one life of a server."""
+        return [entry for entry in self.ranges if entry.owner == owner]
+
+    def owners(self) -> set[ServerLife]:
+        """Return the owners."""
+        return {entry.owner for entry in self.ranges if entry.owner is not None}
+
+    def confirm(self, first: int, last: int, fence: int) -> RangeMap:
+        """Return the map with a range's grant confirmed; other ranges and fences stay."""
+        ranges = tuple(
+            (
+                replace(entry, is_pending=False, previous=())
+                if (entry.first, entry.last, entry.fence) == (first, last, fence)
+                else entry
+            )
+            for entry in self.ranges
+        )
+        return RangeMap(self.service, ranges, self.version, self.epoch, self.fence)
+
+    def assign(self, moves: Iterable[tuple[int, int, ServerLife]], epoch: int) -> RangeMap:
+        """Return the next version, in which each move's keys belong to its server.
+
+        The ranges that a move touches are split at its ends. A moved range gets the next fence and
+        keeps its earlier holders until its new owner has confirmed.
+        """
+        fence = self.fence + 1
+        ranges: list[KeyRange] = list(self.ranges)
+        for first, last, owner in moves:
+            ranges = [
+                part for entry in ranges for part in _reassign(entry, first, last, owner, fence)
+            ]
+        return RangeMap(self.service, _merged(ranges), self.version + 1, epoch, fence)
+
+
+def _reassign(
+    entry: KeyRange, first: int, last: int, owner: ServerLife, fence: int
+) -> Iterator[KeyRange]:
+    if last < entry.first or entry.last < first:
+        yield entry
+        return
+    if entry.first < first:
+        yield replace(entry, last=first - 1)
+    yield KeyRange(
+        max(first, entry.first),
+        min(last, entry.last),
+        owner,
+        fence,
+        is_pending=True,
+        previous=_holders(entry, owner),
+    )
+    if last < entry.last:
+        yield replace(entry, first=last + 1)
+
+
+def _holders(entry: KeyRange, new_owner: ServerLife) -> tuple[ServerLife, ...]:
+    holders = dict.fromkeys(entry.previous)
+    if entry.owner is not None:
+        holders[entry.owner] = None
+    # The new owner may hold the range from before; a higher fence replaces its own grant.
+    holders.pop(new_owner, None)
+    return tuple(holders)
+
+
+def _merged(ranges: list[KeyRange]) -> list[KeyRange]:
+    """Join neighbours that one grant can cover."""
+    merged: list[KeyRange] = []
+    for entry in ranges:
+        last = merged[-1] if merged else None
+        if last is not None and replace(last, first=entry.first, last=entry.last) == entry:
+            merged[-1] = replace(last, last=entry.last)
+        else:
+            merged.append(entry)
+    return merged
+
+
+def to_wire(ranges: RangeMap) -> ttypes.RangeMap:
+    """Return the message form of a map."""
+    index: dict[ServerLife, int] = {}
+
+    def number(life: ServerLife) -> int:
+        return index.setdefault(life, len(index))
+
+    owners = [-1 if entry.owner is None else number(entry.owner) for entry in ranges]
+    previous = {
+        position: [number(life) for life in entry.previous]
+        for position, entry in enumerate(ranges)
+        if entry.previous
+    }
+    return ttypes.RangeMap(
+        ranges.service,
+        ranges.version,
+        ranges.epoch,
+        ranges.fence,
+        [ttypes.Life(life.server_id, life.born_ms) for life in index],
+        [entry.first for entry in ranges],
+        owners,
+        [entry.fence for entry in ranges],
+        [position for position, entry in enumerate(ranges) if entry.is_pending],
+        previous,
+    )
+
+
+def from_wire(message: ttypes.RangeMap) -> RangeMap:
+    """Return the map of a message; raise ValueError if it does not cover all keys once."""
+    firsts = message.first_keys
+    count = len(firsts)
+    if len(message.owners) != count or len(message.fences) != count:
+        raise ValueError("expected one owner and one fence per range")
+    if not firsts or firsts[0] != 0 or firsts != sorted(set(firsts)) or firsts[-1] >= KEY_COUNT:
+        raise ValueError(f"expected ascending first keys from 0, got {firsts[:3]}")
+    lives = [ServerLife(ServerId(life.server_id), life.born_ms) for life in message.servers]
+    pending = set(message.pending)
+    lasts = [first - 1 for first in firsts[1:]] + [KEY_COUNT - 1]
+    ranges = [
+        KeyRange(
+            first,
+            last,
+            None if owner < 0 else lives[owner],
+            fence,
+            position in pending,
+            tuple(lives[holder] for holder in message.previous.get(position, ())),
+        )
+        for position, (first, last, owner, fence) in enumerate(
+            zip(firsts, lasts, message.owners, message.fences, strict=True)
+        )
+    ]
+    service = ServiceName(message.service_name)
+    return RangeMap(service, ranges, message.version, message.epoch, message.fence)
+
+
+def encode_map(ranges: RangeMap) -> bytes:
+    """Return the row of a map."""
+    return encode(to_wire(ranges))
+
+
+def decode_map(data: bytes) -> Result[RangeMap, CodecError]:
+    """Return the map of a row."""
+    decoded = decode(ttypes.RangeMap, data)
+    if isinstance(decoded, Err):
+        return decoded
+    try:
+        return Ok(from_wire(decoded.ok_value))
+    except (ValueError, IndexError) as error:
+        return Err(CodecError("a range map", str(error)))
--- /dev/null
+++ b/nutmeglead/ranges/orders.py
@@ -0,0 +1,168 @@
+"""Send grants and releases, each only while this node has the right to."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.forwarding.model import ServerLife
+from nutmeglead.forwarding.registry import ServerRegistry
+from nutmeglead.platform.grants import GrantClient, GrantError, GrantRefused, ServerUnreachable
+from nutmeglead.ranges.health import HolderHealth
+from nutmeglead.ranges.model import KeyRange, RangeMap
+from nutmeglead.ranges.rights import RenewalRights
+
+__all__ = ["HOLD_MS", "NoRight", "Orders"]
+
+logger = logging.getLogger(__name__)
+
+# A key is served again within 2 s of a loss: the hold runs out while the loss is being noticed.
+HOLD_MS = 2_000
+# Two renewals may stay unanswered before a hold runs out.
+RENEW_INTERVAL_MS = 600
+GRANT_TIMEOUT_MS = 400
+# A release is answered when the work on its keys has ended.
+RELEASE_TIMEOUT_MS = 1_500
+
+
+class NoRight(GrantError):
+    """Report a grant that was not sent, because a newer map may exist."""
+
+    def __str__(self) -> str:
+        return "the map is not confirmed to be the newest"
+
+
+class Orders:
+    """Order the servers of one service."""
+
+    def __init__(
+        self,
+        client: GrantClient,
+        registry: ServerRegistry,
+        rights: RenewalRights,
+        health: HolderHealth,
+        clock: Clock,
+        max_hold_ms: int,
+        current_map: Callable[[], RangeMap | None],
+    ) -> None:
+        self.hold_ms = min(HOLD_MS, max_hold_ms)
+        self._client = client
+        self._registry = registry
+        self._rights = rights
+        self._health = health
+        self._clock = clock
+        self._current_map = current_map
+        self._renewed_ms: dict[ServerLife, int] = {}
+        self._renewing: dict[ServerLife, asyncio.Task[None]] = {}
+        # Ranges whose owner has seen a higher fence; they need a new one.
+        self.stale: set[KeyRange] = set()
+
+    async def grant(
+        self, owner: ServerLife, keys: KeyRange, handover: str | None
+    ) -> Result[None, GrantError]:
+        """Grant a range under the current map."""
+        current = self._current_map()
+        record = self._registry.find(owner)
+        if record is None:
+            return Err(ServerUnreachable(owner.server_id, "no address is known"))
+        # The boot-time clock is read right before the send; a VM may have been suspended.
+        if current is None or not self._rights.may_send(current.version, self._clock.now_ms()):
+            return Err(NoRight())
+        self._rights.note_sent(owner, self._clock.now_ms())
+        sent = await self._client.grant(
+            owner.server_id,
+            (record.ip, record.port),
+            (keys.first, keys.last),
+            keys.fence,
+            self.hold_ms,
+            handover,
+            GRANT_TIMEOUT_MS,
+        )
+        # Until its connection ended, the order may have been on its way.
+        self._rights.note_sent(owner, self._clock.now_ms())
+        self._note(owner, sent)
+        return sent
+
+    async def release(
+        self, holder: ServerLife, keys: KeyRange, timeout_ms: int
+    ) -> Result[str | None, GrantError]:
+        """Take a range back with the fence of its next owner; return the handover."""
+        record = self._registry.find(holder)
+        if record is None:
+            return Err(ServerUnreachable(holder.server_id, "no address is known"))
+        released = await self._client.release(
+            holder.server_id,
+            (record.ip, record.port),
+            (keys.first, keys.last),
+            keys.fence,
+            min(timeout_ms, RELEASE_TIMEOUT_MS),
+        )
+        if isinstance(released, Ok):
+            self._health.on_answer(holder, self._clock.now_ms())
+        return released
+
+    def renew_due(self) -> None:
+        """Begin the renewals that are due; each server's run at the same time."""
+        current = self._current_map()
+        now_ms = self._clock.now_ms()
+        if current is None or not self._rights.may_send(current.version, now_ms):
+            return
+        by_owner: dict[ServerLife, list[KeyRange]] = {}
+        for entry in current:
+            if entry.owner is not None and not entry.is_pending:
+                by_owner.setdefault(entry.owner, []).append(entry)
+        for owner, owned in by_owner.items():
+            due_ms = self._renewed_ms.get(owner, -RENEW_INTERVAL_MS) + RENEW_INTERVAL_MS
+            if now_ms >= due_ms and owner not in self._renewing:
+                self._begin_renewal(owner, owned, now_ms)
+
+    def _begin_renewal(self, owner: ServerLife, owned: list[KeyRange], now_ms: int) -> None:
+        self._renewed_ms[owner] = now_ms
+        task = asyncio.get_running_loop().create_task(self._renew(owner, owned))
+        self._renewing[owner] = task
+        task.add_done_callback(lambda _: self._renewing.pop(owner, None))
+
+    async def _renew(self, owner: ServerLife, owned: list[KeyRange]) -> None:
+        sent = await asyncio.gather(*(self._renew_range(owner, entry) for entry in owned))
+        if not all(sent):
+            # The next round repeats what failed without waiting for the interval.
+            self._renewed_ms.pop(owner, None)
+
+    async def _renew_range(self, owner: ServerLife, entry: KeyRange) -> bool:
+        current = self._current_map()
+        if current is None or current.locate(entry.first) != entry:
+            return True
+        sent = await self.grant(owner, entry, None)
+        if isinstance(sent, Err) and isinstance(sent.err_value, GrantRefused):
+            if sent.err_value.is_stale:
+                self.stale.add(entry)
+            log_event(
+                logger,
+                Event.GRANT_REFUSED,
+                server=owner.server_id,
+                first=entry.first,
+                last=entry.last,
+                fence=entry.fence,
+                status=sent.err_value.status,
+            )
+        return not isinstance(sent, Err)
+
+    def _note(self, owner: ServerLife, sent: Result[None, GrantError]) -> None:
+        now_ms = self._clock.now_ms()
+        if isinstance(sent, Ok):
+            self._health.on_answer(owner, now_ms)
+            return
+        error = sent.err_value
+        if isinstance(error, GrantRefused) and error.is_stale:
+            self._health.on_answer(owner, now_ms)
+        elif not isinstance(error, NoRight):
+            refused = isinstance(error, ServerUnreachable) and "refused" in error.reason.lower()
+            self._health.on_failure(owner, refused or isinstance(error, GrantRefused), now_ms)
+
+    def close(self) -> None:
+        """Cancel the renewals under way."""
+        for task in list(self._renewing.values()):
+            task.cancel()
--- /dev/null
+++ b/nutmeglead/ranges/role.py
@@ -0,0 +1,139 @@
+"""Read and write the rows of the acting controller: its role and the range map."""
+
+import logging
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from nutmeglead._generated.peers.ttypes import RoleRow
+from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.errors import CodecError, PlatformError
+from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.platform.store import (
+    StoreAnswerLost,
+    StoreClient,
+    StoreConflict,
+    StoreRow,
+    StoreUnavailable,
+)
+from nutmeglead.ranges.model import RangeMap, decode_map, encode_map
+
+__all__ = ["RoleLost", "RoleRows", "StoredState"]
+
+logger = logging.getLogger(__name__)
+
+ROLES_TABLE = "roles"
+RANGES_TABLE = "ranges"
+ROLE_KEY = "acting"
+MAP_KEY = "map"
+
+
+@dataclass
+class RoleLost(PlatformError):
+    """Report that another node has taken the role."""
+
+    service: ServiceName
+
+    def __str__(self) -> str:
+        return f"another node acts for {self.service}"
+
+
+@dataclass(frozen=True)
+class StoredState:
+    """Hold the role and the map as the store has them; None where there is no row."""
+
+    role: RoleRow | None
+    ranges: RangeMap | None
+
+
+class RoleRows:
+    """Write the rows of one service under the versions last seen."""
+
+    def __init__(
+        self, store: StoreClient, service: ServiceName, node_id: NodeId, incarnation: int
+    ) -> None:
+        self._store = store
+        self._service = service
+        self._node_id = node_id
+        self._incarnation = incarnation
+        self._role_version = 0
+        self._map_version = 0
+
+    async def read(self) -> Result[StoredState, StoreUnavailable | CodecError]:
+        """Return both rows and remember their versions for the next write."""
+        role_rows = await self._store.read(ROLES_TABLE, self._service)
+        if isinstance(role_rows, Err):
+            return role_rows
+        map_rows = await self._store.read(RANGES_TABLE, self._service)
+        if isinstance(map_rows, Err):
+            return map_rows
+        role_row = _find(role_rows.ok_value.rows, ROLE_KEY)
+        map_row = _find(map_rows.ok_value.rows, MAP_KEY)
+        self._role_version = role_row.version if role_row else 0
+        self._map_version = map_row.version if map_row else 0
+        role: RoleRow | None = None
+        if role_row is not None and role_row.value:
+            decoded = decode(RoleRow, role_row.value)
+            if isinstance(decoded, Err):
+                return decoded
+            role = decoded.ok_value
+        if map_row is None or not map_row.value:
+            return Ok(StoredState(role, None))
+        return decode_map(map_row.value).map(lambda ranges: StoredState(role, ranges))
+
+    async def read_map_version(self) -> Result[int, StoreUnavailable | CodecError]:
+        """Return the number of the map in the store, 0 if there is none."""
+        rows = await self._store.read(RANGES_TABLE, self._service)
+        if isinstance(rows, Err):
+            return rows
+        row = _find(rows.ok_value.rows, MAP_KEY)
+        if row is None or not row.value:
+            return Ok(0)
+        return decode_map(row.value).map(lambda ranges: ranges.version)
+
+    async def take(self, epoch: int) -> Result[None, RoleLost | StoreUnavailable | StoreAnswerLost]:
+        """Take the role under an epoch; the rows must be as last read."""
+        row = encode(RoleRow(self._node_id, self._incarnation, epoch))
+        target = self._row(ROLES_TABLE, ROLE_KEY, self._role_version, row)
+        # The map's row is expected too, so that its version is the one that was read.
+        expected = [target, self._row(RANGES_TABLE, MAP_KEY, self._map_version, None)]
+        written = await self._write(expected, target)
+        if isinstance(written, Err):
+            return written
+        self._role_version = written.ok_value
+        return Ok(None)
+
+    async def commit(
+        self, ranges: RangeMap
+    ) -> Result[None, RoleLost | StoreUnavailable | StoreAnswerLost]:
+        """Write the next map while this node has the role."""
+        role = self._row(ROLES_TABLE, ROLE_KEY, self._role_version, None)
+        target = self._row(RANGES_TABLE, MAP_KEY, self._map_version, encode_map(ranges))
+        written = await self._write([role, target], target)
+        if isinstance(written, Err):
+            return written
+        self._map_version = written.ok_value
+        return Ok(None)
+
+    def _row(self, table: str, key: str, version: int, value: bytes | None) -> StoreRow:
+        return StoreRow(table, self._service, key, value, version)
+
+    async def _write(
+        self, expected: list[StoreRow], target: StoreRow
+    ) -> Result[int, RoleLost | StoreUnavailable | StoreAnswerLost]:
+        """Write a row; a conflict with the same value means that an earlier try was applied."""
+        written = await self._store.transact(expected, [target])
+        if isinstance(written, Ok):
+            return written
+        error = written.err_value
+        if not isinstance(error, StoreConflict):
+            return Err(error)
+        found = _find(error.rows, target.key)
+        if found is not None and found.value == target.value:
+            return Ok(found.version)
+        logger.info("conflict on %s: %s", self._service, error)
+        return Err(RoleLost(self._service))
+
+
+def _find(rows: tuple[StoreRow, ...], key: str) -> StoreRow | None:
+    return next((row for row in rows if row.key == key and row.version), None)
--- /dev/null
+++ b/nutmeglead/ranges/transfer.py
@@ -0,0 +1,119 @@
+"""Carry out moves: end the earlier holds of a range, then grant it to its owner."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.forwarding.model import ServerLife
+from nutmeglead.platform.grants import GrantRefused
+from nutmeglead.ranges.model import KeyRange, RangeMap
+from nutmeglead.ranges.orders import RELEASE_TIMEOUT_MS, NoRight, Orders
+from nutmeglead.ranges.rights import RenewalRights
+
+if TYPE_CHECKING:
+    from nutmeglead.ranges.controller import ControllerContext
+
+__all__ = ["Transfers"]
+
+logger = logging.getLogger(__name__)
+
+# Pause before an order is repeated; a refused connection answers at once.
+RETRY_PAUSE_MS = 60
+MIN_RELEASE_TIMEOUT_MS = 200
+
+
+class Transfers:
+    """Run one task for each pending range of the current map."""
+
+    def __init__(
+        self,
+        orders: Orders,
+        rights: RenewalRights,
+        context: ControllerContext,
+        confirm: Callable[[KeyRange], None],
+    ) -> None:
+        self._orders = orders
+        self._rights = rights
+        self._context = context
+        self._clock = context.clock
+        self._confirm = confirm
+        self._tasks: dict[KeyRange, asyncio.Task[None]] = {}
+        # Handovers by range, from releases whose range was given to another owner meanwhile.
+        self._handovers: dict[tuple[int, int], str] = {}
+
+    def start(self, ranges: RangeMap) -> None:
+        """Run the transfers of a map, and end those of ranges that it no longer has."""
+        pending = {entry for entry in ranges if entry.is_pending and entry.owner is not None}
+        for entry in set(self._tasks) - pending:
+            self._tasks.pop(entry).cancel()
+        for entry in pending - set(self._tasks):
+            task = asyncio.get_running_loop().create_task(self._transfer(entry, ranges.version))
+            self._tasks[entry] = task
+
+    def stop(self) -> None:
+        """Cancel all transfers."""
+        for task in self._tasks.values():
+            task.cancel()
+        self._tasks.clear()
+
+    async def _transfer(self, entry: KeyRange, map_version: int) -> None:
+        started_ms = self._clock.now_ms()
+        handover: str | None = None
+        for holder in entry.previous:
+            handover = await self._end_hold(holder, entry, map_version) or handover
+        released_ms = self._clock.now_ms()
+        granted = await self._grant(entry, handover)
+        if granted:
+            self._tasks.pop(entry, None)
+            self._confirm(entry)
+            assert entry.owner is not None
+            log_event(
+                logger,
+                Event.RANGE_GRANTED,
+                server=entry.owner.server_id,
+                first=entry.first,
+                last=entry.last,
+                fence=entry.fence,
+                handover=handover is not None,
+                waited_ms=released_ms - started_ms,
+                grant_ms=self._clock.now_ms() - released_ms,
+            )
+
+    async def _end_hold(self, holder: ServerLife, entry: KeyRange, map_version: int) -> str | None:
+        """Return the holder's handover, or None when its hold has surely ended without it."""
+        while True:
+            if self._context.registry.is_over(holder):
+                return None
+            now_ms = self._clock.now_ms()
+            end_ms = self._rights.hold_end_ms(holder, map_version, self._orders.hold_ms, now_ms)
+            if end_ms is not None and now_ms >= end_ms:
+                return None
+            left_ms = RELEASE_TIMEOUT_MS if end_ms is None else end_ms - now_ms
+            released = await self._orders.release(
+                holder, entry, max(MIN_RELEASE_TIMEOUT_MS, left_ms)
+            )
+            if isinstance(released, Ok):
+                return released.ok_value
+            logger.info("release of %d..%d: %s", entry.first, entry.last, released.err_value)
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+
+    async def _grant(self, entry: KeyRange, handover: str | None) -> bool:
+        """Repeat the grant until it is answered; return False if it needs a higher fence."""
+        assert entry.owner is not None
+        while True:
+            granted = await self._orders.grant(entry.owner, entry, handover)
+            if not isinstance(granted, Err):
+                return True
+            error = granted.err_value
+            if isinstance(error, GrantRefused) and error.is_stale:
+                self._orders.stale.add(entry)
+                return False
+            if not isinstance(error, NoRight):
+                logger.info("grant of %d..%d: %s", entry.first, entry.last, error)
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
