--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -5,11 +5,11 @@
 import random
 from collections.abc import Callable
 
-from result import Err
+from result import Err, Ok, Result
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
-from nutmeglead.platform.store import StoreClient, StoreHistoryLost, StoreRows
+from nutmeglead.platform.store import StoreClient, StoreHistoryLost, StoreRows, StoreUnavailable
 
 __all__ = ["StoreContact", "TableWatch"]
 
@@ -83,23 +83,33 @@
         """Follow the table until cancelled."""
         retry_ms = RETRY_MIN_MS
         while True:
-            fed = await self._store.feed(self._table, self.version, FEED_WAIT_MS)
-            if not isinstance(fed, Err):
-                retry_ms = RETRY_MIN_MS
-                self._contact.on_answer()
-                self._take(fed.ok_value)
-                await asyncio.sleep(self._settle_ms / 1000)
-            elif isinstance(fed.err_value, StoreHistoryLost):
-                logger.info("%s: read anew: %s", self._table, fed.err_value)
-                self.version = 0
-            else:
+            fed = await self._next_rows()
+            if isinstance(fed, Err):
                 self._contact.on_failure(self._table, str(fed.err_value))
                 await asyncio.sleep(retry_ms * (0.75 + 0.5 * self._rng.random()) / 1000)
                 retry_ms = min(RETRY_MAX_MS, retry_ms * 2)
-
-    def _take(self, rows: StoreRows) -> None:
+                continue
+            retry_ms = RETRY_MIN_MS
+            self._contact.on_answer()
+            await asyncio.sleep(self._settle_ms / 1000)
+
+    async def _next_rows(self) -> Result[None, StoreHistoryLost | StoreUnavailable]:
+        """Apply the next changes, or all rows when the history is lost.
+
+        A feed from version 0 returns all rows in one call, as long as the store has its whole
+        history.
+        """
+        fed = await self._store.feed(self._table, self.version, FEED_WAIT_MS)
         is_snapshot = self.version == 0
+        if isinstance(fed, Err) and isinstance(fed.err_value, StoreHistoryLost):
+            logger.info("%s: read anew: %s", self._table, fed.err_value)
+            fed = await self._store.read(self._table, "")
+            is_snapshot = True
+        if isinstance(fed, Err):
+            return fed
+        rows = fed.ok_value
         if rows.rows or is_snapshot:
             self._apply(rows, is_snapshot)
         self.has_snapshot = True
-        self.version = max(self.version, rows.version)
+        self.version = rows.version if is_snapshot else max(self.version, rows.version)
+        return Ok(None)
