forwarding, ranges: know the servers' speeds, refuse early under lasting overload, take tables from peers

Ruled out: moving keys faster, since the hot requests are for a single key, which has one owner. Change: requests that would be answered after the target latency are refused at once when their server has been full for 400 ms; nodes report service times, which the balancer turns into capacities; connections are given 600 ms; a node whose feed is late fetches the table from a peer; an acting controller that the store turns away gives way.

--- a/nutmeglead/_generated/peers/ttypes.py
+++ b/nutmeglead/_generated/peers/ttypes.py
@@ -652,7 +652,7 @@
      - sent_ms
      - echo_ms
      - leaving
-     - manifest_version
+     - table_versions
      - store_age_ms
      - views
      - in_flight
@@ -660,13 +660,13 @@
     """
 
 
-    def __init__(self, node_id=None, incarnation=None, sent_ms=None, echo_ms=None, leaving=None, manifest_version=None, store_age_ms=None, views=None, in_flight=None,):
+    def __init__(self, node_id=None, incarnation=None, sent_ms=None, echo_ms=None, leaving=None, table_versions=None, store_age_ms=None, views=None, in_flight=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.sent_ms = sent_ms
         self.echo_ms = echo_ms
         self.leaving = leaving
-        self.manifest_version = manifest_version
+        self.table_versions = table_versions
         self.store_age_ms = store_age_ms
         self.views = views
         self.in_flight = in_flight
@@ -706,8 +706,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.I64:
-                    self.manifest_version = iprot.readI64()
+                if ftype == TType.MAP:
+                    self.table_versions = {}
+                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
+                    for _i55 in range(_size51):
+                        _key56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val57 = iprot.readI64()
+                        self.table_versions[_key56] = _val57
+                    iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
@@ -718,11 +724,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.views = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = ServiceView()
-                        _elem56.read(iprot)
-                        self.views.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = ServiceView()
+                        _elem63.read(iprot)
+                        self.views.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -761,9 +767,13 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 5)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
-        if self.manifest_version is not None:
-            oprot.writeFieldBegin('manifest_version', TType.I64, 6)
-            oprot.writeI64(self.manifest_version)
+        if self.table_versions is not None:
+            oprot.writeFieldBegin('table_versions', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_versions))
+            for kiter64, viter65 in self.table_versions.items():
+                oprot.writeString(kiter64.encode('utf-8') if sys.version_info[0] == 2 else kiter64)
+                oprot.writeI64(viter65)
+            oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.store_age_ms is not None:
             oprot.writeFieldBegin('store_age_ms', TType.I32, 7)
@@ -772,8 +782,8 @@
         if self.views is not None:
             oprot.writeFieldBegin('views', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.views))
-            for iter57 in self.views:
-                iter57.write(oprot)
+            for iter66 in self.views:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
@@ -794,8 +804,8 @@
             raise TProtocolException(message='Required field echo_ms is unset!')
         if self.leaving is None:
             raise TProtocolException(message='Required field leaving is unset!')
-        if self.manifest_version is None:
-            raise TProtocolException(message='Required field manifest_version is unset!')
+        if self.table_versions is None:
+            raise TProtocolException(message='Required field table_versions is unset!')
         if self.store_age_ms is None:
             raise TProtocolException(message='Required field store_age_ms is unset!')
         if self.views is None:
@@ -821,21 +831,17 @@
     Attributes:
      - node_id
      - service_name
-     - sampling
      - keys
-     - failed
-     - answered
+     - samples
 
     """
 
 
-    def __init__(self, node_id=None, service_name=None, sampling=None, keys=None, failed=None, answered=None,):
+    def __init__(self, node_id=None, service_name=None, keys=None, samples=None,):
         self.node_id = node_id
         self.service_name = service_name
-        self.sampling = sampling
         self.keys = keys
-        self.failed = failed
-        self.answered = answered
+        self.samples = samples
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -857,23 +863,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.sampling = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.STRING:
                     self.keys = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.failed = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 4:
                 if ftype == TType.STRING:
-                    self.answered = iprot.readBinary()
+                    self.samples = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -894,21 +890,13 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 2)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
-        if self.sampling is not None:
-            oprot.writeFieldBegin('sampling', TType.I32, 3)
-            oprot.writeI32(self.sampling)
-            oprot.writeFieldEnd()
         if self.keys is not None:
-            oprot.writeFieldBegin('keys', TType.STRING, 4)
+            oprot.writeFieldBegin('keys', TType.STRING, 3)
             oprot.writeBinary(self.keys)
             oprot.writeFieldEnd()
-        if self.failed is not None:
-            oprot.writeFieldBegin('failed', TType.STRING, 5)
-            oprot.writeBinary(self.failed)
-            oprot.writeFieldEnd()
-        if self.answered is not None:
-            oprot.writeFieldBegin('answered', TType.STRING, 6)
-            oprot.writeBinary(self.answered)
+        if self.samples is not None:
+            oprot.writeFieldBegin('samples', TType.STRING, 4)
+            oprot.writeBinary(self.samples)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -918,14 +906,10 @@
             raise TProtocolException(message='Required field node_id is unset!')
         if self.service_name is None:
             raise TProtocolException(message='Required field service_name is unset!')
-        if self.sampling is None:
-            raise TProtocolException(message='Required field sampling is unset!')
         if self.keys is None:
             raise TProtocolException(message='Required field keys is unset!')
-        if self.failed is None:
-            raise TProtocolException(message='Required field failed is unset!')
-        if self.answered is None:
-            raise TProtocolException(message='Required field answered is unset!')
+        if self.samples is None:
+            raise TProtocolException(message='Required field samples is unset!')
         return
 
     def __repr__(self):
@@ -1026,22 +1010,20 @@
         return not (self == other)
 
 
-class ManifestPush(object):
+class CopiedRow(object):
     """
     Attributes:
+     - key
      - version
-     - part
-     - parts
-     - data
+     - value
 
     """
 
 
-    def __init__(self, version=None, part=None, parts=None, data=None,):
+    def __init__(self, key=None, version=None, value=None,):
+        self.key = key
         self.version = version
-        self.part = part
-        self.parts = parts
-        self.data = data
+        self.value = value
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1053,23 +1035,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.part = iprot.readI32()
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.parts = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.STRING:
-                    self.data = iprot.readBinary()
+                    self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1081,35 +1058,29 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ManifestPush')
+        oprot.writeStructBegin('CopiedRow')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
         if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
-        if self.part is not None:
-            oprot.writeFieldBegin('part', TType.I32, 2)
-            oprot.writeI32(self.part)
-            oprot.writeFieldEnd()
-        if self.parts is not None:
-            oprot.writeFieldBegin('parts', TType.I32, 3)
-            oprot.writeI32(self.parts)
-            oprot.writeFieldEnd()
-        if self.data is not None:
-            oprot.writeFieldBegin('data', TType.STRING, 4)
-            oprot.writeBinary(self.data)
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
         if self.version is None:
             raise TProtocolException(message='Required field version is unset!')
-        if self.part is None:
-            raise TProtocolException(message='Required field part is unset!')
-        if self.parts is None:
-            raise TProtocolException(message='Required field parts is unset!')
-        if self.data is None:
-            raise TProtocolException(message='Required field data is unset!')
+        if self.value is None:
+            raise TProtocolException(message='Required field value is unset!')
         return
 
     def __repr__(self):
@@ -1124,22 +1095,20 @@
         return not (self == other)
 
 
-class ServersPush(object):
+class TableCopy(object):
     """
     Attributes:
-     - part
-     - parts
-     - version
-     - data
+     - store_version
+     - changed_version
+     - rows
 
     """
 
 
-    def __init__(self, part=None, parts=None, version=None, data=None,):
-        self.part = part
-        self.parts = parts
-        self.version = version
-        self.data = data
+    def __init__(self, store_version=None, changed_version=None, rows=None,):
+        self.store_version = store_version
+        self.changed_version = changed_version
+        self.rows = rows
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1151,23 +1120,24 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I32:
-                    self.part = iprot.readI32()
+                if ftype == TType.I64:
+                    self.store_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.parts = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
                 if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                    self.changed_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRING:
-                    self.data = iprot.readBinary()
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = CopiedRow()
+                        _elem72.read(iprot)
+                        self.rows.append(_elem72)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1179,35 +1149,32 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ServersPush')
-        if self.part is not None:
-            oprot.writeFieldBegin('part', TType.I32, 1)
-            oprot.writeI32(self.part)
+        oprot.writeStructBegin('TableCopy')
+        if self.store_version is not None:
+            oprot.writeFieldBegin('store_version', TType.I64, 1)
+            oprot.writeI64(self.store_version)
             oprot.writeFieldEnd()
-        if self.parts is not None:
-            oprot.writeFieldBegin('parts', TType.I32, 2)
-            oprot.writeI32(self.parts)
+        if self.changed_version is not None:
+            oprot.writeFieldBegin('changed_version', TType.I64, 2)
+            oprot.writeI64(self.changed_version)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 3)
-            oprot.writeI64(self.version)
-            oprot.writeFieldEnd()
-        if self.data is not None:
-            oprot.writeFieldBegin('data', TType.STRING, 4)
-            oprot.writeBinary(self.data)
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter73 in self.rows:
+                iter73.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.part is None:
-            raise TProtocolException(message='Required field part is unset!')
-        if self.parts is None:
-            raise TProtocolException(message='Required field parts is unset!')
-        if self.version is None:
-            raise TProtocolException(message='Required field version is unset!')
-        if self.data is None:
-            raise TProtocolException(message='Required field data is unset!')
+        if self.store_version is None:
+            raise TProtocolException(message='Required field store_version is unset!')
+        if self.changed_version is None:
+            raise TProtocolException(message='Required field changed_version is unset!')
+        if self.rows is None:
+            raise TProtocolException(message='Required field rows is unset!')
         return
 
     def __repr__(self):
@@ -1228,18 +1195,14 @@
      - heartbeat
      - load_report
      - map_push
-     - manifest_push
-     - servers_push
 
     """
 
 
-    def __init__(self, heartbeat=None, load_report=None, map_push=None, manifest_push=None, servers_push=None,):
+    def __init__(self, heartbeat=None, load_report=None, map_push=None,):
         self.heartbeat = heartbeat
         self.load_report = load_report
         self.map_push = map_push
-        self.manifest_push = manifest_push
-        self.servers_push = servers_push
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1268,18 +1231,6 @@
                     self.map_push.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRUCT:
-                    self.manifest_push = ManifestPush()
-                    self.manifest_push.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRUCT:
-                    self.servers_push = ServersPush()
-                    self.servers_push.read(iprot)
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1302,14 +1253,6 @@
             oprot.writeFieldBegin('map_push', TType.STRUCT, 3)
             self.map_push.write(oprot)
             oprot.writeFieldEnd()
-        if self.manifest_push is not None:
-            oprot.writeFieldBegin('manifest_push', TType.STRUCT, 4)
-            self.manifest_push.write(oprot)
-            oprot.writeFieldEnd()
-        if self.servers_push is not None:
-            oprot.writeFieldBegin('servers_push', TType.STRUCT, 5)
-            self.servers_push.write(oprot)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1380,7 +1323,7 @@
     (3, TType.I64, 'sent_ms', None, None, ),  # 3
     (4, TType.I64, 'echo_ms', None, None, ),  # 4
     (5, TType.BOOL, 'leaving', None, None, ),  # 5
-    (6, TType.I64, 'manifest_version', None, None, ),  # 6
+    (6, TType.MAP, 'table_versions', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
     (7, TType.I32, 'store_age_ms', None, None, ),  # 7
     (8, TType.LIST, 'views', (TType.STRUCT, [ServiceView, None], False), None, ),  # 8
     (9, TType.STRING, 'in_flight', 'BINARY', None, ),  # 9
@@ -1390,10 +1333,8 @@
     None,  # 0
     (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'sampling', None, None, ),  # 3
-    (4, TType.STRING, 'keys', 'BINARY', None, ),  # 4
-    (5, TType.STRING, 'failed', 'BINARY', None, ),  # 5
-    (6, TType.STRING, 'answered', 'BINARY', None, ),  # 6
+    (3, TType.STRING, 'keys', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'samples', 'BINARY', None, ),  # 4
 )
 all_structs.append(MapPush)
 MapPush.thrift_spec = (
@@ -1402,21 +1343,19 @@
     (2, TType.I32, 'step', None, None, ),  # 2
     (3, TType.STRUCT, 'ranges', [RangeMap, None], None, ),  # 3
 )
-all_structs.append(ManifestPush)
-ManifestPush.thrift_spec = (
+all_structs.append(CopiedRow)
+CopiedRow.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'version', None, None, ),  # 1
-    (2, TType.I32, 'part', None, None, ),  # 2
-    (3, TType.I32, 'parts', None, None, ),  # 3
-    (4, TType.STRING, 'data', 'BINARY', None, ),  # 4
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
 )
-all_structs.append(ServersPush)
-ServersPush.thrift_spec = (
+all_structs.append(TableCopy)
+TableCopy.thrift_spec = (
     None,  # 0
-    (1, TType.I32, 'part', None, None, ),  # 1
-    (2, TType.I32, 'parts', None, None, ),  # 2
-    (3, TType.I64, 'version', None, None, ),  # 3
-    (4, TType.STRING, 'data', 'BINARY', None, ),  # 4
+    (1, TType.I64, 'store_version', None, None, ),  # 1
+    (2, TType.I64, 'changed_version', None, None, ),  # 2
+    (3, TType.LIST, 'rows', (TType.STRUCT, [CopiedRow, None], False), None, ),  # 3
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
@@ -1424,8 +1363,6 @@
     (1, TType.STRUCT, 'heartbeat', [Heartbeat, None], None, ),  # 1
     (2, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 2
     (3, TType.STRUCT, 'map_push', [MapPush, None], None, ),  # 3
-    (4, TType.STRUCT, 'manifest_push', [ManifestPush, None], None, ),  # 4
-    (5, TType.STRUCT, 'servers_push', [ServersPush, None], None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/nutmeglead/entry/copies.py
@@ -0,0 +1,113 @@
+"""Take the store's tables from peers while the store does not serve this node."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+
+from result import Err
+
+from nutmeglead._generated.peers.ttypes import TableCopy
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.entry.watch import TableWatch
+from nutmeglead.forwarding.model import ClientLimits
+from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.messages import RequestHead
+from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
+from nutmeglead.peers.membership import Membership, Peer
+from nutmeglead.platform.node_settings import NodeSettings
+
+__all__ = ["TableCopies"]
+
+logger = logging.getLogger(__name__)
+
+COPY_PATH = "/copies/"
+CHECK_INTERVAL_MS = 200
+# The own feed brings a change within this time while the store serves this node.
+FEED_DELAY_MS = 500
+FETCH_TIMEOUT_MS = 1_000
+
+
+class TableCopies:
+    """Serve copies of tables to peers, and fetch newer ones from them."""
+
+    def __init__(
+        self,
+        watches: Sequence[TableWatch],
+        membership: Membership,
+        fetcher: HttpFetcher,
+        clock: Clock,
+        settings: NodeSettings,
+    ) -> None:
+        self._watches = {watch.table: watch for watch in watches}
+        self._membership = membership
+        self._fetcher = fetcher
+        self._clock = clock
+        self._settings = settings
+        self._behind_since_ms: dict[str, int] = {}
+        limits = ClientLimits()
+        edge = CallerLimits(
+            limits.head_size_bytes, 0, limits.head_timeout_ms, limits.idle_timeout_ms
+        )
+        self._server = PipelineServer(self._answer, lambda: edge, clock)
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        await self._server.start(self._settings.ip, self._settings.peer_port)
+
+    async def _answer(self, exchange: CallerExchange) -> None:
+        path = exchange.head.target.decode("latin-1")
+        watch = self._watches.get(path.removeprefix(COPY_PATH))
+        if watch is None:
+            await exchange.respond(404, [], b"")
+        else:
+            await exchange.respond(200, [], encode(watch.copy()))
+
+    async def run(self) -> None:
+        """Look for newer copies until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+            for table, watch in self._watches.items():
+                peer = self._find_newer(table, watch)
+                if peer is not None:
+                    await self._fetch(table, watch, peer)
+
+    def _find_newer(self, table: str, watch: TableWatch) -> Peer | None:
+        """Return the peer with the newest copy, once the own feed is late."""
+        now_ms = self._clock.now_ms()
+        newest: Peer | None = None
+        version = watch.changed_version
+        for peer in self._membership:
+            if peer.heartbeat is None or not self._membership.is_alive(peer.node_id, now_ms):
+                continue
+            told = peer.heartbeat.table_versions.get(table, 0)
+            if told > version:
+                newest, version = peer, told
+        if newest is None:
+            self._behind_since_ms.pop(table, None)
+            return None
+        since_ms = self._behind_since_ms.setdefault(table, now_ms)
+        return newest if now_ms - since_ms >= FEED_DELAY_MS else None
+
+    async def _fetch(self, table: str, watch: TableWatch, peer: Peer) -> None:
+        head = RequestHead(b"GET", (COPY_PATH + table).encode())
+        address = (peer.row.ip, peer.row.peer_port)
+        fetched = await self._fetcher.fetch(*address, head, b"", FETCH_TIMEOUT_MS)
+        if isinstance(fetched, Err):
+            logger.info("no copy of %s from %s: %s", table, peer.node_id, fetched.err_value)
+            return
+        decoded = decode(TableCopy, fetched.ok_value[1])
+        if isinstance(decoded, Err):
+            log_event(
+                logger, Event.MESSAGE_REFUSED, sender=peer.node_id, error=str(decoded.err_value)
+            )
+            return
+        watch.take_copy(decoded.ok_value)
+        log_event(
+            logger,
+            Event.TABLE_COPIED,
+            table=table,
+            peer=peer.node_id,
+            version=decoded.ok_value.changed_version,
+        )
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 
 from result import Err
 
@@ -12,6 +12,7 @@
 from nutmeglead.core.codec import encode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.entry.copies import TableCopies
 from nutmeglead.entry.tables import (
     NODES_TABLE,
     apply_manifest_rows,
@@ -24,7 +25,7 @@
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
-from nutmeglead.peers.codec import decode_keys, encode_keys
+from nutmeglead.peers.codec import decode_keys, decode_samples, encode_keys, encode_samples
 from nutmeglead.peers.membership import Membership, Peer
 from nutmeglead.peers.service import PeerHandler, PeerService
 from nutmeglead.platform.grants import GrantClient
@@ -43,12 +44,14 @@
 HOUSEKEEPING_MS = 250
 # A map is sent again to a peer that lacks it no sooner than this.
 PUSH_INTERVAL_MS = 250
+# Waiting requests are placed anew after others' reports no more often than this.
+WAKE_INTERVAL_MS = 30
 MAX_REPORTED_KEYS = 2_000
 # After SIGTERM the balancer takes two questions, one a second, to leave a node out.
 LEAVE_ROTATION_MS = 2_300
 STOP_MARGIN_MS = 500
 # Several server entries change together; their feed is asked again after a pause.
-SERVERS_SETTLE_MS = 150
+SERVERS_SETTLE_MS = 300
 MANIFEST_SETTLE_MS = 50
 NODES_SETTLE_MS = 300
 
@@ -66,7 +69,7 @@
         self.store = StoreClient(
             settings.store.ip, settings.store.port, self._store_fetcher, STORE_TIMEOUT_MS
         )
-        self._order_fetcher = HttpFetcher(max_idle_count=3, max_body_bytes=65_536)
+        self._order_fetcher = HttpFetcher(max_idle_count=3, max_body_bytes=8_388_608)
         self.membership = Membership(settings.node_id)
         self.registry = ServerRegistry()
         self.peers = PeerService(self.membership, self.incarnation, self, clock)
@@ -74,6 +77,7 @@
         self._work_by_peer: dict[NodeId, dict[int, int]] = {}
         self._work_elsewhere: dict[int, int] = {}
         self._pushed_ms: dict[NodeId, int] = {}
+        self._woken_ms = 0
         self._keys: dict[ServiceName, list[int]] = {}
         self.forwarder = Forwarder(
             self.registry,
@@ -87,6 +91,13 @@
         )
         self.front = PipelineServer(self.forwarder.handle, self._limits, clock)
         self.ready = PipelineServer(self._answer_ready, self._limits, clock)
+        self._copied = [
+            self._watch(MANIFEST_TABLE, self._on_manifest, MANIFEST_SETTLE_MS),
+            self._watch(SERVERS_TABLE, self._on_servers, SERVERS_SETTLE_MS),
+        ]
+        self._copies = TableCopies(
+            self._copied, self.membership, self._order_fetcher, clock, settings
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self.is_stopping = False
 
@@ -98,13 +109,10 @@
         await self.ready.start(settings.ip, settings.ready_port)
         await self.front.start(settings.ip, settings.front_port)
         await self.peers.start(settings.ip, settings.peer_port)
-        for table, apply, settle_ms in (
-            (MANIFEST_TABLE, self._on_manifest, MANIFEST_SETTLE_MS),
-            (SERVERS_TABLE, self._on_servers, SERVERS_SETTLE_MS),
-            (NODES_TABLE, self._on_nodes, NODES_SETTLE_MS),
-        ):
-            watch = TableWatch(self.store, table, apply, self.contact, self._rng, settle_ms)
+        await self._copies.start()
+        for watch in (*self._copied, self._watch(NODES_TABLE, self._on_nodes, NODES_SETTLE_MS)):
             self._spawn(watch.run())
+        self._spawn(self._copies.run())
         self._spawn(self._register())
         self._spawn(self.peers.run())
         self._spawn(self._keep_house())
@@ -129,6 +137,11 @@
         self._order_fetcher.close()
         return cut_off
 
+    def _watch(
+        self, table: str, apply: Callable[[StoreRows, bool], None], settle_ms: int
+    ) -> TableWatch:
+        return TableWatch(self.store, table, apply, self.contact, self._rng, settle_ms)
+
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         task.add_done_callback(_raise_failure)
@@ -213,6 +226,7 @@
             self.registry,
             GrantClient(self._order_fetcher),
             self.settings.bounds.max_hold_ms,
+            self.store_age_ms,
             self._push_map,
             self.forwarder.set_ranges,
         )
@@ -226,10 +240,9 @@
         """Return what this node knows of each service with keys."""
         return [controller.view() for controller in self.controllers.values()]
 
-    def manifest_version(self) -> int:
-        """Return the version of the manifest in force."""
-        manifest = self.forwarder.manifest
-        return 0 if manifest is None else manifest.version
+    def table_versions(self) -> dict[str, int]:
+        """Return the version of the newest change known of each copied table."""
+        return {watch.table: watch.changed_version for watch in self._copied}
 
     def store_age_ms(self) -> int:
         """Return the time since the store last answered."""
@@ -248,7 +261,9 @@
             if view is not None:
                 controller.take_view(view.view)
             self._push_if_behind(peer, controller, now_ms)
-        self.forwarder.wake()
+        if now_ms - self._woken_ms >= WAKE_INTERVAL_MS:
+            self._woken_ms = now_ms
+            self.forwarder.wake()
 
     def _set_work(self, node_id: NodeId, work: dict[int, int]) -> None:
         for tag, count in self._work_by_peer.get(node_id, {}).items():
@@ -303,10 +318,14 @@
         now_ms = self.clock.now_ms()
         for service, controller in self.controllers.items():
             keys = self._keys.pop(service, [])
+            samples = self.forwarder.take_samples(service)
             if controller.is_acting:
                 controller.hits.add(keys, now_ms)
-            elif controller.acting_id is not None and keys:
-                report = LoadReport(self.settings.node_id, service, 1, encode_keys(keys), b"", b"")
+                controller.take_samples(samples)
+            elif controller.acting_id is not None and (keys or samples):
+                report = LoadReport(
+                    self.settings.node_id, service, encode_keys(keys), encode_samples(samples)
+                )
                 self.peers.report(report, controller.acting_id)
 
     def on_load_report(self, report: LoadReport) -> None:
@@ -314,6 +333,7 @@
         controller = self.controllers.get(ServiceName(report.service_name))
         if controller is not None:
             controller.hits.add(decode_keys(report.keys), self.clock.now_ms())
+            controller.take_samples(decode_samples(report.samples))
 
 
 def _raise_failure(task: "asyncio.Task[None]") -> None:
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -7,9 +7,16 @@
 
 from result import Err, Ok, Result
 
+from nutmeglead._generated.peers.ttypes import CopiedRow, TableCopy
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
-from nutmeglead.platform.store import StoreClient, StoreHistoryLost, StoreRows, StoreUnavailable
+from nutmeglead.platform.store import (
+    StoreClient,
+    StoreHistoryLost,
+    StoreRow,
+    StoreRows,
+    StoreUnavailable,
+)
 
 __all__ = ["StoreContact", "TableWatch"]
 
@@ -77,7 +84,27 @@
         self._rng = rng
         self._settle_ms = settle_ms
         self.version = 0
-        self.has_snapshot = False
+        # Version of the newest change of the table; `version` grows with changes of any table.
+        self.changed_version = 0
+        self._rows: dict[str, StoreRow] = {}
+
+    @property
+    def table(self) -> str:
+        """Return the table's name."""
+        return self._table
+
+    def copy(self) -> TableCopy:
+        """Return the rows for a node that the store turns away."""
+        rows = [CopiedRow(row.key, row.version, row.value) for row in self._rows.values()]
+        return TableCopy(self.version, self.changed_version, rows)
+
+    def take_copy(self, copy: TableCopy) -> None:
+        """Apply another node's rows if they are newer."""
+        if copy.changed_version <= self.changed_version or copy.store_version < self.version:
+            return
+        rows = [StoreRow(self._table, "", row.key, row.value, row.version) for row in copy.rows]
+        self._take(StoreRows(tuple(rows), copy.store_version), True)
+        self.changed_version = copy.changed_version
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -107,9 +134,23 @@
             is_snapshot = True
         if isinstance(fed, Err):
             return fed
-        rows = fed.ok_value
+        if fed.ok_value.version < self.version:
+            # A peer's copy that came meanwhile is newer.
+            return Ok(None)
+        self._take(fed.ok_value, is_snapshot)
+        return Ok(None)
+
+    def _take(self, rows: StoreRows, is_snapshot: bool) -> None:
+        if is_snapshot:
+            self._rows.clear()
+        for row in rows.rows:
+            if row.part:
+                continue
+            self.changed_version = max(self.changed_version, row.version)
+            if row.value is None:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
+        self.version = rows.version
         if rows.rows or is_snapshot:
             self._apply(rows, is_snapshot)
-        self.has_snapshot = True
-        self.version = rows.version if is_snapshot else max(self.version, rows.version)
-        return Ok(None)
--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -119,9 +119,7 @@
 
     # ---- placing ----
 
-    async def acquire(
-        self, request: CallerRequest, tried: frozenset[ServerLife], until_ms: int
-    ) -> Upstream:
+    async def acquire(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Upstream:
         """Return a server with room for a request; raise Overloaded if there is none in time.
 
         Servers that were tried are used again only for a key, which has one owner.
@@ -131,8 +129,38 @@
             return placed
         if len(self._waiters) >= self._settings.max_waiting:
             raise self._overloaded("too many requests wait on this node")
+        until_ms = self._wait_until_ms(request, tried)
+        if until_ms <= self._clock.now_ms():
+            raise self._overloaded("the servers are too busy to answer in time")
         return await self._wait(request, tried, until_ms)
 
+    def _wait_until_ms(self, request: CallerRequest, tried: frozenset[ServerLife]) -> int:
+        """Return how long waiting is of use: 0 if the answer is expected too late already.
+
+        Under lasting overload only answers within the target latency are worth a slot, which
+        another request would use in time; a burst is served late instead.
+        """
+        now_ms = self._clock.now_ms()
+        upstream = self._owner(request) if self.spec.has_keys else self._best(request, tried)
+        if upstream is None:
+            return request.deadline_ms
+        limit_ms = request.deadline_ms
+        if upstream.is_congested(now_ms):
+            limit_ms = min(limit_ms, request.received_ms + request.route.target_latency_ms)
+        expected_ms = upstream.expected_ms(now_ms, self._ahead(request))
+        if now_ms + expected_ms > limit_ms:
+            return 0
+        return round(limit_ms - upstream.service_time_ms)
+
+    def _ahead(self, request: CallerRequest) -> int:
+        """Count the requests on this node that wait for the same server, or for any."""
+        if not self.spec.has_keys or self.ranges is None or request.key is None:
+            ready = sum(upstream.is_ready for upstream in self.upstreams.values())
+            return len(self._waiters) // max(1, ready)
+        owner = self.ranges.locate(request.key).owner
+        keys = (waiter.request.key for waiter in self._waiters)
+        return sum(key is not None and self.ranges.locate(key).owner == owner for key in keys)
+
     def _is_overtaking(self, request: CallerRequest) -> bool:
         """Tell whether requests without a key of the same or a higher priority wait already."""
         if self.spec.has_keys:
@@ -226,7 +254,12 @@
         upstream.in_flight_elsewhere = self._work_elsewhere(upstream.tag)
         limit = upstream.record.slots * self._settings.queue_ratio
         # Work told by others is up to two heartbeats old; one request may always be tried.
-        return upstream.in_flight == 0 or upstream.total_in_flight < limit
+        has_room = upstream.in_flight == 0 or upstream.total_in_flight < limit
+        if upstream.total_in_flight < limit:
+            upstream.full_since_ms = None
+        elif upstream.full_since_ms is None:
+            upstream.full_since_ms = self._clock.now_ms()
+        return has_room
 
     def _overloaded(self, reason: str) -> Overloaded:
         ready = [upstream for upstream in self.upstreams.values() if upstream.is_ready]
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -131,6 +131,14 @@
                     counts[upstream.tag] += upstream.in_flight
         return counts
 
+    def take_samples(self, name: ServiceName) -> dict[int, tuple[int, float]]:
+        """Return the answers per server tag of a service since the last call."""
+        service = self.services.get(name)
+        if service is None:
+            return {}
+        taken = {upstream.tag: upstream.take_samples() for upstream in service.upstreams.values()}
+        return {tag: sample for tag, sample in taken.items() if sample[0]}
+
     def wake(self) -> None:
         """Place waiting requests after other nodes have told of their work."""
         for service in self.services.values():
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -94,9 +94,7 @@
     async def _attempt_until_answered(self) -> Answer | None:
         while True:
             try:
-                upstream = await self._service.acquire(
-                    self._request, frozenset(self._tried), self._request.deadline_ms
-                )
+                upstream = await self._service.acquire(self._request, frozenset(self._tried))
             except Overloaded as error:
                 self.failure = error
                 return self._kept_answer
--- a/nutmeglead/forwarding/upstream.py
+++ b/nutmeglead/forwarding/upstream.py
@@ -21,6 +21,8 @@
 TIME_WEIGHT = 0.15
 FAILURE_HALF_LIFE_MS = 2_000
 INITIAL_TIME_MS = 100.0
+# A burst that is served within the target latency of today's routes ends sooner.
+CONGESTED_AFTER_MS = 400
 
 
 @dataclass
@@ -44,6 +46,10 @@
     connection_count: int = 0
     # Time since which the server must not be used, because it leaves or is gone.
     closed_since_ms: int | None = None
+    # Time since which requests have found no room here, or None.
+    full_since_ms: int | None = None
+    sample_count: int = 0
+    sample_total_ms: float = 0.0
     _failures: float = 0.0
     _failures_ms: int = 0
     _idle: list[_IdleConnection] = field(default_factory=list)
@@ -73,17 +79,29 @@
         waiting = max(1.0, (self.total_in_flight + 1) / self.record.slots)
         sample = duration_ms / waiting
         self.service_time_ms += TIME_WEIGHT * (sample - self.service_time_ms)
+        self.sample_count += 1
+        self.sample_total_ms += sample
         self._failures = self.failure_rate(now_ms) * 0.8
         self._failures_ms = now_ms
 
-    def expected_ms(self, now_ms: int) -> float:
-        """Return the expected time of one more request, its wait for a slot included."""
+    def take_samples(self) -> tuple[int, float]:
+        """Return the answers and their mean service time since the last call."""
+        count, total_ms = self.sample_count, self.sample_total_ms
+        self.sample_count, self.sample_total_ms = 0, 0.0
+        return count, total_ms / count if count else 0.0
+
+    def expected_ms(self, now_ms: int, ahead: int = 0) -> float:
+        """Return the expected time of one more request behind some that wait on this node."""
         time_ms = self.service_time_ms
         if now_ms < self.cold_until_ms:
             time_ms *= 2
-        queued = max(0, self.total_in_flight + 1 - self.record.slots)
+        queued = max(0, self.total_in_flight + ahead + 1 - self.record.slots)
         return time_ms * (1 + queued / self.record.slots)
 
+    def is_congested(self, now_ms: int) -> bool:
+        """Tell whether the server has been full for longer than a burst takes."""
+        return self.full_since_ms is not None and now_ms - self.full_since_ms >= CONGESTED_AFTER_MS
+
     async def take_connection(
         self, may_repeat: bool, timeout_ms: int
     ) -> Result[tuple[ClientConnection, bool], NoConnection]:
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -19,6 +19,8 @@
 __all__ = ["ClientConnection", "HttpFetcher", "connect"]
 
 MAX_HEAD_BYTES = 32_768
+# A call may wait long for its answer, but a peer that is there accepts a connection at once.
+CONNECT_TIMEOUT_MS = 600
 
 
 class ClientConnection:
@@ -200,7 +202,7 @@
         """Send a request and return the head and body of its response."""
         connection = self._take_idle(ip, port)
         if connection is None:
-            opened = await connect(ip, port, timeout_ms)
+            opened = await connect(ip, port, min(timeout_ms, CONNECT_TIMEOUT_MS))
             if isinstance(opened, Err):
                 return opened
             connection = opened.ok_value
--- a/nutmeglead/peers/codec.py
+++ b/nutmeglead/peers/codec.py
@@ -14,9 +14,11 @@
 __all__ = [
     "decode_datagram",
     "decode_keys",
+    "decode_samples",
     "decode_work",
     "encode_datagram",
     "encode_keys",
+    "encode_samples",
     "encode_work",
     "server_tag",
 ]
@@ -59,6 +61,22 @@
     return dict(zip(flat[::2], flat[1::2], strict=True))
 
 
+def encode_samples(samples: Mapping[int, tuple[int, float]]) -> bytes:
+    """Return tags with counts of answers and their mean times in ms, 6 bytes each."""
+    flat = [
+        min(round(value), MAX_COUNT)
+        for tag, (count, mean_ms) in samples.items()
+        for value in (tag, count, mean_ms)
+    ]
+    return struct.pack(f"<{len(flat)}H", *flat)
+
+
+def decode_samples(data: bytes) -> dict[int, tuple[int, int]]:
+    """Return the count and the mean time in ms for each tag; a cut tail is dropped."""
+    flat = struct.unpack(f"<{len(data) // 6 * 3}H", data[: len(data) // 6 * 6])
+    return {flat[i]: (flat[i + 1], flat[i + 2]) for i in range(0, len(flat), 3)}
+
+
 def encode_keys(keys: Iterable[int]) -> bytes:
     """Return keys or tags, 2 bytes each."""
     listed = list(keys)
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -11,6 +11,8 @@
 HEARTBEAT_INTERVAL_MS = 150
 # Three heartbeats and half an interval more, so that one lost datagram changes nothing.
 SILENT_AFTER_MS = 550
+# A call may fail once; a store that has not answered for this time does not serve the node.
+STORE_SILENT_AFTER_MS = 1_000
 
 
 @dataclass
@@ -103,8 +105,16 @@
         return sorted([*ids, self.own_id])
 
     def rank(self, now_ms: int) -> int:
-        """Return how many living nodes come before this one."""
-        return self.alive_ids(now_ms).index(self.own_id)
+        """Return how many living nodes that reach the store come before this one."""
+        before = [node_id for node_id in self.alive_ids(now_ms) if node_id < self.own_id]
+        return sum(self.reaches_store(node_id) for node_id in before)
+
+    def reaches_store(self, node_id: NodeId) -> bool:
+        """Tell whether the store answers a peer, as it last told."""
+        peer = self._peers.get(node_id)
+        if peer is None or peer.heartbeat is None:
+            return False
+        return bool(peer.heartbeat.store_age_ms <= STORE_SILENT_AFTER_MS)
 
     def majority_echo_ms(self, service: ServiceName, map_version: int, now_ms: int) -> int | None:
         """Return the latest own time at which a majority knew no newer map, or None.
--- a/nutmeglead/peers/service.py
+++ b/nutmeglead/peers/service.py
@@ -31,9 +31,9 @@
         """Return what this node knows of each service with keys."""
         return []
 
-    def manifest_version(self) -> int:
-        """Return the version of the manifest in force, 0 for none."""
-        return 0
+    def table_versions(self) -> dict[str, int]:
+        """Return the version of the newest change known of each of the store's tables."""
+        return {}
 
     def store_age_ms(self) -> int:
         """Return the time since the store last answered."""
@@ -119,7 +119,7 @@
             now_ms,
             0,
             self.is_leaving,
-            self._handler.manifest_version(),
+            self._handler.table_versions(),
             min(self._handler.store_age_ms(), 2**31 - 1),
             self._handler.views(),
             encode_work(self._handler.work()),
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from result import Err
@@ -11,8 +11,9 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
-from nutmeglead.forwarding.model import ServerLife, ServerState
+from nutmeglead.forwarding.model import ServerLife, ServerRecord, ServerState
 from nutmeglead.forwarding.registry import ServerRegistry
+from nutmeglead.peers.codec import server_tag
 from nutmeglead.peers.membership import Membership
 from nutmeglead.platform.grants import GrantClient
 from nutmeglead.platform.store import StoreAnswerLost, StoreUnavailable
@@ -30,6 +31,7 @@
 from nutmeglead.ranges.orders import Orders
 from nutmeglead.ranges.rights import RENEW_RIGHT_MS, RenewalRights
 from nutmeglead.ranges.role import RoleLost, RoleRows
+from nutmeglead.ranges.speed import ServerSpeeds
 from nutmeglead.ranges.transfer import Transfers
 
 __all__ = ["ControllerContext", "RangeController"]
@@ -45,6 +47,8 @@
 # Each rank waits longer before it takes a silent controller's role, so that few try at once.
 RANK_DELAY_MS = 250
 STORE_RETRY_MS = 250
+# A server that has just started works at half speed.
+COLD_FACTOR = 2.0
 
 
 @dataclass(frozen=True)
@@ -58,6 +62,7 @@
     registry: ServerRegistry
     grants: GrantClient
     max_hold_ms: int
+    store_age_ms: Callable[[], int]
     push_map: Callable[[RangeMap, int], None]
     on_map: Callable[[RangeMap], None]
 
@@ -73,6 +78,7 @@
         self.acting_id: NodeId | None = None
         self.hits = HitWindow()
         self.health = HolderHealth()
+        self.speeds = ServerSpeeds()
         self._rows = rows
         self._context = context
         self._clock = context.clock
@@ -203,10 +209,13 @@
     async def _watch_role(self, now_ms: int) -> None:
         """Take the role when its holder is silent and this node is next in rank."""
         membership = self._context.membership
-        known = self.acting_id is not None and self.acting_id != self._context.node_id
-        if known and self.acting_id and membership.is_alive(self.acting_id, now_ms):
-            self._silent_since_ms = None
-            return
+        acting_id = self.acting_id
+        if acting_id is not None and acting_id != self._context.node_id:
+            # One that the store turns away cannot move keys; it gives way to one that can.
+            is_served = membership.reaches_store(acting_id) or self._context.store_age_ms() > 0
+            if is_served and membership.is_alive(acting_id, now_ms):
+                self._silent_since_ms = None
+                return
         if self._silent_since_ms is None:
             self._silent_since_ms = now_ms
         waited_ms = now_ms - self._silent_since_ms
@@ -227,8 +236,10 @@
         membership = self._context.membership
         if role is not None and role.epoch > self.role_epoch:
             self._follow(role.epoch, NodeId(role.node_id))
-            is_other = NodeId(role.node_id) != self._context.node_id
-            if is_other and membership.is_alive(NodeId(role.node_id), self._clock.now_ms()):
+            acting_id = self.acting_id or self._context.node_id
+            is_alive = membership.is_alive(acting_id, self._clock.now_ms())
+            is_served = is_alive and membership.reaches_store(acting_id)
+            if acting_id != self._context.node_id and is_served:
                 return
         epoch = max(self.role_epoch, role.epoch if role else 0) + 1
         taken = await self._rows.take(epoch)
@@ -282,11 +293,26 @@
         """Return the servers that may own ranges."""
         ready = self._context.registry.ready(self.service)
         return {
-            life: ServerLoad(record.slots)
+            life: ServerLoad(record.slots * 1000 / self._service_time_ms(record, now_ms))
             for life, record in ready.items()
             if not self.health.is_lost(life, now_ms)
         }
 
+    def _service_time_ms(self, record: ServerRecord, now_ms: int) -> float:
+        time_ms = self.speeds.time_ms(server_tag(record.server_id), now_ms)
+        seen_ms = self._context.registry.seen_ms.get(record.life, now_ms)
+        is_cold = now_ms - seen_ms < record.cold_left_ms
+        return time_ms * COLD_FACTOR if is_cold else time_ms
+
+    def take_samples(self, samples: Mapping[int, tuple[int, float]]) -> None:
+        """Enter the answers that a node has had from this service's servers."""
+        now_ms = self._clock.now_ms()
+        for tag, (count, mean_ms) in samples.items():
+            self.speeds.add(tag, count, mean_ms, now_ms)
+        for record in self._context.registry.records(self.service):
+            if server_tag(record.server_id) in samples:
+                self.health.on_answer(record.life, now_ms)
+
     def _urgent_moves(self, servers: dict[ServerLife, ServerLoad], now_ms: int) -> list[Move]:
         """Give away what lost or leaving servers own, and renew fences that are too low."""
         assert self.ranges is not None
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -50,6 +50,7 @@
 }
 
 // `sent_ms` is the sender's boot-time clock; `echo_ms` is the last `sent_ms` that the sender had from the receiver.
+// `table_versions` is the version of the newest change that the sender has of each table.
 // `in_flight` holds, per server with work, a 2-byte tag of its id and a 2-byte count.
 struct Heartbeat {
   1: required string node_id,
@@ -57,21 +58,19 @@
   3: required i64 sent_ms,
   4: required i64 echo_ms,
   5: required bool leaving,
-  6: required i64 manifest_version,
+  6: required map<string, i64> table_versions,
   7: required i32 store_age_ms,
   8: required list<ServiceView> views,
   9: required binary in_flight,
 }
 
-// Keys of the requests since the last report, 2 bytes each; every `sampling`-th request is listed.
-// `failed` and `answered` hold the tags of servers seen failing or answering since the last report.
+// Keys of the requests since the last report, 2 bytes each. `samples` holds, per server that has answered, its tag,
+// the number of answers and their mean service time in ms, 2 bytes each.
 struct LoadReport {
   1: required string node_id,
   2: required string service_name,
-  3: required i32 sampling,
-  4: required binary keys,
-  5: required binary failed,
-  6: required binary answered,
+  3: required binary keys,
+  4: required binary samples,
 }
 
 struct MapPush {
@@ -80,25 +79,21 @@
   3: required RangeMap ranges,
 }
 
-// Bytes of a store row that the receiver lacks because the store turns it away.
-struct ManifestPush {
-  1: required i64 version,
-  2: required i32 part,
-  3: required i32 parts,
-  4: required binary data,
+// A copy of a table of the store, for a node that the store turns away.
+struct CopiedRow {
+  1: required string key,
+  2: required i64 version,
+  3: required binary value,
 }
 
-struct ServersPush {
-  1: required i32 part,
-  2: required i32 parts,
-  3: required i64 version,
-  4: required binary data,
+struct TableCopy {
+  1: required i64 store_version,
+  2: required i64 changed_version,
+  3: required list<CopiedRow> rows,
 }
 
 union Datagram {
   1: Heartbeat heartbeat,
   2: LoadReport load_report,
   3: MapPush map_push,
-  4: ManifestPush manifest_push,
-  5: ServersPush servers_push,
 }
