--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -57,12 +57,16 @@
         await self._server.start(self._settings.ip, self._settings.peer_port)
 
     async def _answer(self, exchange: CallerExchange) -> None:
-        path = exchange.head.target.decode("latin-1")
-        watch = self._watches.get(path.removeprefix(COPY_PATH))
-        if watch is None:
+        copy = self.encoded(exchange.head.target.decode("latin-1"))
+        if copy is None:
             await exchange.respond(404, [], b"")
         else:
-            await exchange.respond(200, [], encode(watch.copy()))
+            await exchange.respond(200, [], copy)
+
+    def encoded(self, path: str) -> bytes | None:
+        """Return the copy that a path names, or None."""
+        watch = self._watches.get(path.removeprefix(COPY_PATH))
+        return None if watch is None else encode(watch.copy())
 
     async def run(self) -> None:
         """Look for newer copies until cancelled."""
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -59,17 +59,26 @@
 class EntryProcess(PeerHandler):
     """Connect the parts of one entry VM."""
 
-    def __init__(self, settings: NodeSettings, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        rng: random.Random,
+        store_fetcher: HttpFetcher | None = None,
+        order_fetcher: HttpFetcher | None = None,
+    ) -> None:
         self.settings = settings
         self.clock = clock
         self.incarnation = clock.wall_ms()
         self._rng = rng
         self.contact = StoreContact(clock)
-        self._store_fetcher = HttpFetcher(max_idle_count=6)
+        self._store_fetcher = store_fetcher or HttpFetcher(max_idle_count=6)
         self.store = StoreClient(
             settings.store.ip, settings.store.port, self._store_fetcher, STORE_TIMEOUT_MS
         )
-        self._order_fetcher = HttpFetcher(max_idle_count=3, max_body_bytes=8_388_608)
+        self._order_fetcher = order_fetcher or HttpFetcher(
+            max_idle_count=3, max_body_bytes=8_388_608
+        )
         self.membership = Membership(settings.node_id)
         self.registry = ServerRegistry()
         self.peers = PeerService(self.membership, self.incarnation, self, clock)
@@ -105,11 +114,19 @@
 
     async def start(self) -> None:
         """Bind the ports and begin to follow the store and the peers."""
+        await self.bind()
+        self.begin()
+
+    async def bind(self) -> None:
+        """Bind the ports."""
         settings = self.settings
         await self.ready.start(settings.ip, settings.ready_port)
         await self.front.start(settings.ip, settings.front_port)
         await self.peers.start(settings.ip, settings.peer_port)
         await self._copies.start()
+
+    def begin(self) -> None:
+        """Begin to follow the store and the peers."""
         for watch in (*self._copied, self._watch(NODES_TABLE, self._on_nodes, NODES_SETTLE_MS)):
             self._spawn(watch.run())
         self._spawn(self._copies.run())
@@ -137,6 +154,16 @@
         self._order_fetcher.close()
         return cut_off
 
+    def abandon(self) -> None:
+        """End all tasks at once, as a kill does."""
+        for task in self._tasks:
+            task.cancel()
+        self.peers.close()
+
+    def encoded_copy(self, path: str) -> bytes:
+        """Return a copy of a table, as peers fetch it."""
+        return self._copies.encoded(path) or b""
+
     def _watch(
         self, table: str, apply: Callable[[StoreRows, bool], None], settle_ms: int
     ) -> TableWatch:
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -99,6 +99,7 @@
         self._silent_since_ms: int | None = None
         self._next_balance_ms = 0
         self._next_store_ms = 0
+        self._next_check_ms = 0
         self._unsettled_since_ms: int | None = None
         self._servers_seen = (0, 0)
         self._store_check: asyncio.Task[None] | None = None
@@ -167,30 +168,34 @@
 
     async def run(self) -> None:
         """Follow the service until cancelled."""
+        # Renewals must not wait for a slow store.
+        renewals = asyncio.get_running_loop().create_task(self._renew())
         try:
             while True:
-                await self._tick()
+                if not self._has_role and not self.is_leaving_node:
+                    await self._watch_role(self._clock.now_ms())
+                if self._has_role:
+                    await self._place(self._clock.now_ms())
                 await asyncio.sleep(TICK_MS / 1000)
         finally:
+            renewals.cancel()
             self._transfers.stop()
             self.orders.close()
 
-    async def _tick(self) -> None:
-        now_ms = self._clock.now_ms()
-        if self.speaks(now_ms) and self.ranges is not None:
-            if not self._rights.is_confirmed_by_majority(self.ranges.version, now_ms):
-                self._ask_store(now_ms)
-            self.orders.renew_due()
-        if not self._has_role and not self.is_leaving_node:
-            await self._watch_role(now_ms)
-        if self._has_role:
-            await self._place(self._clock.now_ms())
+    async def _renew(self) -> None:
+        while True:
+            now_ms = self._clock.now_ms()
+            if self.ranges is not None and self.speaks(now_ms):
+                if not self._rights.is_confirmed_by_majority(self.ranges.version, now_ms):
+                    self._ask_store(now_ms)
+                self.orders.renew_due()
+            await asyncio.sleep(TICK_MS / 1000)
 
     def _ask_store(self, now_ms: int) -> None:
         """Let the store confirm the map while no majority does."""
-        if now_ms < self._next_store_ms or self._store_check is not None:
+        if now_ms < self._next_check_ms or self._store_check is not None:
             return
-        self._next_store_ms = now_ms + RENEW_RIGHT_MS // 2
+        self._next_check_ms = now_ms + RENEW_RIGHT_MS // 2
         task = asyncio.get_running_loop().create_task(self._confirm_by_store(now_ms))
         self._store_check = task
 
--- a/nutmeglead/ranges/orders.py
+++ b/nutmeglead/ranges/orders.py
@@ -19,11 +19,12 @@
 
 logger = logging.getLogger(__name__)
 
-# A key is served again within 2 s of a loss: the hold runs out while the loss is being noticed.
-HOLD_MS = 2_000
+# A key is served again within 2 s of a loss (target): the interval of renewals, the timeout of the
+# last one, the hold with its drift and the next grant lie between.
+HOLD_MS = 1_200
 # Two renewals may stay unanswered before a hold runs out.
-RENEW_INTERVAL_MS = 600
-GRANT_TIMEOUT_MS = 400
+RENEW_INTERVAL_MS = 400
+GRANT_TIMEOUT_MS = 250
 # A release is answered when the work on its keys has ended.
 RELEASE_TIMEOUT_MS = 1_500
 
@@ -71,24 +72,26 @@
         # The boot-time clock is read right before the send; a VM may have been suspended.
         if current is None or not self._rights.may_send(current.version, self._clock.now_ms()):
             return Err(NoRight())
-        self._rights.note_sent(owner, self._clock.now_ms())
-        sent = await self._client.grant(
-            owner.server_id,
-            (record.ip, record.port),
-            (keys.first, keys.last),
-            keys.fence,
-            self.hold_ms,
-            handover,
-            GRANT_TIMEOUT_MS,
-        )
+        self._rights.begin_order(owner)
         # Until its connection ended, the order may have been on its way.
-        self._rights.note_sent(owner, self._clock.now_ms())
+        may_have_arrived = True
+        try:
+            sent = await self._client.grant(
+                owner.server_id,
+                (record.ip, record.port),
+                (keys.first, keys.last),
+                keys.fence,
+                self.hold_ms,
+                handover,
+                GRANT_TIMEOUT_MS,
+            )
+            may_have_arrived = not _was_not_sent(sent)
+        finally:
+            self._rights.end_order(owner, may_have_arrived, self._clock.now_ms())
         self._note(owner, sent)
         return sent
 
-    async def release(
-        self, holder: ServerLife, keys: KeyRange, timeout_ms: int
-    ) -> Result[str | None, GrantError]:
+    async def release(self, holder: ServerLife, keys: KeyRange) -> Result[str | None, GrantError]:
         """Take a range back with the fence of its next owner; return the handover."""
         record = self._registry.find(holder)
         if record is None:
@@ -98,7 +101,7 @@
             (record.ip, record.port),
             (keys.first, keys.last),
             keys.fence,
-            min(timeout_ms, RELEASE_TIMEOUT_MS),
+            RELEASE_TIMEOUT_MS,
         )
         if isinstance(released, Ok):
             self._health.on_answer(holder, self._clock.now_ms())
@@ -166,3 +169,7 @@
         """Cancel the renewals under way."""
         for task in list(self._renewing.values()):
             task.cancel()
+
+
+def _was_not_sent(sent: Result[None, GrantError]) -> bool:
+    return isinstance(sent, Err) and isinstance(sent.err_value, ServerUnreachable)
--- a/nutmeglead/ranges/rights.py
+++ b/nutmeglead/ranges/rights.py
@@ -5,7 +5,9 @@
 sees it at a majority therefore knows when the last grant of the old version was sent at the latest.
 """
 
-from nutmeglead.core.ids import NodeId, ServiceName
+from collections import Counter
+
+from nutmeglead.core.ids import ServiceName
 from nutmeglead.forwarding.model import ServerLife
 from nutmeglead.peers.membership import Membership
 
@@ -28,6 +30,8 @@
         self._store_version = -1
         self._store_confirmed_ms = -RENEW_RIGHT_MS
         self._majority_at: dict[int, int] = {}
+        # Orders under way, and when the last one that may have arrived ended.
+        self._under_way: Counter[ServerLife] = Counter()
         self._sent_ms: dict[ServerLife, int] = {}
         self._any_sent_ms = started_ms
 
@@ -52,13 +56,21 @@
         echo_ms = self._membership.majority_echo_ms(self._service, map_version, now_ms)
         return echo_ms is not None and now_ms - echo_ms <= RENEW_RIGHT_MS
 
-    def note_sent(self, life: ServerLife, now_ms: int) -> None:
-        """Note that a grant is being sent or that its connection has just ended."""
-        self._sent_ms[life] = now_ms
-        self._any_sent_ms = now_ms
+    def begin_order(self, life: ServerLife) -> None:
+        """Note that a grant is being sent."""
+        self._under_way[life] += 1
+
+    def end_order(self, life: ServerLife, may_have_arrived: bool, now_ms: int) -> None:
+        """Note that a grant was answered, or that its connection has ended."""
+        self._under_way[life] -= 1
+        if may_have_arrived:
+            self._sent_ms[life] = now_ms
+            self._any_sent_ms = now_ms
 
     def sent_ago_ms(self, now_ms: int) -> int:
         """Return the time since this node last sent any grant, or since it started."""
+        if any(self._under_way.values()):
+            return 0
         return now_ms - self._any_sent_ms
 
     def hold_end_ms(
@@ -68,7 +80,8 @@
         last_ms = self._last_sent_by_others_ms(map_version, now_ms)
         if last_ms is None:
             return None
-        last_ms = max(last_ms, self._sent_ms.get(life, self._started_ms))
+        own_ms = now_ms if self._under_way[life] else self._sent_ms.get(life, self._started_ms)
+        last_ms = max(last_ms, own_ms)
         return last_ms + round(hold_ms * (1 + CLOCK_DRIFT)) + DELIVERY_MARGIN_MS
 
     def _last_sent_by_others_ms(self, map_version: int, now_ms: int) -> int | None:
@@ -82,7 +95,3 @@
                 return None
             self._majority_at = {map_version: now_ms}
         return max(last_ms, self._majority_at[map_version] + RENEW_RIGHT_MS)
-
-    def reset_majority(self, node_id: NodeId) -> None:
-        """Forget a majority that a restarted node was part of."""
-        self._majority_at.clear()
--- a/nutmeglead/ranges/transfer.py
+++ b/nutmeglead/ranges/transfer.py
@@ -13,7 +13,7 @@
 from nutmeglead.forwarding.model import ServerLife
 from nutmeglead.platform.grants import GrantRefused
 from nutmeglead.ranges.model import KeyRange, RangeMap
-from nutmeglead.ranges.orders import RELEASE_TIMEOUT_MS, NoRight, Orders
+from nutmeglead.ranges.orders import NoRight, Orders
 from nutmeglead.ranges.rights import RenewalRights
 
 if TYPE_CHECKING:
@@ -25,7 +25,7 @@
 
 # Pause before an order is repeated; a refused connection answers at once.
 RETRY_PAUSE_MS = 60
-MIN_RELEASE_TIMEOUT_MS = 200
+HOLD_CHECK_MS = 30
 
 
 class Transfers:
@@ -87,20 +87,28 @@
 
     async def _end_hold(self, holder: ServerLife, entry: KeyRange, map_version: int) -> str | None:
         """Return the holder's handover, or None when its hold has surely ended without it."""
+        release = asyncio.get_running_loop().create_task(self._release(holder, entry))
+        try:
+            while not release.done() and not self._has_ended(holder, map_version):
+                await asyncio.wait([release], timeout=HOLD_CHECK_MS / 1000)
+            return release.result() if release.done() else None
+        finally:
+            release.cancel()
+
+    def _has_ended(self, holder: ServerLife, map_version: int) -> bool:
+        if self._context.registry.is_over(holder):
+            return True
+        now_ms = self._clock.now_ms()
+        end_ms = self._rights.hold_end_ms(holder, map_version, self._orders.hold_ms, now_ms)
+        return end_ms is not None and now_ms >= end_ms
+
+    async def _release(self, holder: ServerLife, entry: KeyRange) -> str | None:
+        """Repeat the release until it is answered; return the handover."""
         while True:
-            if self._context.registry.is_over(holder):
-                return None
-            now_ms = self._clock.now_ms()
-            end_ms = self._rights.hold_end_ms(holder, map_version, self._orders.hold_ms, now_ms)
-            if end_ms is not None and now_ms >= end_ms:
-                return None
-            left_ms = RELEASE_TIMEOUT_MS if end_ms is None else end_ms - now_ms
-            released = await self._orders.release(
-                holder, entry, max(MIN_RELEASE_TIMEOUT_MS, left_ms)
-            )
+            released = await self._orders.release(holder, entry)
             if isinstance(released, Ok):
                 return released.ok_value
-            logger.info("release of %d..%d: %s", entry.first, entry.last, released.err_value)
+            logger.debug("release of %d..%d: %s", entry.first, entry.last, released.err_value)
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
     async def _grant(self, entry: KeyRange, handover: str | None) -> bool:
@@ -115,5 +123,5 @@
                 self._orders.stale.add(entry)
                 return False
             if not isinstance(error, NoRight):
-                logger.info("grant of %d..%d: %s", entry.first, entry.last, error)
+                logger.debug("grant of %d..%d: %s", entry.first, entry.last, error)
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
