--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -150,6 +150,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.peers.close()
+        self.forwarder.close()
         self._store_fetcher.close()
         self._order_fetcher.close()
         return cut_off
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -152,6 +152,12 @@
             for upstream in service.upstreams.values():
                 upstream.close_idle(now_ms)
 
+    def close(self) -> None:
+        """Close the idle connections to servers."""
+        for service in self.services.values():
+            for upstream in service.upstreams.values():
+                upstream.close()
+
     def _follow_registry(self) -> None:
         for service in self.services.values():
             service.refresh()
