entry: structured request logs in bounded volume, and metrics

Cause: an answered request left no line, failures were logged without a bound, and there were no counters.

--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -4,7 +4,7 @@
 import logging
 import sys
 from enum import Enum
-from typing import TextIO
+from typing import Protocol
 
 __all__ = ["Event", "configure_logging", "log_event"]
 
@@ -65,6 +65,18 @@
         self.meaning = meaning
 
 
+class LogStream(Protocol):
+    """Take log lines."""
+
+    def write(self, text: str, /) -> int:
+        """Write text."""
+        ...
+
+    def flush(self) -> None:
+        """Send what was written."""
+        ...
+
+
 def log_event(logger: logging.Logger, event: Event, **fields: object) -> None:
     """Log an event with its fields."""
     if logger.isEnabledFor(event.level):
@@ -100,7 +112,7 @@
         return text
 
 
-def configure_logging(level: str, log_format: str, stream: TextIO = sys.stderr) -> None:
+def configure_logging(level: str, log_format: str, stream: LogStream = sys.stderr) -> None:
     """Send all log records to one stream."""
     handler = logging.StreamHandler(stream)
     handler.setFormatter(_JsonFormatter() if log_format == "json" else _TextFormatter())
--- /dev/null
+++ b/nutmeglead/entry/metrics.py
@@ -0,0 +1,175 @@
+"""Serve the counters and histograms of one entry VM.
+
+The client library is imported at the first scrape: it takes 6 MB, and memory is priced.
+"""
+
+from __future__ import annotations
+
+import importlib
+import logging
+import sys
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Any
+
+from nutmeglead.core.clock import Clock
+from nutmeglead.forwarding.model import ClientLimits
+from nutmeglead.forwarding.request_log import DURATION_BOUNDS_MS
+from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
+
+if TYPE_CHECKING:
+    from nutmeglead.entry.process import EntryProcess
+
+__all__ = ["METRICS_PATH", "MetricsServer", "NodeCollector"]
+
+logger = logging.getLogger(__name__)
+
+METRICS_PATH = b"/metrics"
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+class NodeCollector:
+    """Read the state of the parts when metrics are asked for; `collect` is the library's hook."""
+
+    def __init__(self, process: EntryProcess, core: Any) -> None:
+        """`core` is the module prometheus_client.core."""
+        self._process = process
+        self._core = core
+
+    def collect(self) -> Iterator[Any]:
+        """Yield all metric families."""
+        yield from self._requests()
+        yield from self._services()
+        yield from self._ranges()
+        yield from self._dependencies()
+
+    def _requests(self) -> Iterator[Any]:
+        log = self._process.forwarder.log
+        total = self._core.CounterMetricFamily(
+            "nutmeglead_requests",
+            "Requests by how they ended.",
+            labels=["service", "kind", "outcome"],
+        )
+        for (service, kind, outcome), count in log.outcomes.items():
+            total.add_metric([service, kind.value, outcome], count)
+        yield total
+        durations = self._core.HistogramMetricFamily(
+            "nutmeglead_request_duration_seconds",
+            "Time from a request's arrival to its end.",
+            labels=["service", "kind"],
+        )
+        for (service, kind), entry in log.durations.items():
+            durations.add_metric(
+                [service, kind.value], _buckets(entry.counts), entry.total_ms / 1000
+            )
+        yield durations
+        rejected = self._core.CounterMetricFamily(
+            "nutmeglead_requests_rejected",
+            "Requests without a route, an id or a valid key, by status.",
+            labels=["status"],
+        )
+        for status, count in self._process.forwarder.rejected.items():
+            rejected.add_metric([str(status)], count)
+        yield rejected
+
+    def _services(self) -> Iterator[Any]:
+        waiting = self._gauge("nutmeglead_waiting_requests", "Requests that wait for a server.")
+        at_servers = self._gauge("nutmeglead_in_flight", "Requests of this node at servers.")
+        servers = self._gauge("nutmeglead_servers", "Servers that take new work.")
+        for name, service in self._process.forwarder.services.items():
+            upstreams = service.upstreams.values()
+            waiting.add_metric([name], service.waiting_count)
+            at_servers.add_metric([name], sum(upstream.in_flight for upstream in upstreams))
+            servers.add_metric([name], sum(upstream.is_ready for upstream in upstreams))
+        yield from (waiting, at_servers, servers)
+
+    def _ranges(self) -> Iterator[Any]:
+        acting = self._gauge("nutmeglead_controller_acting", "1 on the node that acts.")
+        version = self._gauge("nutmeglead_map_version", "Version of the range map.")
+        ranges = self._gauge("nutmeglead_ranges", "Key ranges of the map.")
+        unserved = self._gauge("nutmeglead_unserved_keys", "Keys whose owner has no grant yet.")
+        imbalance = self._gauge(
+            "nutmeglead_imbalance", "Work of the fullest server over the mean, when acting."
+        )
+        moved = self._core.CounterMetricFamily(
+            "nutmeglead_keys_moved", "Keys given to another server.", labels=["service"]
+        )
+        for name, controller in self._process.controllers.items():
+            acting.add_metric([name], int(controller.is_acting))
+            moved.add_metric([name], controller.keys_moved)
+            if controller.ranges is None:
+                continue
+            version.add_metric([name], controller.ranges.version)
+            ranges.add_metric([name], len(controller.ranges.ranges))
+            pending = sum(entry.size for entry in controller.ranges if entry.is_pending)
+            unserved.add_metric([name], pending)
+            if controller.is_acting:
+                imbalance.add_metric([name], controller.imbalance())
+        yield from (acting, version, ranges, unserved, imbalance, moved)
+
+    def _dependencies(self) -> Iterator[Any]:
+        process = self._process
+        store = self._core.CounterMetricFamily("nutmeglead_store_calls", "Calls to the store.")
+        store.add_metric([], process.store.call_count)
+        yield store
+        failed = self._core.CounterMetricFamily(
+            "nutmeglead_store_failures", "Calls to the store that failed."
+        )
+        failed.add_metric([], process.store.failure_count)
+        yield failed
+        for name, help_text, value in (
+            ("nutmeglead_store_silent_seconds", "Time without the store.", process.store_age_s),
+            ("nutmeglead_manifest_version", "Manifest in force.", process.manifest_number),
+            ("nutmeglead_peers_alive", "Entry VMs that are heard, with this one.", process.alive),
+        ):
+            yield self._core.GaugeMetricFamily(name, help_text, value=value())
+
+    def _gauge(self, name: str, help_text: str) -> Any:
+        return self._core.GaugeMetricFamily(name, help_text, labels=["service"])
+
+
+class MetricsServer:
+    """Answer scrapes."""
+
+    def __init__(self, process: EntryProcess, clock: Clock) -> None:
+        self._process = process
+        self._registry: Any = None
+        default = ClientLimits()
+        limits = CallerLimits(
+            default.head_size_bytes, 0, default.head_timeout_ms, default.idle_timeout_ms
+        )
+        self._server = PipelineServer(self._answer, lambda: limits, clock)
+
+    async def start(self, ip: str, port: int) -> int:
+        """Listen and return the port."""
+        return await self._server.start(ip, port)
+
+    async def _answer(self, exchange: CallerExchange) -> None:
+        if exchange.head.target.partition(b"?")[0] != METRICS_PATH:
+            await exchange.respond(404, [], b"")
+            return
+        if self._registry is None:
+            self._registry = self._load()
+        exposition = importlib.import_module("prometheus_client.exposition")
+        body = exposition.generate_latest(self._registry)
+        await exchange.respond(200, [(b"content-type", CONTENT_TYPE)], body)
+
+    def _load(self) -> Any:
+        # The library needs the module that the program keeps out to save memory.
+        if sys.modules.get("ssl", self) is None:
+            del sys.modules["ssl"]
+        library = importlib.import_module("prometheus_client")
+        core = importlib.import_module("prometheus_client.core")
+        registry = library.CollectorRegistry(auto_describe=False)
+        registry.register(NodeCollector(self._process, core))
+        return registry
+
+
+def _buckets(counts: list[int]) -> list[tuple[str, float]]:
+    """Return cumulative counts with their upper ends in seconds."""
+    ends = [f"{bound / 1000:g}" for bound in DURATION_BOUNDS_MS] + ["+Inf"]
+    cumulative = 0
+    buckets: list[tuple[str, float]] = []
+    for end, count in zip(ends, counts, strict=True):
+        cumulative += count
+        buckets.append((end, cumulative))
+    return buckets
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -13,6 +13,7 @@
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
 from nutmeglead.entry.copies import TableCopies
+from nutmeglead.entry.metrics import MetricsServer
 from nutmeglead.entry.tables import (
     NODES_TABLE,
     apply_manifest_rows,
@@ -41,6 +42,8 @@
 logger = logging.getLogger(__name__)
 
 STORE_TIMEOUT_MS = 1_500
+# The deploy file names this port; the platform's settings have none for metrics.
+METRICS_PORT = 9_464
 HOUSEKEEPING_MS = 250
 # A map is sent again to a peer that lacks it no sooner than this.
 PUSH_INTERVAL_MS = 250
@@ -98,6 +101,7 @@
             self._count_nodes,
             lambda tag: self._work_elsewhere.get(tag, 0),
         )
+        self._metrics = MetricsServer(self, clock)
         self.front = PipelineServer(self.forwarder.handle, self._limits, clock)
         self.ready = PipelineServer(self._answer_ready, self._limits, clock)
         self._copied = [
@@ -124,6 +128,7 @@
         await self.front.start(settings.ip, settings.front_port)
         await self.peers.start(settings.ip, settings.peer_port)
         await self._copies.start()
+        await self._metrics.start(settings.ip, METRICS_PORT)
 
     def begin(self) -> None:
         """Begin to follow the store and the peers."""
@@ -276,6 +281,19 @@
         """Return the time since the store last answered."""
         return self.contact.age_ms
 
+    def store_age_s(self) -> float:
+        """Return the time since the store last answered, in seconds."""
+        return self.contact.age_ms / 1000
+
+    def manifest_number(self) -> int:
+        """Return the version of the manifest in force, 0 for none."""
+        manifest = self.forwarder.manifest
+        return 0 if manifest is None else manifest.version
+
+    def alive(self) -> int:
+        """Count the entry VMs that are heard, with this one."""
+        return self._count_nodes()
+
     def work(self) -> Mapping[int, int]:
         """Return the requests in flight per server tag."""
         return self.forwarder.work()
--- a/nutmeglead/forwarding/errors.py
+++ b/nutmeglead/forwarding/errors.py
@@ -8,6 +8,7 @@
 __all__ = [
     "AnswerSpoiled",
     "AttemptError",
+    "CallerLeft",
     "ConnectionBroken",
     "DeadlinePassed",
     "ForwardingError",
@@ -65,6 +66,16 @@
     """Report bytes that cannot be the server's answer to this request."""
 
 
+@dataclass
+class CallerLeft(ForwardingError):
+    """Report a caller that closed its connection before it had an answer."""
+
+    reason: str
+
+    def __str__(self) -> str:
+        return self.reason
+
+
 @dataclass
 class DeadlinePassed(ForwardingError):
     """Report a request whose time is over; it may have run if it was sent."""
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from nutmeglead.forwarding.model import Manifest, ServiceSpec
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.forwarding.request import BadRequest, CallerRequest, parse_caller_request
+from nutmeglead.forwarding.request_log import RequestLog
 from nutmeglead.forwarding.routes import RouteTable, WeightedChoice
 from nutmeglead.http.pipeline import CallerExchange
 from nutmeglead.platform.node_settings import Bounds
@@ -61,7 +62,8 @@
         work_elsewhere: Callable[[int], int],
         settings: DispatchSettings | None = None,
     ) -> None:
-        self.outcomes: Counter[str] = Counter()
+        self.rejected: Counter[int] = Counter()
+        self.log = RequestLog()
         self.clock = clock
         self.owners = owners
         self.node_count = node_count
@@ -181,7 +183,7 @@
         await self._forward(exchange, request, service)
 
     async def _reject(self, exchange: CallerExchange, error: BadRequest) -> None:
-        self.outcomes[f"rejected-{error.status}"] += 1
+        self.rejected[error.status] += 1
         await refuse(exchange, error.status, error.reason, None)
 
     async def _forward(
@@ -196,22 +198,8 @@
         try:
             await job.run(exchange)
         except asyncio.CancelledError:
-            self.outcomes["caller-left"] += 1
+            job.note_caller_left()
             raise
         finally:
             job.close()
-        self.outcomes[job.outcome] += 1
-        if job.failure is not None:
-            log_event(
-                logger,
-                Event.REQUEST_FAILED,
-                request=request.request_id.decode("latin-1"),
-                service=service.name,
-                route=request.route.name,
-                manifest=request.manifest_version,
-                key=request.key,
-                attempts=job.history,
-                failure=str(job.failure),
-                status=job.status,
-                after_ms=self.clock.now_ms() - request.received_ms,
-            )
+            self.log.add(request, service.name, job.summary(), self.clock.now_ms())
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -15,6 +15,7 @@
 from nutmeglead.forwarding.dispatch import ServiceDispatch
 from nutmeglead.forwarding.errors import (
     AttemptError,
+    CallerLeft,
     DeadlinePassed,
     ForwardingError,
     Overloaded,
@@ -22,6 +23,7 @@
 )
 from nutmeglead.forwarding.model import ServerLife
 from nutmeglead.forwarding.request import CallerRequest
+from nutmeglead.forwarding.request_log import RequestSummary
 from nutmeglead.forwarding.upstream import Upstream
 from nutmeglead.http.pipeline import CallerExchange
 
@@ -64,12 +66,32 @@
         self._budget = budget
         self._tried: set[ServerLife] = set()
         self._arrivals = 0
+        self._waited_ms = 0
         self._unsent = 0
         self._may_have_run = False
         self._kept_answer: Answer | None = None
         self._attempt: Attempt | None = None
         self._upstream: Upstream | None = None
 
+    def summary(self) -> RequestSummary:
+        """Return how the request ended."""
+        ranges = self._service.ranges
+        return RequestSummary(
+            self.outcome,
+            self.status,
+            self.history,
+            None if self.failure is None else str(self.failure),
+            self._clock.now_ms() - self._request.received_ms,
+            ranges.version if ranges is not None else 0,
+            self._waited_ms,
+        )
+
+    def note_caller_left(self) -> None:
+        """Note that the caller closed its connection before it had an answer."""
+        if self.status == 0:
+            self.outcome = "caller-left"
+            self.failure = CallerLeft("the caller closed its connection")
+
     async def run(self, exchange: CallerExchange) -> None:
         """Answer the caller."""
         answer = await self._answer_in_time()
@@ -93,11 +115,14 @@
 
     async def _attempt_until_answered(self) -> Answer | None:
         while True:
+            started_ms = self._clock.now_ms()
             try:
                 upstream = await self._service.acquire(self._request, frozenset(self._tried))
             except Overloaded as error:
                 self.failure = error
                 return self._kept_answer
+            finally:
+                self._waited_ms += self._clock.now_ms() - started_ms
             answer = await self._attempt_at(upstream)
             if answer is not None and not self._wants_another(answer):
                 return answer
--- /dev/null
+++ b/nutmeglead/platform/tests/steps/decoding_steps.py
@@ -0,0 +1,196 @@
+"""Steps for what the platform's rows and files decode to."""
+
+import json
+import re
+
+from behave import given, then, when
+from result import Err
+
+from nutmeglead.forwarding.model import ServerState
+from nutmeglead.platform.manifest import decode_manifest
+from nutmeglead.platform.node_settings import decode_settings
+from nutmeglead.platform.registry import decode_server
+
+ENTRY = {
+    "service": "stock",
+    "address": "10.128.0.9:8080",
+    "zone": "halle-a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "warmup_left_s": 0,
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+MANIFEST = {
+    "version": "r7",
+    "routes": [
+        {
+            "name": "lookup",
+            "host": "a.example",
+            "prefix": "/s/",
+            "kind": "safe",
+            "timeout_s": 0.8,
+            "target_latency_s": 0.3,
+            "priority": 2,
+            "service": "stock",
+            "max_attempts": 2,
+        }
+    ],
+    "services": [
+        {"name": "stock", "health_check_path": "/health", "max_connections": 130},
+        {"name": "spare", "health_check_path": "/health", "max_connections": 130},
+    ],
+}
+SETTINGS = """
+node = "front-halle-a-1"
+role = "entry"
+ip = "10.1.0.34"
+zone = "halle-a"
+port_range = [7540,7555]
+bounds = ["drain_s=2","grace_s=6","config_apply_s=2","retry_budget_ratio=0.2","later=true"]
+something_new = []
+[listen]
+front = "10.1.0.34:8548"
+readiness = "10.1.0.34:8542"
+[limits]
+cpu_share = 0.86
+max_fds = 4100
+[platform]
+address = "10.200.1.7:8541"
+form = "table"
+row_bytes = 65536
+"""
+
+
+class DecodingScenario:
+    def __init__(self):
+        self.fields = dict(ENTRY)
+        self.data = json.dumps(ENTRY).encode()
+        self.manifest = json.loads(json.dumps(MANIFEST))
+
+    @property
+    def server(self):
+        return decode_server("i-1", self.data)
+
+    @property
+    def decoded_manifest(self):
+        return decode_manifest(json.dumps(self.manifest).encode())
+
+
+@given("a sound server entry")
+@given("a sound manifest")
+def step_sound(context):
+    context.decoding = DecodingScenario()
+
+
+@when("its {field} is {value}")
+def step_field(context, field, value):
+    fields = context.decoding.fields
+    if value == "missing":
+        del fields[field]
+    elif value != "as it is":
+        try:
+            fields[field] = json.loads(value)
+        except ValueError:
+            fields[field] = value
+    context.decoding.data = json.dumps(fields).encode()
+
+
+@when("its bytes are {form}")
+def step_bytes(context, form):
+    data = context.decoding.data
+    context.decoding.data = {"nothing": b"", "a list": b"[]", "cut": data[: len(data) // 2]}[form]
+
+
+@then("the entry names a server")
+def step_names(context):
+    server = context.decoding.server.unwrap()
+    assert (server.ip, server.port, server.slots) == ("10.128.0.9", 8080, 4)
+    assert server.state is ServerState.READY
+
+
+@then("the entry names a leaving server")
+def step_leaving(context):
+    assert context.decoding.server.unwrap().state is ServerState.LEAVING
+
+
+@then("the entry is cold for {cold_ms:d} ms")
+def step_cold(context, cold_ms):
+    assert context.decoding.server.unwrap().cold_left_ms == cold_ms
+
+
+@then("the entry is refused")
+def step_refused(context):
+    assert isinstance(context.decoding.server, Err)
+
+
+CHANGES = {
+    "nothing changes": lambda route, manifest: None,
+    "a route is split 90 to 10": lambda route, manifest: route.update(
+        backends=[{"service": "stock", "weight": 90}, {"service": "spare", "weight": 10}]
+    ),
+    "a kind is unknown": lambda route, manifest: route.update(kind="sometimes"),
+    "the version is a number": lambda route, manifest: manifest.update(version=7),
+    "all weights are zero": lambda route, manifest: route.update(
+        backends=[{"service": "stock", "weight": 0}]
+    ),
+    "an unknown field is added": lambda route, manifest: route.update(colour="red"),
+    "times are fractions": lambda route, manifest: route.update(timeout_s=0.85),
+}
+
+
+@when("the manifest is sent and {change}")
+def step_change(context, change):
+    manifest = context.decoding.manifest
+    CHANGES[change](manifest["routes"][0], manifest)
+
+
+@then("it has version 7 and the route lookup to stock")
+def step_manifest(context):
+    manifest = context.decoding.decoded_manifest.unwrap()
+    backends = manifest.routes[0].backends
+    assert manifest.version == 7 and [b.service for b in backends] == ["stock"]
+
+
+@then("the route lookup goes to stock with 0.9 and spare with 0.1")
+def step_weights(context):
+    backends = context.decoding.decoded_manifest.unwrap().routes[0].backends
+    total = sum(backend.weight for backend in backends)
+    assert {b.service: b.weight / total for b in backends} == {"stock": 0.9, "spare": 0.1}
+
+
+@then("the route lookup times out after {timeout_ms:d} ms")
+def step_timeout(context, timeout_ms):
+    assert context.decoding.decoded_manifest.unwrap().routes[0].timeout_ms == timeout_ms
+
+
+@then("it is refused")
+def step_manifest_refused(context):
+    assert isinstance(context.decoding.decoded_manifest, Err)
+
+
+@given("the settings file of the platform's pages with unknown fields")
+def step_settings(context):
+    context.settings = decode_settings(SETTINGS.encode())
+
+
+@given("the settings file of the platform's pages without {field}")
+def step_settings_without(context, field):
+    text = re.sub(rf"(?m)^{field} = .*$", "", SETTINGS).replace(f"[{field}]", "[other]")
+    context.settings = decode_settings(text.encode())
+
+
+@then("the node is front-halle-a-1 with its ports, its store and a drain bound of 2000 ms")
+def step_node(context):
+    settings = context.settings.unwrap()
+    ports = (settings.peer_port, settings.front_port, settings.ready_port)
+    assert settings.node_id == "front-halle-a-1" and ports == (7540, 8548, 8542), settings
+    assert (settings.store.ip, settings.store.port) == ("10.200.1.7", 8541)
+    assert settings.bounds.leave_ms == 2_000
+
+
+@then("the settings are refused and the reason names {field}")
+def step_settings_refused(context, field):
+    assert isinstance(context.settings, Err)
+    assert field in str(context.settings.err_value), context.settings.err_value
--- a/nutmeglead/programs/entry.py
+++ b/nutmeglead/programs/entry.py
@@ -19,6 +19,7 @@
 
 from nutmeglead.core.clock import SystemClock  # noqa: E402
 from nutmeglead.core.events import Event, configure_logging, log_event  # noqa: E402
+from nutmeglead.core.log_stream import NonBlockingStream  # noqa: E402
 from nutmeglead.entry.process import EntryProcess  # noqa: E402
 from nutmeglead.platform.node_settings import (  # noqa: E402
     SETTINGS_VARIABLE,
@@ -61,7 +62,7 @@
     parser.add_argument("--settings", help=f"settings file; default: ${SETTINGS_VARIABLE}")
     parser.add_argument("--check", action="store_true", help="check the settings and exit")
     options = parser.parse_args(arguments)
-    configure_logging("INFO", "json", sys.stdout)
+    configure_logging("INFO", "json", NonBlockingStream(sys.stdout.fileno()))
     path = options.settings or os.environ.get(SETTINGS_VARIABLE)
     if path is None:
         parser.error(f"give --settings or set {SETTINGS_VARIABLE}")
--- a/nutmeglead/ranges/balance.py
+++ b/nutmeglead/ranges/balance.py
@@ -9,7 +9,15 @@
 from nutmeglead.forwarding.model import ServerLife
 from nutmeglead.ranges.model import KEY_COUNT, KeyRange, RangeMap
 
-__all__ = ["BalanceSettings", "Move", "ServerLoad", "initial_moves", "plan_moves", "rescue_moves"]
+__all__ = [
+    "BalanceSettings",
+    "Move",
+    "ServerLoad",
+    "initial_moves",
+    "plan_moves",
+    "rescue_moves",
+    "work_imbalance",
+]
 
 Move = tuple[int, int, ServerLife]
 
@@ -51,6 +59,18 @@
         return self.keys[bisect_left(self.keys, first) + hit_count - 1]
 
 
+def work_imbalance(
+    ranges: RangeMap, servers: Mapping[ServerLife, ServerLoad], hits: Sequence[int]
+) -> float:
+    """Return the highest work per capacity over the mean; 1 if there is no work."""
+    work = _work(ranges, servers, _Hits(hits))
+    total = sum(work.values())
+    if not total:
+        return 1.0
+    mean = total / sum(load.capacity for load in servers.values())
+    return max(work[life] / servers[life].capacity for life in servers) / mean
+
+
 def initial_moves(servers: Mapping[ServerLife, ServerLoad]) -> list[Move]:
     """Divide all keys by capacity."""
     total = sum(load.capacity for load in servers.values())
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -11,7 +11,7 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
-from nutmeglead.forwarding.model import ServerLife, ServerRecord, ServerState
+from nutmeglead.forwarding.model import ServerLife, ServerRecord
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.peers.codec import server_tag
 from nutmeglead.peers.membership import Membership
@@ -24,6 +24,7 @@
     initial_moves,
     plan_moves,
     rescue_moves,
+    work_imbalance,
 )
 from nutmeglead.ranges.health import HolderHealth
 from nutmeglead.ranges.load import HitWindow
@@ -79,6 +80,7 @@
         self.hits = HitWindow()
         self.health = HolderHealth()
         self.speeds = ServerSpeeds()
+        self.keys_moved = 0
         self._rows = rows
         self._context = context
         self._clock = context.clock
@@ -365,6 +367,7 @@
         self.ranges = target
         self.step = 0
         for first, last, owner in moves:
+            self.keys_moved += last - first + 1
             log_event(
                 logger,
                 Event.RANGE_MOVED,
@@ -400,7 +403,8 @@
         self._context.on_map(self.ranges)
         self._context.push_map(self.ranges, self.step)
 
-    def is_leaving(self, life: ServerLife) -> bool:
-        """Tell whether a server has said that it leaves."""
-        record = self._context.registry.find(life)
-        return record is not None and record.state is ServerState.LEAVING
+    def imbalance(self) -> float:
+        """Return the work of the fullest server over the mean, for equal capacities."""
+        now_ms = self._clock.now_ms()
+        assert self.ranges is not None
+        return work_imbalance(self.ranges, self._usable(now_ms), self.hits.sample(now_ms))
--- /dev/null
+++ b/nutmeglead/ranges/tests/steps/balance_steps.py
@@ -0,0 +1,160 @@
+"""Steps for the balancer and the range map, without input or output."""
+
+import random
+
+from behave import given, then, when
+
+from nutmeglead.core.ids import ServerId, ServiceName
+from nutmeglead.forwarding.model import ServerLife
+from nutmeglead.ranges.balance import BalanceSettings, ServerLoad, initial_moves, plan_moves
+from nutmeglead.ranges.model import KEY_COUNT, KeyRange, RangeMap, decode_map, encode_map
+
+SERVICE = ServiceName("stock")
+HIT_COUNT = 3_000
+HOT_KEY = 40_000
+
+
+def empty_map():
+    return RangeMap(SERVICE, [KeyRange(0, KEY_COUNT - 1, None, 0)])
+
+
+def settle(ranges):
+    for entry in ranges:
+        ranges = ranges.confirm(entry.first, entry.last, entry.fence)
+    return ranges
+
+
+class BalanceScenario:
+    def __init__(self, count, low, high):
+        steps = max(1, count - 1)
+        self.servers = {
+            ServerLife(ServerId(f"s-{n:02}"), 1): ServerLoad(low + (high - low) * n / steps)
+            for n in range(count)
+        }
+        self.ranges = settle(empty_map().assign(initial_moves(self.servers), 1))
+        self.rng = random.Random(5)
+        self.hits = [self.rng.randrange(KEY_COUNT) for _ in range(HIT_COUNT)]
+        self.moved = 0
+
+    def run(self, rounds):
+        for _ in range(rounds):
+            moves = plan_moves(self.ranges, self.servers, self.hits, BalanceSettings())
+            self.moved += sum(last - first + 1 for first, last, _ in moves)
+            self.ranges = settle(self.ranges.assign(moves, 1))
+
+    def work(self, life):
+        return sum(self.ranges.locate(key).owner == life for key in self.hits)
+
+
+@given("{count:d} servers with capacities from {low:d} to {high:d}")
+def step_servers(context, count, low, high):
+    context.balance = BalanceScenario(count, low, high)
+
+
+@when("the first map is made")
+def step_first(context):
+    pass
+
+
+@given("even load")
+def step_even(context):
+    pass
+
+
+@given("even load on a map that ignores capacity")
+def step_uneven(context):
+    equal = dict.fromkeys(context.balance.servers, ServerLoad(1))
+    context.balance.ranges = settle(empty_map().assign(initial_moves(equal), 1))
+
+
+@given("a hot region of 200 keys")
+def step_region(context):
+    balance = context.balance
+    hot = [HOT_KEY + balance.rng.randrange(200) for _ in range(HIT_COUNT // 2)]
+    balance.hits[: len(hot)] = hot
+
+
+@given("two new servers")
+def step_new(context):
+    for name in ("s-98", "s-99"):
+        context.balance.servers[ServerLife(ServerId(name), 1)] = ServerLoad(1)
+
+
+@given("half of the load on one key")
+def step_hot_key(context):
+    context.balance.hits[: HIT_COUNT // 2] = [HOT_KEY] * (HIT_COUNT // 2)
+
+
+@when("the balancer runs {rounds:d} rounds")
+def step_rounds(context, rounds):
+    context.balance.run(rounds)
+
+
+@then("every key has one owner")
+def step_owned(context):
+    ranges = context.balance.ranges
+    assert ranges.ranges[0].first == 0 and ranges.ranges[-1].last == KEY_COUNT - 1
+    for before, after in zip(ranges.ranges, ranges.ranges[1:], strict=False):
+        assert before.last + 1 == after.first, (before, after)
+    assert all(entry.owner is not None for entry in ranges)
+
+
+@then("each server's share of the keys is its share of the capacity")
+def step_shares(context):
+    balance = context.balance
+    total = sum(load.capacity for load in balance.servers.values())
+    for life, load in balance.servers.items():
+        keys = sum(entry.size for entry in balance.ranges.owned_by(life))
+        assert abs(keys - KEY_COUNT * load.capacity / total) <= 1, (life, keys)
+
+
+@then("no server has more than {ratio:f} of the mean work for its capacity")
+def step_ratio(context, ratio):
+    balance = context.balance
+    mean = len(balance.hits) / sum(load.capacity for load in balance.servers.values())
+    for life, load in balance.servers.items():
+        assert balance.work(life) / load.capacity <= ratio * mean, (life, balance.work(life))
+
+
+@then("at most {share:f} of all keys have moved")
+def step_moved(context, share):
+    assert context.balance.moved <= share * KEY_COUNT, context.balance.moved
+
+
+@then("the server of the hot key has little else")
+def step_alone(context):
+    balance = context.balance
+    owner = balance.ranges.locate(HOT_KEY).owner
+    others = balance.work(owner) - HIT_COUNT // 2
+    fair = HIT_COUNT // 2 / len(balance.servers)
+    assert others <= 0.25 * fair, others
+
+
+@when("200 random moves are made with seed {seed:d}")
+def step_random(context, seed):
+    context.balance = balance = BalanceScenario(6, 1, 1)
+    rng = random.Random(seed)
+    lives = sorted(balance.servers)
+    context.fences = {}
+    for _ in range(200):
+        first = rng.randrange(KEY_COUNT)
+        last = min(KEY_COUNT - 1, first + rng.randrange(1, 9_000))
+        sample = range(first, last + 1, max(1, (last - first) // 7))
+        before = {key: balance.ranges.locate(key).fence for key in sample}
+        balance.ranges = balance.ranges.assign([(first, last, rng.choice(lives))], 1)
+        after = {key: balance.ranges.locate(key).fence for key in sample}
+        context.fences[first] = all(after[key] > before[key] for key in sample)
+        if rng.random() < 0.5:
+            balance.ranges = settle(balance.ranges)
+
+
+@then("a moved range has a fence above all that its keys had")
+def step_fences(context):
+    assert all(context.fences.values())
+
+
+@then("the map survives its encoding")
+def step_encoding(context):
+    ranges = context.balance.ranges
+    decoded = decode_map(encode_map(ranges)).unwrap()
+    assert decoded.ranges == ranges.ranges and decoded.version == ranges.version
--- a/nutmeglead/routing/router.py
+++ b/nutmeglead/routing/router.py
@@ -18,6 +18,7 @@
 )
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import ServerId, ServiceName
+from nutmeglead.core.rate import RateBudget
 from nutmeglead.http.errors import HttpError
 from nutmeglead.http.server import ServerExchange
 from nutmeglead.routing.admission import ADMISSION, AdmissionPolicy, ServerKey
@@ -28,7 +29,6 @@
 from nutmeglead.routing.inbound import InboundRequest, parse_request
 from nutmeglead.routing.job import RequestJob, ServiceRoute
 from nutmeglead.routing.pool import ConnectionPool, Connector, connect_tcp
-from nutmeglead.routing.rate import RateBudget
 from nutmeglead.routing.retries import RETRIES
 from nutmeglead.routing.servers import ServiceServers
 from nutmeglead.routing.slot_exchange import RouterPeers, SlotExchange
--- a/nutmeglead/routing/selection.py
+++ b/nutmeglead/routing/selection.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from nutmeglead.core.ids import ServerId
+from nutmeglead.core.rate import RateBudget
 from nutmeglead.core.registry import Registry
-from nutmeglead.routing.rate import RateBudget
 
 __all__ = [
     "SELECTION",
