--- /dev/null
+++ b/nutmeglead/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tell from the logs of many nodes what became of a request or of a key."""
--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -35,6 +35,9 @@
     large_other_domain_ms: float = 40.0
     failure_penalty_ms: float = 150.0
     min_retry_after_ms: int = 100
+    # A planned move takes about 100 ms; a key that is away for longer has lost its server.
+    max_hold_ms: int = 300
+    lost_key_retry_after_ms: int = 450
 
 
 @dataclass(order=True)
@@ -130,9 +133,16 @@
         if len(self._waiters) >= self._settings.max_waiting:
             raise self._overloaded("too many requests wait on this node")
         until_ms = self._wait_until_ms(request, tried)
-        if until_ms <= self._clock.now_ms():
-            raise self._overloaded("the servers are too busy to answer in time")
-        return await self._wait(request, tried, until_ms)
+        if until_ms > self._clock.now_ms():
+            return await self._wait(request, tried, until_ms)
+        raise self._refusal(request, tried)
+
+    def _refusal(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Overloaded:
+        """Return why a request is not placed, with a time to come back that will be true."""
+        upstream = self._owner(request) if self.spec.has_keys else self._best(request, tried)
+        if upstream is None:
+            return self._without_server()
+        return self._overloaded("the servers are too busy to answer in time")
 
     def _wait_until_ms(self, request: CallerRequest, tried: frozenset[ServerLife]) -> int:
         """Return how long waiting is of use: 0 if the answer is expected too late already.
@@ -143,7 +153,7 @@
         now_ms = self._clock.now_ms()
         upstream = self._owner(request) if self.spec.has_keys else self._best(request, tried)
         if upstream is None:
-            return request.deadline_ms
+            return min(request.deadline_ms, request.received_ms + self._settings.max_hold_ms)
         limit_ms = request.deadline_ms
         if upstream.is_congested(now_ms):
             limit_ms = min(limit_ms, request.received_ms + request.route.target_latency_ms)
@@ -180,7 +190,7 @@
             async with asyncio.timeout(left_ms / 1000):
                 return await placed
         except TimeoutError:
-            raise self._overloaded("no server had room in time") from None
+            raise self._refusal(request, tried) from None
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
@@ -224,8 +234,9 @@
         if entry.owner is None or entry.is_pending:
             return None
         upstream = self.upstreams.get(entry.owner)
-        # A leaving owner serves until its keys have moved, but not beyond its time.
-        return upstream if upstream is not None and upstream.closed_since_ms is None else None
+        if upstream is None or upstream.closed_since_ms is not None:
+            return None
+        return None if upstream.is_unreachable(self._clock.now_ms()) else upstream
 
     def _best(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Upstream | None:
         now_ms = self._clock.now_ms()
@@ -266,3 +277,7 @@
         times = sorted(upstream.service_time_ms for upstream in ready)
         typical_ms = times[len(times) // 2] if times else 300.0
         return Overloaded(reason, max(self._settings.min_retry_after_ms, round(typical_ms)))
+
+    def _without_server(self) -> Overloaded:
+        reason = "no server can be reached for this request"
+        return Overloaded(reason, self._settings.lost_key_retry_after_ms)
--- /dev/null
+++ b/nutmeglead/forwarding/tests/steps/waiting_steps.py
@@ -0,0 +1,159 @@
+"""Steps for requests that wait, in virtual time."""
+
+import asyncio
+import contextlib
+import random
+
+from behave import given, then, when
+
+from nutmeglead.core.ids import FailureDomainName, ServerId, ServiceName
+from nutmeglead.core.virtual_time import run_virtual
+from nutmeglead.forwarding.dispatch import DispatchSettings, ServiceDispatch
+from nutmeglead.forwarding.errors import Overloaded
+from nutmeglead.forwarding.model import (
+    Backend,
+    RequestKind,
+    Route,
+    ServerLife,
+    ServerRecord,
+    ServerState,
+    ServiceSpec,
+)
+from nutmeglead.forwarding.registry import ServerRegistry
+from nutmeglead.forwarding.request import CallerRequest
+from nutmeglead.http.messages import RequestHead
+from nutmeglead.ranges.model import KEY_COUNT, KeyRange, RangeMap
+
+SERVICE = ServiceName("stock")
+NEAR = FailureDomainName("near")
+LIFE = ServerLife(ServerId("s-1"), 1)
+SLOTS = 4
+FULL = 10
+
+
+class WaitingScenario:
+    def __init__(self, service_time_ms):
+        self.service_time_ms = service_time_ms
+        self.is_moving = False
+        self.in_flight = 0
+        self.full_for_ms = None
+        self.is_unreachable = False
+        self.result = None
+
+    def run(self, event, after_ms):
+        run_virtual(lambda clock: self._run(clock, event, after_ms))
+
+    async def _run(self, clock, event, after_ms):
+        registry = ServerRegistry()
+        record = ServerRecord(LIFE, SERVICE, "10.0.0.1", 80, NEAR, SLOTS, ServerState.READY, 0)
+        registry.apply([record], [], clock.now_ms())
+        spec = ServiceSpec(SERVICE, "/health", 100, True, True, 0)
+        rng = random.Random(1)
+        self.dispatch = dispatch = ServiceDispatch(
+            spec, registry, clock, rng, NEAR, DispatchSettings(), lambda tag: 0
+        )
+        dispatch.set_ranges(self.ranges(self.is_moving))
+        self.upstream = upstream = dispatch.upstreams[LIFE]
+        upstream.service_time_ms = self.service_time_ms
+        upstream.in_flight = self.in_flight
+        if self.full_for_ms is not None:
+            upstream.full_since_ms = clock.now_ms() - self.full_for_ms
+        if self.is_unreachable:
+            upstream.unreachable_until_ms = clock.now_ms() + 10_000
+        started_ms = clock.now_ms()
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(dispatch.acquire(self.request(started_ms), frozenset()))
+        if event is not None:
+            loop.call_later(after_ms / 1000, event, self, task)
+        try:
+            await task
+            self.result = ("placed", clock.now_ms() - started_ms, None)
+        except Overloaded as error:
+            self.result = ("refused", clock.now_ms() - started_ms, error.retry_after_ms)
+
+    def ranges(self, is_moving):
+        entry = KeyRange(0, KEY_COUNT - 1, LIFE, 1, is_pending=is_moving)
+        return RangeMap(SERVICE, [entry], 1 if is_moving else 2)
+
+    def request(self, now_ms):
+        backends = (Backend(SERVICE, 1.0),)
+        route = Route("r", "h", "/s/", RequestKind.IDEMPOTENT, 800, 300, 1, 2, backends)
+        head = RequestHead(b"GET", b"/s/")
+        return CallerRequest(head, b"", b"r1", route, 1, 7, now_ms, now_ms + 800)
+
+
+def end_move(rig, task):
+    rig.dispatch.set_ranges(rig.ranges(False))
+
+
+def free_slots(rig, task):
+    for _ in range(SLOTS):
+        rig.dispatch.release(rig.upstream)
+
+
+def free_and_cancel(rig, task):
+    for _ in range(FULL):
+        rig.dispatch.release(rig.upstream)
+    task.cancel()
+
+
+@given("a service with keys and one server of 4 slots that answers in {time_ms:d} ms")
+def step_service(context, time_ms):
+    context.waiting = WaitingScenario(time_ms)
+
+
+@given("the key is moving")
+def step_moving(context):
+    context.waiting.is_moving = True
+
+
+@given("a connection to the server has just failed")
+def step_unreachable(context):
+    context.waiting.is_unreachable = True
+
+
+@given("the server has just become full")
+def step_full(context):
+    context.waiting.in_flight = FULL
+
+
+@given("the server has been full for {time_ms:d} ms")
+def step_long_full(context, time_ms):
+    context.waiting.in_flight = FULL + 2 * SLOTS
+    context.waiting.full_for_ms = time_ms
+
+
+@when("a request waits and the move ends after {time_ms:d} ms")
+def step_ends(context, time_ms):
+    context.waiting.run(end_move, time_ms)
+
+
+@when("a request waits and the move does not end")
+def step_never(context):
+    context.waiting.run(None, 0)
+
+
+@when("a request waits and 4 slots become free after {time_ms:d} ms")
+def step_free(context, time_ms):
+    context.waiting.run(free_slots, time_ms)
+
+
+@when("a request is cancelled in the moment in which it is placed")
+def step_cancelled(context):
+    with contextlib.suppress(asyncio.CancelledError):
+        context.waiting.run(free_and_cancel, 50)
+
+
+@then("the request is placed after {time_ms:d} ms")
+def step_placed(context, time_ms):
+    assert context.waiting.result == ("placed", time_ms, None), context.waiting.result
+
+
+@then("the request is refused after {time_ms:d} ms with {retry_ms:d} ms to come back")
+def step_refused(context, time_ms, retry_ms):
+    assert context.waiting.result == ("refused", time_ms, retry_ms), context.waiting.result
+
+
+@then("the server has no request of this node in flight")
+def step_none(context):
+    assert context.waiting.upstream.in_flight == 0, context.waiting.upstream.in_flight
--- a/nutmeglead/forwarding/upstream.py
+++ b/nutmeglead/forwarding/upstream.py
@@ -20,6 +20,8 @@
 # Weight of the newest sample in the estimates.
 TIME_WEIGHT = 0.15
 FAILURE_HALF_LIFE_MS = 2_000
+# A server that a connection failed to is tried again after this time.
+UNREACHABLE_MS = 250
 INITIAL_TIME_MS = 100.0
 # A burst that is served within the target latency of today's routes ends sooner.
 CONGESTED_AFTER_MS = 400
@@ -46,6 +48,8 @@
     connection_count: int = 0
     # Time since which the server must not be used, because it leaves or is gone.
     closed_since_ms: int | None = None
+    # Time until which no connection is tried, because one has just failed.
+    unreachable_until_ms: int = 0
     # Time since which requests have found no room here, or None.
     full_since_ms: int | None = None
     sample_count: int = 0
@@ -84,6 +88,10 @@
         self._failures = self.failure_rate(now_ms) * 0.8
         self._failures_ms = now_ms
 
+    def is_unreachable(self, now_ms: int) -> bool:
+        """Tell whether a connection has just failed; one request in a while tries again."""
+        return now_ms < self.unreachable_until_ms
+
     def take_samples(self) -> tuple[int, float]:
         """Return the answers and their mean service time since the last call."""
         count, total_ms = self.sample_count, self.sample_total_ms
@@ -125,7 +133,9 @@
             if not isinstance(opened, Ok):
                 self.connection_count -= 1
         if isinstance(opened, Err):
+            self.unreachable_until_ms = self.clock.now_ms() + UNREACHABLE_MS
             return Err(NoConnection(str(opened.err_value)))
+        self.unreachable_until_ms = 0
         return Ok((opened.ok_value, False))
 
     def give_back(self, connection: ClientConnection, idle_ms: int, max_count: int) -> None:
