--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -53,8 +53,8 @@
     PEER_SILENT = (4001, logging.WARNING, "an entry VM sends no heartbeats")
     PEER_SEEN = (4002, logging.INFO, "an entry VM sends heartbeats")
     MAP_REPAIRED = (4003, logging.INFO, "missing placement pages were fetched from a neighbour")
-    TABLE_COPIED = (4005, logging.INFO, "a table of the store was taken from a peer")
     MESSAGE_REFUSED = (4004, logging.WARNING, "a message could not be decoded or was not expected")
+    TABLE_COPIED = (4005, logging.INFO, "a table of the store was taken from a peer")
 
     AUDIT_GAP = (5001, logging.ERROR, "audit records were lost because the buffer was full")
     AUDIT_DELAYED = (5002, logging.WARNING, "the object store did not take an audit batch")
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from result import Err
@@ -82,6 +82,7 @@
         self.health = HolderHealth()
         self.speeds = ServerSpeeds()
         self.keys_moved = 0
+        self._lost: set[ServerLife] = set()
         self._rows = rows
         self._context = context
         self._clock = context.clock
@@ -272,6 +273,7 @@
     async def _place(self, now_ms: int) -> None:
         ready = self._context.registry.ready(self.service)
         self.orders.probe_lost(ready.values(), self._context.health_path(self.service))
+        self._note_lost(ready, now_ms)
         servers = self._usable(now_ms)
         if self.ranges is None:
             await self._place_first(servers, now_ms)
@@ -308,6 +310,12 @@
             if not self.health.is_lost(life, now_ms)
         }
 
+    def _note_lost(self, ready: Iterable[ServerLife], now_ms: int) -> None:
+        lost = {life for life in ready if self.health.is_lost(life, now_ms)}
+        for life in lost - self._lost:
+            log_event(logger, Event.SERVER_LOST, service=self.service, server=life.server_id)
+        self._lost = lost
+
     def _service_time_ms(self, record: ServerRecord, now_ms: int) -> float:
         time_ms = self.speeds.time_ms(server_tag(record.server_id), now_ms)
         seen_ms = self._context.registry.seen_ms.get(record.life, now_ms)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -105,10 +105,11 @@
     with concurrent.futures.ThreadPoolExecutor(max_workers=jobs) as pool:
         futures = []
         if not options.known_red:
-            futures += [pool.submit(run_tool, *check) for check in static_checks()]
-        futures += [pool.submit(run_behave, suite, tags) for suite in find_suites()]
+            checks = [check for check in static_checks() if options.only in check[0]]
+            futures += [pool.submit(run_tool, *check) for check in checks]
+        suites = [suite for suite in find_suites() if options.only in str(suite.relative_to(ROOT))]
+        futures += [pool.submit(run_behave, suite, tags) for suite in suites]
         results = [future.result() for future in futures]
-    results = [result for result in results if options.only in result.name]
     for result in results:
         print(f"{result.name}: {result.passed} passed, {result.failed} failed")
         if result.failed:
