forwarding: send nothing to the owner of a key beyond its drain bound

A server that said that it leaves kept its keys for over 2 s, and requests for them went on reaching it until the map changed. Change: the owner of a key is used until 0.5 s before the drain bound after its node knows that it leaves; then its requests are held and refused like those of a key without a server. The drain bound is read from the settings again, and checked again.

--- a/nutmeglead/entry/tests/fabric.py
+++ b/nutmeglead/entry/tests/fabric.py
@@ -20,7 +20,7 @@
 KEY_COUNT = 65_536
 DELAY_MS = 4
 HEARTBEAT_MS = 870
-BOUNDS = Bounds(6_000, 0.2, 10_000, 64, 10_000)
+BOUNDS = Bounds(2_000, 6_000, 0.2, 10_000, 64, 10_000)
 MANIFEST = {
     "version": "r1",
     "routes": [
--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -11,7 +11,7 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.ids import FailureDomainName, ServiceName
 from nutmeglead.forwarding.errors import Overloaded
-from nutmeglead.forwarding.model import ServerLife, ServerRecord, ServiceSpec
+from nutmeglead.forwarding.model import ServerLife, ServerRecord, ServerState, ServiceSpec
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.forwarding.request import CallerRequest
 from nutmeglead.forwarding.upstream import Upstream
@@ -38,6 +38,8 @@
     # A planned move takes about 100 ms; a key that is away for longer has lost its server.
     max_hold_ms: int = 300
     lost_key_retry_after_ms: int = 450
+    # The owner of a key is used for this time after it said that it leaves.
+    leaving_use_ms: int = 1_500
 
 
 @dataclass(order=True)
@@ -97,6 +99,7 @@
             else:
                 known.record = record
                 known.closed_since_ms = None
+            self._note_leaving(self.upstreams[life], now_ms)
         for life, upstream in list(self.upstreams.items()):
             if life in records:
                 continue
@@ -107,6 +110,13 @@
                 del self.upstreams[life]
         self.wake()
 
+    @staticmethod
+    def _note_leaving(upstream: Upstream, now_ms: int) -> None:
+        if upstream.record.state is not ServerState.LEAVING:
+            upstream.leaving_since_ms = None
+        elif upstream.leaving_since_ms is None:
+            upstream.leaving_since_ms = now_ms
+
     def _new_upstream(self, record: ServerRecord, now_ms: int) -> Upstream:
         cold_until_ms = now_ms + record.cold_left_ms
         return Upstream(record, server_tag(record.server_id), self._clock, cold_until_ms)
@@ -236,7 +246,11 @@
         upstream = self.upstreams.get(entry.owner)
         if upstream is None or upstream.closed_since_ms is not None:
             return None
-        return None if upstream.is_unreachable(self._clock.now_ms()) else upstream
+        now_ms = self._clock.now_ms()
+        since_ms = upstream.leaving_since_ms
+        if since_ms is not None and now_ms - since_ms >= self._settings.leaving_use_ms:
+            return None
+        return None if upstream.is_unreachable(now_ms) else upstream
 
     def _best(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Upstream | None:
         now_ms = self._clock.now_ms()
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from result import Err
@@ -33,6 +34,9 @@
 
 # What a caller waits before it asks a node again that has no manifest yet.
 NO_MANIFEST_RETRY_MS = 500
+# The store has acknowledged that a server leaves up to this long before this node knows it and
+# the last request has reached the server.
+LEAVE_MARGIN_MS = 500
 
 
 class KeyCounter(Protocol):
@@ -70,7 +74,9 @@
         self._own_domain = own_domain
         self._bounds = bounds
         self._work_elsewhere = work_elsewhere
-        self._settings = settings or DispatchSettings()
+        self._settings = replace(
+            settings or DispatchSettings(), leaving_use_ms=bounds.leave_ms - LEAVE_MARGIN_MS
+        )
         self._table: RouteTable | None = None
         self._choice = WeightedChoice()
         registry.subscribe(self._follow_registry)
--- a/nutmeglead/forwarding/tests/steps/requests_steps.py
+++ b/nutmeglead/forwarding/tests/steps/requests_steps.py
@@ -26,7 +26,7 @@
 
 SERVICE = ServiceName("stock")
 NEAR, FAR = FailureDomainName("near"), FailureDomainName("far")
-BOUNDS = Bounds(6_000, 0.2, 10_000, 64, 10_000)
+BOUNDS = Bounds(2_000, 6_000, 0.2, 10_000, 64, 10_000)
 LIMITS = CallerLimits(16_384, 65_536, 3_000, 15_000)
 # A hung exchange fails the scenario instead of stalling the run; no step judges elapsed time.
 GUARD_S = 10
--- a/nutmeglead/forwarding/tests/steps/waiting_steps.py
+++ b/nutmeglead/forwarding/tests/steps/waiting_steps.py
@@ -38,6 +38,7 @@
         self.in_flight = 0
         self.full_for_ms = None
         self.is_unreachable = False
+        self.leaving_for_ms = None
         self.result = None
 
     def run(self, event, after_ms):
@@ -58,6 +59,8 @@
         upstream.in_flight = self.in_flight
         if self.full_for_ms is not None:
             upstream.full_since_ms = clock.now_ms() - self.full_for_ms
+        if self.leaving_for_ms is not None:
+            upstream.leaving_since_ms = clock.now_ms() - self.leaving_for_ms
         if self.is_unreachable:
             upstream.unreachable_until_ms = clock.now_ms() + 10_000
         started_ms = clock.now_ms()
@@ -112,6 +115,11 @@
     context.waiting.is_unreachable = True
 
 
+@given("the server has said {time_ms:d} ms ago that it leaves")
+def step_leaving(context, time_ms):
+    context.waiting.leaving_for_ms = time_ms
+
+
 @given("the server has just become full")
 def step_full(context):
     context.waiting.in_flight = FULL
--- a/nutmeglead/forwarding/tests/waiting.feature
+++ b/nutmeglead/forwarding/tests/waiting.feature
@@ -38,3 +38,15 @@
     Given the server has just become full
     When a request is cancelled in the moment in which it is placed
     Then the server has no request of this node in flight
+
+  Scenario: The owner of a key that leaves is used for a while
+    # Guards against refusals during a planned move of a leaving server's keys.
+    Given the server has said 1000 ms ago that it leaves
+    When a request waits and the move does not end
+    Then the request is placed after 0 ms
+
+  Scenario: The owner of a key that leaves gets nothing after its time
+    # Guards against requests to a leaving server beyond the drain bound (26 on a hunted day).
+    Given the server has said 1500 ms ago that it leaves
+    When a request waits and the move does not end
+    Then the request is refused after 300 ms with 450 ms to come back
--- a/nutmeglead/forwarding/upstream.py
+++ b/nutmeglead/forwarding/upstream.py
@@ -48,6 +48,8 @@
     connection_count: int = 0
     # Time since which the server must not be used, because it leaves or is gone.
     closed_since_ms: int | None = None
+    # Time since which the server says that it leaves.
+    leaving_since_ms: int | None = None
     # Time until which no connection is tried, because one has just failed.
     unreachable_until_ms: int = 0
     # Time since which requests have found no room here, or None.
--- a/nutmeglead/platform/node_settings.py
+++ b/nutmeglead/platform/node_settings.py
@@ -28,6 +28,7 @@
 class Bounds:
     """Hold the times and ratios that the platform expects to be kept."""
 
+    leave_ms: int
     stop_grace_ms: int
     retry_ratio: float
     retry_window_ms: int
@@ -94,6 +95,7 @@
     pairs = dict(entry.split("=", 1) for entry in given)
     values = {name: float(value) for name, value in pairs.items() if _is_number(value)}
     return Bounds(
+        leave_ms=milliseconds(values, "drain_s", 2),
         stop_grace_ms=milliseconds(values, "grace_s", 6),
         retry_ratio=number(values, "retry_budget_ratio", 0.1),
         retry_window_ms=milliseconds(values, "budget_window_s", 10),
--- a/nutmeglead/platform/tests/decoding.feature
+++ b/nutmeglead/platform/tests/decoding.feature
@@ -47,7 +47,7 @@
   Scenario: Settings name this process and its bounds
     # Guards against an exit at start because of fields that are new or empty.
     Given the settings file of the platform's pages with unknown fields
-    Then the node is front-halle-a-1 with its ports, its store and a grace time of 6000 ms
+    Then the node is front-halle-a-1 with its ports, its store and a drain bound of 2000 ms and a grace time of 6000 ms
 
   Scenario Outline: Damaged settings are refused with the field's name
     Given the settings file of the platform's pages without <field>
--- a/nutmeglead/platform/tests/steps/decoding_steps.py
+++ b/nutmeglead/platform/tests/steps/decoding_steps.py
@@ -181,13 +181,16 @@
     context.settings = decode_settings(text.encode())
 
 
-@then("the node is front-halle-a-1 with its ports, its store and a grace time of 6000 ms")
+@then(
+    "the node is front-halle-a-1 with its ports, its store and "
+    "a drain bound of 2000 ms and a grace time of 6000 ms"
+)
 def step_node(context):
     settings = context.settings.unwrap()
     ports = (settings.peer_port, settings.front_port, settings.ready_port)
     assert settings.node_id == "front-halle-a-1" and ports == (7540, 8548, 8542), settings
     assert (settings.store.ip, settings.store.port) == ("10.200.1.7", 8541)
-    assert settings.bounds.stop_grace_ms == 6_000
+    assert settings.bounds.leave_ms == 2_000 and settings.bounds.stop_grace_ms == 6_000
 
 
 @then("the settings are refused and the reason names {field}")
