--- a/nutmeglead/entry/tests/fabric.py
+++ b/nutmeglead/entry/tests/fabric.py
@@ -153,6 +153,8 @@
         self.nodes = {}
         self.cut_nodes = set()
         self.off_store = set()
+        # Nodes whose calls to the store get no answer.
+        self.silent_store = set()
         self.store_fault = None
         self.lost_answers = 0
         self.node_ids = [NodeId(f"entry-{number}") for number in range(node_count)]
@@ -225,7 +227,8 @@
     # ---- the store ----
 
     async def call_store(self, node_id, head, body):
-        if self.store_fault == "silent" or node_id in self.cut_nodes:
+        is_silent = self.store_fault == "silent" or node_id in self.silent_store
+        if is_silent or node_id in self.cut_nodes:
             await asyncio.sleep(3_600)
         if self.store_fault == "busy" or node_id in self.off_store:
             return Ok((ResponseHead(503), b"{}"))
--- a/nutmeglead/entry/tests/steps/ownership_steps.py
+++ b/nutmeglead/entry/tests/steps/ownership_steps.py
@@ -145,6 +145,20 @@
         fabric.off_store.add(fabric.acting())
         await self.a_server_leaves(fabric)
 
+    async def the_store_does_not_answer_the_acting_node_and_a_server_leaves(self, fabric):
+        node_id = fabric.acting()
+        server_id = busiest(fabric)
+        fabric.write_entry(server_id, "draining")
+        # The acting node's feed has brought the change when its calls begin to hang.
+        await pause(DELAY_MS * 3)
+        fabric.silent_store.add(node_id)
+        await pause(2_000 - DELAY_MS * 3)
+        now_ms = fabric.clock.now_ms()
+        holds = fabric.hosts[server_id].server.holds
+        fabric.left_holding = [hold for hold in holds if hold.until_ms > now_ms]
+        await pause(2_000)
+        fabric.silent_store.discard(node_id)
+
     async def answers_of_the_store_are_lost_while_a_server_crashes(self, fabric):
         fabric.lost_answers = 2
         await self.a_server_crashes(fabric)
@@ -271,3 +285,9 @@
     ready_ms = context.cluster.ready_ms
     # The node is away for the first second.
     assert ready_ms is not None and ready_ms <= 1_000 + bound_ms, ready_ms
+
+
+@then("the leaving server holds no key after 2000 ms")
+def step_left(context):
+    left_holding = context.cluster.fabric.left_holding
+    assert not left_holding, left_holding
