tools: print the known faults that the tests pass over

Cause: a run said nothing of the scenarios in KNOWN-RED.txt. Change: their entries are printed before the closing line.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -79,6 +79,13 @@
     return SuiteResult(name, passed, failed, done.stdout + done.stderr)
 
 
+def _known_red() -> str:
+    """Return the known faults whose scenarios are passed over."""
+    lines = (ROOT / "KNOWN-RED.txt").read_text().splitlines()
+    entries = [line for line in lines if line and not line.startswith("#")]
+    return "known red, not run:\n" + "\n".join(entries) if entries else "known red: none"
+
+
 def find_suites() -> list[Path]:
     """List the directories that hold features."""
     return sorted({path.parent for path in (ROOT / "nutmeglead").rglob("tests/*.feature")})
@@ -116,8 +123,8 @@
             print(result.output)
     passed = sum(result.passed for result in results)
     failed = sum(result.failed for result in results)
-    if options.known_red:
-        print("known red faults are listed in KNOWN-RED.txt")
+    if not options.known_red:
+        print(_known_red())
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
 
