--- a/nutmeglead/platform/ports.py
+++ b/nutmeglead/platform/ports.py
@@ -1,42 +1,15 @@
-"""Declare the ports to the table service, the object store, the VM list and backend servers."""
+"""Declare the port to a table of the store."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
 from result import Result
 
-from nutmeglead._generated.common.ttypes import Address
-from nutmeglead._generated.messages.ttypes import (
-    GrantReply,
-    ReleaseReply,
-    ReleaseUnits,
-    RenewLease,
-    RenewReply,
-    SetGrants,
-)
-from nutmeglead.core.ids import FailureDomainName, Incarnation, RowKey
-from nutmeglead.platform.errors import (
-    BackendUnreachable,
-    ObjectStoreUnavailable,
-    RowConflict,
-    TableAnswerLost,
-    TableUnavailable,
-    VmListUnavailable,
-)
-
-__all__ = [
-    "BackendControl",
-    "ObjectStore",
-    "Row",
-    "RowCheck",
-    "RowWrite",
-    "TableStore",
-    "VmEntry",
-    "VmList",
-    "VmState",
-]
+from nutmeglead.core.ids import RowKey
+from nutmeglead.platform.errors import RowConflict, TableAnswerLost, TableUnavailable
+
+__all__ = ["Row", "RowCheck", "RowWrite", "TableStore"]
 
 
 @dataclass(frozen=True)
@@ -72,7 +45,7 @@
         ...
 
     async def scan(self, prefix: str) -> Result[list[Row], TableUnavailable]:
-        """Return all rows whose key begins with a prefix, in key order, from one snapshot."""
+        """Return all rows whose key begins with a prefix, in key order, in pages of 500."""
         ...
 
     async def commit(
@@ -80,70 +53,3 @@
     ) -> Result[dict[RowKey, int], RowConflict | TableUnavailable | TableAnswerLost]:
         """Apply all writes if all checks hold; return the new versions of the written rows."""
         ...
-
-
-class ObjectStore(Protocol):
-    """Keep named immutable objects."""
-
-    async def put(self, name: str, body: bytes) -> Result[None, ObjectStoreUnavailable]:
-        """Store an object; storing the same name and body again has no effect."""
-        ...
-
-    async def get(self, name: str) -> Result[bytes | None, ObjectStoreUnavailable]:
-        """Return an object, or None if it is absent."""
-        ...
-
-    async def list_names(self, prefix: str) -> Result[list[str], ObjectStoreUnavailable]:
-        """List the names that begin with a prefix, in order."""
-        ...
-
-
-class VmState(Enum):
-    """Tell what the platform says of a VM."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-    GONE = "gone"
-
-
-@dataclass(frozen=True)
-class VmEntry:
-    """Describe one VM of the lagging list; `role` is "entry" or "backend"."""
-
-    vm_id: str
-    role: str
-    ip: str
-    port: int
-    failure_domain: FailureDomainName
-    state: VmState
-    incarnation: Incarnation
-
-
-class VmList(Protocol):
-    """Read the platform's lagging list of VMs."""
-
-    async def read(self) -> Result[list[VmEntry], VmListUnavailable]:
-        """Return the VMs that the platform knows; the list may be stale."""
-        ...
-
-
-class BackendControl(Protocol):
-    """Send lease and grant messages to a backend server that checks grants."""
-
-    async def renew(
-        self, address: Address, message: RenewLease
-    ) -> Result[RenewReply, BackendUnreachable]:
-        """Renew the server's lease."""
-        ...
-
-    async def set_grants(
-        self, address: Address, message: SetGrants
-    ) -> Result[GrantReply, BackendUnreachable]:
-        """Replace the server's grant set."""
-        ...
-
-    async def release(
-        self, address: Address, message: ReleaseUnits
-    ) -> Result[ReleaseReply, BackendUnreachable]:
-        """Ask the server to drain and drop units."""
-        ...
--- a/nutmeglead/platform/registry.py
+++ b/nutmeglead/platform/registry.py
@@ -1,5 +1,7 @@
 """Decode the entries that servers register in the store."""
 
+import json
+
 from result import Err, Ok, Result
 
 from nutmeglead.core.errors import CodecError
@@ -8,7 +10,7 @@
 from nutmeglead.platform.addresses import parse_address
 from nutmeglead.platform.fields import FieldError, milliseconds, parse_object, text, whole
 
-__all__ = ["decode_server"]
+__all__ = ["decode_server", "encode_server"]
 
 _STATES = {"ready": ServerState.READY, "draining": ServerState.LEAVING}
 
@@ -40,3 +42,20 @@
         )
     except ValueError as error:
         return Err(CodecError("a server entry", str(error)))
+
+
+def encode_server(record: ServerRecord) -> bytes:
+    """Return an entry as the server writes it, for emulated deployments."""
+    states = {state: name for name, state in _STATES.items()}
+    fields = {
+        "service": record.service,
+        "address": f"{record.ip}:{record.port}",
+        "zone": record.failure_domain,
+        "version": "v1",
+        "slots": record.slots,
+        "state": states[record.state],
+        "warmup_left_s": record.cold_left_ms / 1000,
+        "seq": 1,
+        "born": record.life.born_ms,
+    }
+    return json.dumps(fields).encode()
--- a/nutmeglead/platform/store.py
+++ b/nutmeglead/platform/store.py
@@ -149,17 +149,24 @@
                 lambda error: StoreAnswerLost(error.reason)
             )
         if status == 412:
-            return _parsed(answer, _rows).and_then(lambda rows: Err(StoreConflict(rows.rows)))
-        if status in (400, 403) or status in _REFUSED_STATUSES:
+            conflict = _parsed(answer, _rows).map_err(lambda error: StoreAnswerLost(error.reason))
+            return conflict.and_then(lambda rows: Err(StoreConflict(rows.rows)))
+        if status in (400, 403, 404) or status in _REFUSED_STATUSES:
             return Err(StoreUnavailable(f"status {status}"))
         return Err(StoreAnswerLost(f"status {status}"))
 
-    async def read(self, table: str, part: str) -> Result[StoreRows, StoreUnavailable]:
-        """Return all rows of a part of a table, as of the first page."""
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> Result[StoreRows, StoreUnavailable]:
+        """Return the rows of a part of a table whose keys lie from `first` to before `end`.
+
+        Further pages are read as of their own moments; the version is that of the last one.
+        """
         rows: list[StoreRow] = []
-        first = ""
         while True:
             query = {"table": table, "part": part, "from": first}
+            if end:
+                query["target"] = end
             page = await self._read_page(f"{STORE_READ_PATH}?{urlencode(query)}")
             if isinstance(page, Err):
                 return page
--- a/nutmeglead/programs/common.py
+++ b/nutmeglead/programs/common.py
@@ -3,7 +3,7 @@
 import argparse
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -11,21 +11,18 @@
 
 from nutmeglead import __version__
 from nutmeglead._generated.settings.ttypes import Settings
-from nutmeglead.admin.process import Service, run_until_signal
 from nutmeglead.core.errors import NutmegleadError
 from nutmeglead.core.events import Event, configure_logging, log_event
-from nutmeglead.core.registry import Registry
 from nutmeglead.programs.errors import ListenFailed
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.output import Output
 from nutmeglead.settings.loader import load_settings
 
-__all__ = ["build_parser", "run_command_line", "run_parsed", "run_service", "start"]
+__all__ = ["build_parser", "logger", "run_command_line", "run_parsed", "start"]
 
 logger = logging.getLogger(__name__)
 
-Policies = Mapping[str, Registry[Any]]
-Build = Callable[[Settings], Service]
+Run = Callable[[Settings], Coroutine[Any, Any, None]]
 Check = Callable[[Settings], Result[None, NutmegleadError]]
 
 
@@ -51,13 +48,13 @@
 
 
 def start(
-    options: argparse.Namespace, policies: Policies, output: Output, check: Check = _accept
+    options: argparse.Namespace, output: Output, check: Check = _accept
 ) -> Result[Settings, ExitCode]:
     """Load the settings and set up logging; Err if the program has to exit at once.
 
     A settings file with any fault starts nothing. `check` reads what else the options name.
     """
-    loaded = load_settings(options.settings, policies)
+    loaded = load_settings(options.settings)
     if isinstance(loaded, Err):
         return Err(_refuse(loaded.err_value, options, output))
     settings = loaded.ok_value
@@ -71,28 +68,14 @@
     return Ok(settings)
 
 
-def run_service(
-    program: str,
-    description: str,
-    policies: Policies,
-    build: Build,
-    arguments: list[str] | None = None,
-) -> int:
-    """Run a service until SIGTERM or SIGINT and return the exit code."""
-    options = build_parser(program, description).parse_args(arguments)
-    return run_parsed(options, policies, build)
-
-
-def run_parsed(
-    options: argparse.Namespace, policies: Policies, build: Build, check: Check = _accept
-) -> int:
-    """Run a service with options that are parsed already."""
+def run_parsed(options: argparse.Namespace, run: Run, check: Check = _accept) -> int:
+    """Run a service until it ends, with options that are parsed already."""
     output = Output()
-    started = start(options, policies, output, check)
+    started = start(options, output, check)
     if isinstance(started, Err):
         return started.err_value
     try:
-        asyncio.run(_run(build, started.ok_value))
+        asyncio.run(run(started.ok_value))
     except OSError as error:
         # Sockets of later connections report their errors to their own callers.
         log_event(logger, Event.LISTEN_FAILED, reason=str(error))
@@ -108,11 +91,6 @@
         return ExitCode.INTERRUPTED
 
 
-async def _run(build: Build, settings: Settings) -> None:
-    # Services bind asyncio objects when they are built, so the loop runs already.
-    await run_until_signal(build(settings))
-
-
 def _refuse(error: NutmegleadError, options: argparse.Namespace, output: Output) -> ExitCode:
     if not options.check:
         configure_logging("INFO", "json", output.errors)
--- a/nutmeglead/programs/connect.py
+++ b/nutmeglead/programs/connect.py
@@ -1,72 +1,86 @@
-"""Connect the operators' programs to the platform and to the entry VMs."""
+"""Connect the operators' programs to the store and to the entry VMs."""
 
 import asyncio
-import random
 from dataclasses import dataclass
 
-from result import Result
+from result import Err, Ok, Result
 
-from nutmeglead._generated.common.ttypes import Address, Sender
-from nutmeglead._generated.messages.ttypes import InForceReply, InForceRequest, MessageType
+from nutmeglead._generated.peers.ttypes import NodeRow, TicketStatus
 from nutmeglead._generated.settings.ttypes import Settings
 from nutmeglead.core.clock import SystemClock
-from nutmeglead.core.errors import NutmegleadError
-from nutmeglead.core.ids import TicketNumber
+from nutmeglead.core.codec import decode
+from nutmeglead.core.errors import CodecError, NutmegleadError
+from nutmeglead.core.ids import NodeId
+from nutmeglead.entry.copies import TICKET_STATUS_PATH
+from nutmeglead.entry.tables import NODES_TABLE
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.platform.http_objects import HttpObjectStore
-from nutmeglead.platform.http_table import HttpTable
-from nutmeglead.platform.http_vms import HttpVmList
-from nutmeglead.rpc.client import RpcClient
+from nutmeglead.http.messages import RequestHead
+from nutmeglead.platform.store import StoreClient
+from nutmeglead.platform.table import StoreTable
+from nutmeglead.tickets.rows import TICKETS_TABLE
 
-__all__ = ["Connections", "pause_ms"]
+__all__ = ["Connections", "EntryNodes", "pause_ms"]
+
+STORE_TIMEOUT_MS = 1_500
+# A ticket is in force within 3 s; a node that does not answer must not hide the others.
+STATUS_TIMEOUT_MS = 1_000
+
+
+@dataclass(frozen=True)
+class EntryNodes:
+    """Ask the entry VMs that the store lists."""
+
+    store: StoreClient
+    fetcher: HttpFetcher
+
+    async def list(self) -> Result[dict[NodeId, NodeRow], NutmegleadError]:
+        """Return the rows of all entry VMs."""
+        read = await self.store.read(NODES_TABLE, "")
+        if isinstance(read, Err):
+            return read
+        nodes: dict[NodeId, NodeRow] = {}
+        for row in read.ok_value.rows:
+            decoded = decode(NodeRow, row.value or b"")
+            if isinstance(decoded, Err):
+                return decoded
+            nodes[NodeId(row.key)] = decoded.ok_value
+        return Ok(nodes)
+
+    async def status(self, row: NodeRow) -> Result[TicketStatus, NutmegleadError]:
+        """Return the ticket that an entry VM follows."""
+        head = RequestHead(b"GET", TICKET_STATUS_PATH.encode())
+        fetched = await self.fetcher.fetch(row.ip, row.peer_port, head, b"", STATUS_TIMEOUT_MS)
+        if isinstance(fetched, Err):
+            return fetched
+        response, body = fetched.ok_value
+        if response.status != 200:
+            return Err(CodecError("a ticket status", f"status {response.status}"))
+        return decode(TicketStatus, body)
 
 
 @dataclass(frozen=True)
 class Connections:
-    """Hold the adapters of one run of an operator's program."""
+    """Hold what one run of an operator's program connects to."""
 
-    table: HttpTable
-    objects: HttpObjectStore
-    vms: HttpVmList
-    sender: Sender
+    store: StoreClient
+    tickets: StoreTable
+    nodes: EntryNodes
     clock: SystemClock
-    timeout_ms: int
     _fetcher: HttpFetcher
-    _rpc: RpcClient
 
     @classmethod
-    def open(cls, settings: Settings, program: str, rng: random.Random) -> "Connections":
-        """Create the adapters; connections are opened on first use."""
-        platform = settings.platform
-        timeout_ms = platform.request_timeout_ms
-        fetcher = HttpFetcher()
-        clock = SystemClock()
-        # Two runs in the same millisecond must not write the same audit objects.
-        incarnation = f"{clock.wall_ms()}-{rng.getrandbits(32):08x}"
+    def open(cls, settings: Settings) -> "Connections":
+        """Create the clients; connections are opened on first use."""
+        fetcher, clock = HttpFetcher(), SystemClock()
+        address = settings.store
+        store = StoreClient(address.ip, address.port, fetcher, STORE_TIMEOUT_MS, clock)
         return cls(
-            table=HttpTable(platform.table_service, timeout_ms, fetcher),
-            objects=HttpObjectStore(platform.object_store, timeout_ms, fetcher),
-            vms=HttpVmList(platform.vm_list, timeout_ms, fetcher),
-            sender=Sender(f"{program}-{settings.node.node_id}", incarnation),
-            clock=clock,
-            timeout_ms=timeout_ms,
-            _fetcher=fetcher,
-            _rpc=RpcClient(clock, rng),
-        )
-
-    async def ask(
-        self, address: Address, number: TicketNumber
-    ) -> Result[InForceReply, NutmegleadError]:
-        """Ask the controller of an entry VM whether a ticket is in force."""
-        request = InForceRequest(self.sender, number)
-        return await self._rpc.call(
-            address, MessageType.IN_FORCE, request, InForceReply, self.timeout_ms
+            store, StoreTable(store, TICKETS_TABLE), EntryNodes(store, fetcher), clock, fetcher
         )
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close all connections."""
         self._fetcher.close()
-        await self._rpc.close()
 
 
 async def pause_ms(duration_ms: int) -> None:
--- /dev/null
+++ b/nutmeglead/programs/emulate.py
@@ -0,0 +1,90 @@
+"""Play a day of an emulated deployment: the program nutmeglead-emulate."""
+
+import argparse
+import json
+import logging
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from result import Err
+
+from nutmeglead import __version__
+from nutmeglead.emulator.day import load_day
+from nutmeglead.emulator.report import (
+    broken_promises,
+    comparison_lines,
+    report_lines,
+    save_plot,
+)
+from nutmeglead.emulator.run import play
+from nutmeglead.programs.exit_codes import ExitCode
+from nutmeglead.programs.output import Output
+from nutmeglead.settings.errors import FileUnreadable
+from nutmeglead.settings.loader import read_text
+
+__all__ = ["emulate_parser", "main"]
+
+PROGRAM = "nutmeglead-emulate"
+
+
+def emulate_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog=PROGRAM,
+        description="Play a day of an emulated deployment on virtual time and judge it.",
+        epilog="Exit codes: docs/operators/exit-codes.md.",
+    )
+    parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
+    parser.add_argument("day", type=Path, metavar="DAY", help="JSON with comments")
+    parser.add_argument("--check", action="store_true", help="check the day's file and exit")
+    parser.add_argument("--seed", type=int, help="default: the day's own")
+    parser.add_argument("--json", action="store_true", help="print the report as JSON")
+    parser.add_argument("--report", type=Path, metavar="FILE", help="also write the report")
+    parser.add_argument(
+        "--compare", type=Path, metavar="FILE", help="print what differs from a written report"
+    )
+    parser.add_argument("--plot", type=Path, metavar="FILE", help="draw the day; needs matplotlib")
+    parser.add_argument("--log", action="store_true", help="print the parts' log lines")
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Play the day; the exit code tells whether every promise was kept."""
+    options = emulate_parser().parse_args(arguments)
+    output = Output(as_json=options.json)
+    loaded = load_day(options.day)
+    if isinstance(loaded, Err):
+        return output.error(loaded.err_value)
+    if options.check:
+        output.result(f"{options.day}: the day is valid", valid=True)
+        return ExitCode.DONE
+    if not options.log:
+        logging.disable(logging.ERROR)
+    day = loaded.ok_value
+    report = play(day, day.seed if options.seed is None else options.seed)
+    output.result("\n".join(report_lines(report)), **report.plain())
+    if options.report is not None:
+        options.report.write_text(json.dumps(report.plain(), indent=1) + "\n")
+    if options.plot is not None:
+        save_plot(report, options.plot)
+    if options.compare is not None:
+        earlier = _read_report(options.compare)
+        if isinstance(earlier, FileUnreadable):
+            return output.error(earlier)
+        output.result("\n".join(["compared:", *comparison_lines(report, earlier)]))
+    return ExitCode.PROMISE_BROKEN if broken_promises(report.counts) else ExitCode.DONE
+
+
+def _read_report(path: Path) -> dict[str, object] | FileUnreadable:
+    text = read_text(path)
+    if isinstance(text, Err):
+        return text.err_value
+    try:
+        return dict(json.loads(text.ok_value))
+    except (ValueError, TypeError) as error:
+        return FileUnreadable(str(path), f"no report: {error}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/nutmeglead/programs/exit_codes.py
+++ b/nutmeglead/programs/exit_codes.py
@@ -38,6 +38,7 @@
     NOT_IN_FORCE = 10
     DATA_CORRUPT = 11
     LISTEN_FAILED = 12
+    PROMISE_BROKEN = 13
     # 128 + SIGINT, as shells report it.
     INTERRUPTED = 130
 
--- a/nutmeglead/programs/ticket.py
+++ b/nutmeglead/programs/ticket.py
@@ -1,22 +1,17 @@
 """Check, file, show and watch tickets: the program nutmeglead-ticket."""
 
 import argparse
-import random
 import sys
 from pathlib import Path
 
 from result import Err
 
 from nutmeglead._generated.settings.ttypes import Settings
-from nutmeglead.audit.buffer import AuditBuffer
-from nutmeglead.audit.records import AuditContext
-from nutmeglead.core.ids import ServiceName
 from nutmeglead.programs import ticket_commands as commands
 from nutmeglead.programs.common import build_parser, run_command_line, start
 from nutmeglead.programs.connect import Connections, pause_ms
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.output import Output
-from nutmeglead.programs.policies import known_policies
 
 __all__ = ["main", "run_command", "ticket_parser"]
 
@@ -54,32 +49,26 @@
     if options.command is None and not options.check:
         parser.error("a command is needed: check, file, show, watch or list")
     output = Output(as_json=options.json)
-    started = start(options, known_policies(), output)
+    started = start(options, output)
     if isinstance(started, Err):
         return started.err_value
     return run_command_line(_run(options, started.ok_value, output))
 
 
 async def _run(options: argparse.Namespace, settings: Settings, output: Output) -> ExitCode:
-    connections = Connections.open(settings, "ticket", random.Random())
-    context = AuditContext(connections.sender, connections.clock.wall_ms(), ServiceName(""))
+    connections = Connections.open(settings)
     tools = commands.TicketTools(
-        settings=settings,
-        store=connections.table,
-        vms=connections.vms,
-        audit=AuditBuffer(
-            connections.objects, settings.audit, connections.sender, connections.clock
-        ),
-        context=context,
-        ask=connections.ask,
-        clock=connections.clock,
-        pause_ms=pause_ms,
-        output=output,
+        settings,
+        connections.tickets,
+        connections.nodes,
+        connections.clock,
+        pause_ms,
+        output,
     )
     try:
         return await run_command(options, tools)
     finally:
-        await connections.close()
+        connections.close()
 
 
 async def run_command(options: argparse.Namespace, tools: commands.TicketTools) -> ExitCode:
--- a/nutmeglead/programs/ticket_commands.py
+++ b/nutmeglead/programs/ticket_commands.py
@@ -1,24 +1,20 @@
 """Carry out the commands of nutmeglead-ticket through the ports."""
 
 import asyncio
-import logging
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
+from typing import Protocol
 
 from result import Err, Ok, Result
 
-from nutmeglead._generated.common.ttypes import Address
-from nutmeglead._generated.messages.ttypes import InForceReply
+from nutmeglead._generated.peers.ttypes import NodeRow, TicketStatus
 from nutmeglead._generated.settings.ttypes import Settings
 from nutmeglead._generated.tickets.ttypes import Ticket
-from nutmeglead.audit.buffer import AuditBuffer
-from nutmeglead.audit.records import AuditContext, ticket_accepted
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.errors import NutmegleadError
-from nutmeglead.core.events import Event, log_event
-from nutmeglead.core.ids import ServiceName, TicketNumber
-from nutmeglead.platform.ports import TableStore, VmEntry, VmList, VmState
+from nutmeglead.core.ids import NodeId, TicketNumber
+from nutmeglead.platform.ports import TableStore
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.output import Output
 from nutmeglead.settings.errors import FileUnreadable, describe_count
@@ -26,17 +22,25 @@
 from nutmeglead.settings.structs import plain_struct
 from nutmeglead.tickets.checks import load_ticket
 from nutmeglead.tickets.errors import TicketFaults
-from nutmeglead.tickets.filing import Filed, TicketFiling
+from nutmeglead.tickets.filing import TicketFiling
 from nutmeglead.tickets.rows import HEAD_ROW, read_header, read_ticket
 
-__all__ = ["TicketTools", "check", "file", "list_tickets", "show", "watch"]
-
-logger = logging.getLogger(__name__)
+__all__ = ["Nodes", "TicketTools", "check", "file", "list_tickets", "show", "watch"]
 
 # A ticket is in force within 3 s; an operator who watches sees each step.
 WATCH_INTERVAL_MS = 250
 
-Ask = Callable[[Address, TicketNumber], Awaitable[Result[InForceReply, NutmegleadError]]]
+
+class Nodes(Protocol):
+    """Ask the entry VMs."""
+
+    async def list(self) -> Result[dict[NodeId, NodeRow], NutmegleadError]:
+        """Return the rows of all entry VMs."""
+        ...
+
+    async def status(self, row: NodeRow) -> Result[TicketStatus, NutmegleadError]:
+        """Return the ticket that an entry VM follows."""
+        ...
 
 
 @dataclass(frozen=True)
@@ -45,10 +49,7 @@
 
     settings: Settings
     store: TableStore
-    vms: VmList
-    audit: AuditBuffer
-    context: AuditContext
-    ask: Ask
+    nodes: Nodes
     clock: Clock
     pause_ms: Callable[[int], Awaitable[None]]
     output: Output
@@ -97,30 +98,12 @@
     filed = await tools.filing().file(loaded.ok_value)
     if isinstance(filed, Err):
         return tools.output.error(filed.err_value)
-    await _record(tools, loaded.ok_value, filed.ok_value)
     number, repeated = filed.ok_value.number, filed.ok_value.repeated
     verb = "was filed before as" if repeated else "is filed as"
     tools.output.result(f"{path}: {verb} ticket {number}", number=number, repeated=repeated)
     return ExitCode.DONE
 
 
-async def _record(tools: TicketTools, ticket: Ticket, filed: Filed) -> None:
-    """Add the acceptance to the audit trail; the ticket is in the table whether or not it works."""
-    names = {item.service_name for item in [*(ticket.servers or []), *(ticket.claims or [])]}
-    for name in sorted(names):
-        context = replace(
-            tools.context,
-            service_name=ServiceName(name),
-            ticket_number=filed.number,
-            wall_time_ms=tools.clock.wall_ms(),
-        )
-        tools.audit.append(ticket_accepted(context, ticket))
-    closed = await tools.audit.close()
-    if isinstance(closed, Err):
-        log_event(logger, Event.AUDIT_DELAYED, reason=str(closed.err_value))
-        tools.output.warning("the audit trail lacks this filing; file the ticket again to add it")
-
-
 async def show(tools: TicketTools, number: int) -> ExitCode:
     """Print a filed ticket."""
     read = await read_ticket(tools.store, number)
@@ -138,10 +121,10 @@
         address = plain.get("address", {"ip": "-", "port": "-"})
         place = f"{address['ip']}:{address['port']} in {plain.get('failure_domain', '-')}"
         name = f"{server.service_name} {server.server_id}"
-        lines.append(f"  server {name}: {plain['state']}, {place}, weight {server.weight}")
+        lines.append(f"  server {name}: {plain['state']}, {place}")
     for claim in ticket.claims or []:
         plain = plain_struct(claim)
-        target = plain.pop("server_id", "the placement policy")
+        target = plain.pop("server_id", "the balancer")
         service = plain.pop("service_name")
         form = ", ".join(f"{name} {value}" for name, value in plain.items())
         lines.append(f"  claim {service} {form}: {target}")
@@ -200,28 +183,26 @@
 
 async def _missing(tools: TicketTools, number: TicketNumber) -> Result[list[str], NutmegleadError]:
     """Name who keeps the ticket from being in force; an entry VM without an answer counts."""
-    listed = await tools.vms.read()
+    listed = await tools.nodes.list()
     if isinstance(listed, Err):
         return listed
-    nodes = [vm for vm in listed.ok_value if vm.role == "entry" and vm.state != VmState.GONE]
+    nodes = listed.ok_value
     if not nodes:
-        return Ok(["the VM list names no entry VM"])
+        return Ok(["the store lists no entry VM"])
     # Asked one after the other, a few VMs without an answer would take longer than the 3 s bound.
-    answers = await asyncio.gather(
-        *(tools.ask(Address(node.ip, node.port), number) for node in nodes)
-    )
+    answers = await asyncio.gather(*(tools.nodes.status(row) for row in nodes.values()))
     missing: list[str] = []
-    for node, answer in zip(nodes, answers, strict=True):
-        missing += _missing_of(node, answer)
+    for node_id, answer in zip(nodes, answers, strict=True):
+        missing += _missing_of(node_id, answer, number)
     return Ok(list(dict.fromkeys(missing)))
 
 
-def _missing_of(node: VmEntry, answer: Result[InForceReply, NutmegleadError]) -> Sequence[str]:
+def _missing_of(
+    node_id: NodeId, answer: Result[TicketStatus, NutmegleadError], number: TicketNumber
+) -> Sequence[str]:
     if isinstance(answer, Err):
-        return [f"{node.vm_id}: no answer: {answer.err_value}"]
-    reply = answer.ok_value
-    if reply.in_force:
-        return []
-    if not reply.missing:
-        return [f"{node.vm_id}: not in force there"]
-    return [f"{party.id}: {party.reason}" for party in reply.missing]
+        return [f"{node_id}: no answer: {answer.err_value}"]
+    status = answer.ok_value
+    if status.ticket_number < number:
+        return [f"{node_id}: follows ticket {status.ticket_number}"]
+    return list(status.missing)
--- a/nutmeglead/ranges/balance.py
+++ b/nutmeglead/ranges/balance.py
@@ -7,11 +7,13 @@
 from dataclasses import dataclass
 
 from nutmeglead.forwarding.model import ServerLife
-from nutmeglead.ranges.model import KEY_COUNT, KeyRange, RangeMap
+from nutmeglead.ranges.keys import KEY_COUNT
+from nutmeglead.ranges.model import KeyRange, RangeMap
+from nutmeglead.ranges.moves import Move, MoveReason
+from nutmeglead.ranges.pins import Interval, cut_out, without_pinned
 
 __all__ = [
     "BalanceSettings",
-    "Move",
     "ServerLoad",
     "initial_moves",
     "plan_moves",
@@ -19,8 +21,6 @@
     "work_imbalance",
 ]
 
-Move = tuple[int, int, ServerLife]
-
 
 @dataclass(frozen=True)
 class BalanceSettings:
@@ -80,14 +80,14 @@
         passed += servers[life].capacity
         end = round(KEY_COUNT * passed / total)
         if end > first:
-            moves.append((first, end - 1, life))
+            moves.append(Move(first, end - 1, life, MoveReason.FIRST_PLACEMENT))
         first = end
     return moves
 
 
 def rescue_moves(
     ranges: RangeMap,
-    stranded: Sequence[KeyRange],
+    stranded: Mapping[KeyRange, MoveReason],
     servers: Mapping[ServerLife, ServerLoad],
     hits: Sequence[int],
 ) -> list[Move]:
@@ -106,7 +106,7 @@
             target = min(servers, key=lambda life: (work[life] / servers[life].capacity, life))
             # A piece without hits still counts, or all such pieces go to one server.
             work[target] += counted.count(first, last) + len(hits) * (last - first) / KEY_COUNT / 8
-            moves.append((first, last, target))
+            moves.append(Move(first, last, target, stranded[entry]))
     return moves
 
 
@@ -115,11 +115,15 @@
     servers: Mapping[ServerLife, ServerLoad],
     hits: Sequence[int],
     settings: BalanceSettings,
+    held: Sequence[Interval] = (),
 ) -> list[Move]:
-    """Return moves from servers with much work to servers with little; pending ranges stay."""
+    """Return moves from servers with much work to servers with little.
+
+    Pending ranges and the keys of `held`, which have their servers from the operator, stay.
+    """
     if len(servers) < 2 or len(hits) < settings.min_hits_per_server * len(servers):
-        return _empty_server_moves(ranges, servers) if servers else []
-    round_ = _Round(ranges, servers, _Hits(hits), settings)
+        return without_pinned(_empty_server_moves(ranges, servers), held) if servers else []
+    round_ = _Round(ranges, servers, _Hits(hits), settings, held)
     moves: list[Move] = []
     while len(moves) < settings.max_moves and (move := round_.next_move()) is not None:
         moves.append(move)
@@ -135,6 +139,7 @@
         servers: Mapping[ServerLife, ServerLoad],
         hits: _Hits,
         settings: BalanceSettings,
+        held: Sequence[Interval],
     ) -> None:
         self._servers = servers
         self._hits = hits
@@ -147,7 +152,7 @@
                 continue
             self._range_counts[entry.owner] += 1
             if not entry.is_pending:
-                self._ranges[entry.owner].append((entry.first, entry.last))
+                self._ranges[entry.owner] += cut_out(entry.first, entry.last, held)
         total_capacity = sum(load.capacity for load in servers.values())
         self._mean = sum(self._work.values()) / total_capacity
 
@@ -192,7 +197,7 @@
             return None
         first, last, count = best
         self._take(source, target, first, last, count)
-        return first, last, target
+        return Move(first, last, target)
 
     def _take(
         self, source: ServerLife, target: ServerLife, first: int, last: int, count: int
@@ -263,5 +268,5 @@
         if len(moves) == len(settled) or settled[len(moves)].size < 2:
             break
         entry = settled[len(moves)]
-        moves.append((entry.first + entry.size // 2, entry.last, life))
+        moves.append(Move(entry.first + entry.size // 2, entry.last, life))
     return moves
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -7,18 +7,19 @@
 
 from result import Err
 
+from nutmeglead._generated.audit.ttypes import AuditRecord
 from nutmeglead._generated.peers.ttypes import ServiceView
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
-from nutmeglead.forwarding.model import ServerLife
+from nutmeglead.forwarding.model import ServerLife, ServerState
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.peers.membership import STORE_SILENT_AFTER_MS, Membership
 from nutmeglead.platform.grants import GrantClient
 from nutmeglead.platform.store import StoreAnswerLost, StoreUnavailable
+from nutmeglead.ranges.audit import move_record, role_record
 from nutmeglead.ranges.balance import (
     BalanceSettings,
-    Move,
     ServerLoad,
     initial_moves,
     plan_moves,
@@ -26,9 +27,12 @@
     work_imbalance,
 )
 from nutmeglead.ranges.candidates import OwnerCandidates
+from nutmeglead.ranges.keys import KEY_COUNT
 from nutmeglead.ranges.load import HitWindow
-from nutmeglead.ranges.model import KEY_COUNT, KeyRange, RangeMap
+from nutmeglead.ranges.model import KeyRange, RangeMap
+from nutmeglead.ranges.moves import Move, MoveReason
 from nutmeglead.ranges.orders import Orders
+from nutmeglead.ranges.pins import Pin, held_pins, pin_moves
 from nutmeglead.ranges.rights import RENEW_RIGHT_MS, RenewalRights
 from nutmeglead.ranges.role import RoleLost, RoleRows
 from nutmeglead.ranges.transfer import Transfers
@@ -37,7 +41,7 @@
 
 logger = logging.getLogger(__name__)
 
-TICK_MS = 100
+TICK_MS = 50
 # The first map waits until the list of servers has not grown for this time.
 FIRST_MAP_QUIET_MS = 1_000
 BALANCE_INTERVAL_MS = 500
@@ -63,6 +67,7 @@
     max_hold_ms: int
     store_age_ms: Callable[[], int]
     health_path: Callable[[ServiceName], str]
+    manifest_version: Callable[[], int]
     push_map: Callable[[RangeMap, int], None]
     on_map: Callable[[RangeMap], None]
 
@@ -78,6 +83,8 @@
         self.acting_id: NodeId | None = None
         self.hits = HitWindow()
         self.keys_moved = 0
+        # Keys that the operator has given to servers; the balancer leaves them there.
+        self.pins: tuple[Pin, ...] = ()
         self._rows = rows
         self._context = context
         self._clock = context.clock
@@ -251,7 +258,7 @@
             if acting_id != self._context.node_id and is_served:
                 return
         epoch = max(self.role_epoch, role.epoch if role else 0) + 1
-        taken = await self._rows.take(epoch)
+        taken = await self._rows.take(epoch, self._role_record(epoch))
         if isinstance(taken, Err):
             logger.info("%s: the role was not taken: %s", self.service, taken.err_value)
             return
@@ -280,7 +287,8 @@
         moves = self._urgent_moves(servers, now_ms)
         if not moves and now_ms >= self._next_balance_ms:
             self._next_balance_ms = now_ms + BALANCE_INTERVAL_MS
-            moves = plan_moves(self.ranges, servers, self.hits.sample(now_ms), BalanceSettings())
+            sample, held = self.hits.sample(now_ms), held_pins(self.pins, servers)
+            moves = plan_moves(self.ranges, servers, sample, BalanceSettings(), held)
         if moves:
             await self._commit(self.ranges, moves)
         elif self._is_settling_due(now_ms):
@@ -308,13 +316,22 @@
         moves: list[Move] = []
         for entry in self.orders.stale:
             if entry in self.ranges.ranges and entry.owner in servers:
-                moves.append((entry.first, entry.last, entry.owner))
+                moves.append(Move(entry.first, entry.last, entry.owner, MoveReason.STALE_FENCE))
         self.orders.stale.clear()
-        stranded = [entry for entry in self.ranges if entry.owner not in servers]
+        stranded = {
+            entry: self._reason_to_leave(entry.owner)
+            for entry in self.ranges
+            if entry.owner not in servers
+        }
         if stranded:
             sample = self.hits.sample(now_ms)
             moves += rescue_moves(self.ranges, stranded, servers, sample)
-        return moves
+        return moves + pin_moves(self.ranges, self.pins, servers)
+
+    def _reason_to_leave(self, owner: ServerLife | None) -> MoveReason:
+        record = None if owner is None else self._context.registry.find(owner)
+        is_leaving = record is not None and record.state is ServerState.LEAVING
+        return MoveReason.SERVER_LEAVING if is_leaving else MoveReason.SERVER_LOST
 
     async def _commit(self, ranges: RangeMap, moves: Sequence[Move]) -> None:
         """Write the next map before any order is sent; retry while the result is unknown."""
@@ -322,15 +339,16 @@
         if now_ms < self._next_store_ms:
             return
         target = ranges.assign(moves, self.role_epoch)
+        record = self._move_record(moves, ranges, target)
         asked_ms = now_ms
-        written = await self._rows.commit(target)
+        written = await self._rows.commit(target, record)
         while isinstance(written, Err) and isinstance(written.err_value, StoreAnswerLost):
             log_event(logger, Event.TABLE_ANSWER_LOST, service=self.service, map=target.version)
             await asyncio.sleep(STORE_RETRY_MS / 1000)
             if not self._has_role:
                 return
             asked_ms = self._clock.now_ms()
-            written = await self._rows.commit(target)
+            written = await self._rows.commit(target, record)
         if isinstance(written, Err):
             self._on_refused(written.err_value)
             return
@@ -346,7 +364,37 @@
         self._unsettled_since_ms = None
         self.ranges = target
         self.step = 0
-        for first, last, owner in moves:
+        self._note_moves(moves, target)
+        self._publish()
+        self._transfers.start(target)
+
+    def _role_record(self, epoch: int) -> AuditRecord:
+        context = self._context
+        return role_record(
+            context.node_id,
+            self._clock.wall_ms(),
+            self.service,
+            context.manifest_version(),
+            epoch,
+        )
+
+    def _move_record(
+        self, moves: Sequence[Move], before: RangeMap, after: RangeMap
+    ) -> AuditRecord | None:
+        if not moves:
+            return None
+        context = self._context
+        return move_record(
+            context.node_id,
+            self._clock.wall_ms(),
+            context.manifest_version(),
+            moves,
+            before,
+            after,
+        )
+
+    def _note_moves(self, moves: Sequence[Move], target: RangeMap) -> None:
+        for first, last, owner, reason in moves:
             self.keys_moved += last - first + 1
             log_event(
                 logger,
@@ -357,9 +405,8 @@
                 server=owner.server_id,
                 map=target.version,
                 fence=target.fence,
+                reason=reason.value,
             )
-        self._publish()
-        self._transfers.start(target)
 
     def _on_refused(self, error: RoleLost | StoreUnavailable | StoreAnswerLost) -> None:
         if isinstance(error, RoleLost):
--- a/nutmeglead/ranges/health.py
+++ b/nutmeglead/ranges/health.py
@@ -8,7 +8,7 @@
 
 # One order in three may stay unanswered although its server lives; a server that answers any
 # order or request within this time is not lost.
-LOST_AFTER_FAILURES = 3
+LOST_AFTER_FAILURES = 4
 LOST_AFTER_MS = 700
 # A refused connection is stronger evidence than silence.
 LOST_AFTER_REFUSALS = 2
--- /dev/null
+++ b/nutmeglead/ranges/moves.py
@@ -0,0 +1,28 @@
+"""Define a change of owner and the reasons for one."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from nutmeglead.forwarding.model import ServerLife
+
+__all__ = ["Move", "MoveReason"]
+
+
+class MoveReason(Enum):
+    """Tell why keys get another owner."""
+
+    FIRST_PLACEMENT = "first placement"
+    CLAIM = "claimed by the operator"
+    SERVER_LEAVING = "the server leaves"
+    SERVER_LOST = "the server is lost"
+    BALANCE = "balance of load"
+    STALE_FENCE = "the server has seen a higher fence"
+
+
+class Move(NamedTuple):
+    """Give the keys from `first` to `last`, both included, to a server."""
+
+    first: int
+    last: int
+    owner: ServerLife
+    reason: MoveReason = MoveReason.BALANCE
--- a/nutmeglead/ranges/orders.py
+++ b/nutmeglead/ranges/orders.py
@@ -22,9 +22,10 @@
 # A key is served again within 2 s of a loss (target): the interval of renewals, the timeout of the
 # last one, the hold with its drift and the next grant lie between.
 HOLD_MS = 1_200
-# Two renewals may stay unanswered before a hold runs out.
 RENEW_INTERVAL_MS = 400
-GRANT_TIMEOUT_MS = 250
+# An order and its answer take under 30 ms between failure domains. Four orders without an answer
+# fit into a hold.
+GRANT_TIMEOUT_MS = 160
 PROBE_INTERVAL_MS = 500
 # A release is answered when the work on its keys has ended.
 RELEASE_TIMEOUT_MS = 1_500
--- a/nutmeglead/ranges/role.py
+++ b/nutmeglead/ranges/role.py
@@ -5,6 +5,7 @@
 
 from result import Err, Ok, Result
 
+from nutmeglead._generated.audit.ttypes import AuditRecord
 from nutmeglead._generated.peers.ttypes import RoleRow
 from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.errors import CodecError, PlatformError
@@ -16,9 +17,10 @@
     StoreRow,
     StoreUnavailable,
 )
+from nutmeglead.ranges.audit import audit_rows
 from nutmeglead.ranges.model import RangeMap, decode_map, encode_map
 
-__all__ = ["RoleLost", "RoleRows", "StoredState"]
+__all__ = ["MAP_KEY", "RANGES_TABLE", "RoleLost", "RoleRows", "StoredState"]
 
 logger = logging.getLogger(__name__)
 
@@ -91,25 +93,29 @@
             return Ok(0)
         return decode_map(row.value).map(lambda ranges: ranges.version)
 
-    async def take(self, epoch: int) -> Result[None, RoleLost | StoreUnavailable | StoreAnswerLost]:
+    async def take(
+        self, epoch: int, audit: AuditRecord
+    ) -> Result[None, RoleLost | StoreUnavailable | StoreAnswerLost]:
         """Take the role under an epoch; the rows must be as last read."""
         row = encode(RoleRow(self._node_id, self._incarnation, epoch))
         target = self._row(ROLES_TABLE, ROLE_KEY, self._role_version, row)
         # The map's row is expected too, so that its version is the one that was read.
         expected = [target, self._row(RANGES_TABLE, MAP_KEY, self._map_version, None)]
-        written = await self._write(expected, target)
+        also, outdated = audit_rows(self._service, audit)
+        written = await self._write(expected, target, also, outdated)
         if isinstance(written, Err):
             return written
         self._role_version = written.ok_value
         return Ok(None)
 
     async def commit(
-        self, ranges: RangeMap
+        self, ranges: RangeMap, audit: AuditRecord | None = None
     ) -> Result[None, RoleLost | StoreUnavailable | StoreAnswerLost]:
-        """Write the next map while this node has the role."""
+        """Write the next map, and the record of its moves, while this node has the role."""
         role = self._row(ROLES_TABLE, ROLE_KEY, self._role_version, None)
         target = self._row(RANGES_TABLE, MAP_KEY, self._map_version, encode_map(ranges))
-        written = await self._write([role, target], target)
+        also, outdated = audit_rows(self._service, audit) if audit is not None else ([], [])
+        written = await self._write([role, target], target, also, outdated)
         if isinstance(written, Err):
             return written
         self._map_version = written.ok_value
@@ -119,10 +125,14 @@
         return StoreRow(table, self._service, key, value, version)
 
     async def _write(
-        self, expected: list[StoreRow], target: StoreRow
+        self,
+        expected: list[StoreRow],
+        target: StoreRow,
+        also: list[StoreRow],
+        outdated: list[StoreRow],
     ) -> Result[int, RoleLost | StoreUnavailable | StoreAnswerLost]:
         """Write a row; a conflict with the same value means that an earlier try was applied."""
-        written = await self._store.transact(expected, [target])
+        written = await self._store.transact(expected, [target, *also], outdated)
         if isinstance(written, Ok):
             return written
         error = written.err_value
--- a/nutmeglead/ranges/transfer.py
+++ b/nutmeglead/ranges/transfer.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.forwarding.model import ServerLife
-from nutmeglead.platform.grants import GrantRefused
+from nutmeglead.platform.grants import GrantError, GrantRefused
 from nutmeglead.ranges.model import KeyRange, RangeMap
 from nutmeglead.ranges.orders import NoRight, Orders
 from nutmeglead.ranges.rights import RenewalRights
@@ -26,6 +26,8 @@
 # Pause before an order is repeated; a refused connection answers at once.
 RETRY_PAUSE_MS = 60
 HOLD_CHECK_MS = 30
+# Most work on a range ends sooner; a release that got lost must not cost its whole timeout.
+RELEASE_REPEAT_MS = 300
 
 
 class Transfers:
@@ -105,13 +107,28 @@
         return end_ms is not None and now_ms >= end_ms
 
     async def _release(self, holder: ServerLife, entry: KeyRange) -> str | None:
-        """Repeat the release until it is answered; return the handover."""
-        while True:
-            released = await self._orders.release(holder, entry)
-            if isinstance(released, Ok):
-                return released.ok_value
-            logger.debug("release of %d..%d: %s", entry.first, entry.last, released.err_value)
-            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+        """Repeat the release until one is answered; return the handover.
+
+        An earlier one may still be answered when the work on its keys has ended.
+        """
+        loop = asyncio.get_running_loop()
+        sent: set[asyncio.Task[Result[str | None, GrantError]]] = set()
+        try:
+            while True:
+                sent.add(loop.create_task(self._orders.release(holder, entry)))
+                answered, sent = await asyncio.wait(
+                    sent, timeout=RELEASE_REPEAT_MS / 1000, return_when=asyncio.FIRST_COMPLETED
+                )
+                for release in answered:
+                    result = release.result()
+                    if isinstance(result, Ok):
+                        return result.ok_value
+                    logger.debug("release of %d..%d: %s", entry.first, entry.last, result.err_value)
+                if answered:
+                    await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+        finally:
+            for release in sent:
+                release.cancel()
 
     async def _grant(self, entry: KeyRange, handover: str | None) -> bool:
         """Repeat the grant until it is answered; return False if it needs a higher fence."""
--- a/nutmeglead/routing/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Carry requests from callers to the servers that own their keys."""
--- a/nutmeglead/rpc/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Exchange typed messages between the project's own processes over TCP."""
--- a/nutmeglead/settings/checks.py
+++ b/nutmeglead/settings/checks.py
@@ -7,31 +7,24 @@
 from typing import Any
 
 from nutmeglead._generated.common.ttypes import Address
-from nutmeglead._generated.settings.ttypes import ServiceSettings, Settings
+from nutmeglead._generated.settings.ttypes import Settings
 from nutmeglead.core.registry import Registry
 from nutmeglead.settings.errors import Fault, describe_value
-from nutmeglead.settings.ranges import LEVELS, LOG_FORMATS, NAME_PATTERN, RANGES
+from nutmeglead.settings.ranges import LEVELS, LOG_FORMATS, NAME_PATTERN, RANGES, Range
 from nutmeglead.settings.structs import join_path
 
-__all__ = ["SETTINGS_CHECKS", "Policies", "check_ip", "check_settings", "walk_structs"]
+__all__ = ["SETTINGS_CHECKS", "check_ip", "check_ranges", "check_settings", "walk_structs"]
 
-Policies = Mapping[str, Registry[Any]]
-Check = Callable[[Settings, Policies], Iterable[Fault]]
+Check = Callable[[Settings], Iterable[Fault]]
 
 SETTINGS_CHECKS: Registry[Check] = Registry("settings checks")
 
-# Fields of ServiceSettings that hold a struct with a `policy` name.
-_POLICY_STRUCTS = ("admission", "concurrency", "retries", "ejection", "placement")
 
-
-def check_settings(settings: Settings, policies: Policies) -> tuple[Fault, ...]:
-    """Return the faults that all registered checks find, in order of path.
-
-    A kind of policy that `policies` does not name is left to the program that uses it.
-    """
+def check_settings(settings: Settings) -> tuple[Fault, ...]:
+    """Return the faults that all registered checks find, in order of path."""
     faults: list[Fault] = []
     for name in SETTINGS_CHECKS.names():
-        faults += SETTINGS_CHECKS.get(name)(settings, policies)
+        faults += SETTINGS_CHECKS.get(name)(settings)
     return tuple(sorted(faults, key=lambda fault: fault.path))
 
 
@@ -58,17 +51,22 @@
         yield Fault(path, "an IP address", describe_value(ip))
 
 
-@SETTINGS_CHECKS.register("ranges")
-def _check_ranges(settings: Settings, policies: Policies) -> Iterator[Fault]:
-    for path, struct in walk_structs(settings):
-        for name, limits in RANGES.get(type(struct), {}).items():
-            value = getattr(struct, name)
+def check_ranges(struct: Any, ranges: Mapping[type, Mapping[str, Range]]) -> Iterator[Fault]:
+    """Yield a fault for each number of a struct that is out of its range."""
+    for path, part in walk_structs(struct):
+        for name, limits in ranges.get(type(part), {}).items():
+            value = getattr(part, name)
             if not limits.low <= value <= limits.high:
                 yield Fault(join_path(path, name), str(limits), describe_value(value))
 
 
+@SETTINGS_CHECKS.register("ranges")
+def _check_ranges(settings: Settings) -> Iterator[Fault]:
+    yield from check_ranges(settings, RANGES)
+
+
 @SETTINGS_CHECKS.register("addresses")
-def _check_addresses(settings: Settings, policies: Policies) -> Iterator[Fault]:
+def _check_addresses(settings: Settings) -> Iterator[Fault]:
     yield from check_ip(settings.node.ip, "node.ip")
     for path, struct in walk_structs(settings):
         if isinstance(struct, Address):
@@ -76,7 +74,7 @@
 
 
 @SETTINGS_CHECKS.register("names")
-def _check_names(settings: Settings, policies: Policies) -> Iterator[Fault]:
+def _check_names(settings: Settings) -> Iterator[Fault]:
     named = [("user", settings.user), ("node.node_id", settings.node.node_id)]
     named += [(f"services[{n}].name", s.name) for n, s in enumerate(settings.services)]
     named += [
@@ -88,7 +86,7 @@
 
 
 @SETTINGS_CHECKS.register("duplicates")
-def _check_duplicates(settings: Settings, policies: Policies) -> Iterator[Fault]:
+def _check_duplicates(settings: Settings) -> Iterator[Fault]:
     yield from _duplicate_names("services", settings.services)
     yield from _duplicate_names("failure_domains", settings.failure_domains)
 
@@ -102,14 +100,14 @@
 
 
 @SETTINGS_CHECKS.register("lists")
-def _check_lists(settings: Settings, policies: Policies) -> Iterator[Fault]:
+def _check_lists(settings: Settings) -> Iterator[Fault]:
     for name in ("services", "failure_domains"):
         if not getattr(settings, name):
             yield Fault(name, "a list of at least 1", "a list of 0")
 
 
 @SETTINGS_CHECKS.register("failure domain")
-def _check_failure_domain(settings: Settings, policies: Policies) -> Iterator[Fault]:
+def _check_failure_domain(settings: Settings) -> Iterator[Fault]:
     known = [domain.name for domain in settings.failure_domains]
     if settings.node.failure_domain not in known:
         got = describe_value(settings.node.failure_domain)
@@ -117,7 +115,7 @@
 
 
 @SETTINGS_CHECKS.register("ports")
-def _check_ports(settings: Settings, policies: Policies) -> Iterator[Fault]:
+def _check_ports(settings: Settings) -> Iterator[Fault]:
     """Two listeners of one VM on the same port would stop the second program at its start."""
     names = [spec[2] for spec in settings.node.thrift_spec if spec and spec[2].endswith("_port")]
     first_use: dict[int, str] = {}
@@ -129,35 +127,8 @@
         first_use.setdefault(port, name)
 
 
-@SETTINGS_CHECKS.register("hash buckets")
-def _check_hash_buckets(settings: Settings, policies: Policies) -> Iterator[Fault]:
-    """Buckets are numbered by the top bits of the hash, so their number is a power of two."""
-    for position, service in enumerate(settings.services):
-        count = service.hash_buckets
-        if count < 1 or count & (count - 1):
-            yield Fault(f"services[{position}].hash_buckets", "a power of two", str(count))
-
-
-@SETTINGS_CHECKS.register("policies")
-def _check_policies(settings: Settings, policies: Policies) -> Iterator[Fault]:
-    push = settings.dissemination.push_strategy
-    named = [("push", "dissemination.push_strategy", push)]
-    for position, service in enumerate(settings.services):
-        named += _policy_names(service, f"services[{position}]")
-    for kind, path, name in named:
-        if kind in policies and name not in policies[kind].names():
-            expected = "one of " + ", ".join(policies[kind].names())
-            yield Fault(path, expected, describe_value(name))
-
-
-def _policy_names(service: ServiceSettings, path: str) -> Iterator[tuple[str, str, str]]:
-    for kind in _POLICY_STRUCTS:
-        yield kind, f"{path}.{kind}.policy", getattr(service, kind).policy
-    yield "selection", f"{path}.selection", service.selection
-
-
 @SETTINGS_CHECKS.register("log")
-def _check_log(settings: Settings, policies: Policies) -> Iterator[Fault]:
+def _check_log(settings: Settings) -> Iterator[Fault]:
     for name, known in (("level", LEVELS), ("format", LOG_FORMATS)):
         value = getattr(settings.log, name)
         if value not in known:
@@ -165,45 +136,15 @@
 
 
 @SETTINGS_CHECKS.register("order")
-def _check_order(settings: Settings, policies: Policies) -> Iterator[Fault]:
+def _check_order(settings: Settings) -> Iterator[Fault]:
     """Compare values that only work in one order."""
-    ownership, spread = settings.ownership, settings.dissemination
-    # A renewal must fit at least twice into a lease, or one lost message ends it.
-    yield from _at_most("ownership", ownership, "renew_interval_ms", "lease_ttl_ms", 2)
-    yield from _at_most("ownership", ownership, "suspect_after_ms", "lease_ttl_ms")
-    yield from _at_most("dissemination", spread, "heartbeat_interval_ms", "silent_after_ms", 2)
-    yield from _at_most("audit", settings.audit, "batch_max_records", "buffer_max_records")
     for position, service in enumerate(settings.services):
-        path = f"services[{position}]"
-        yield from _at_most(f"{path}.retries", service.retries, "backoff_base_ms", "backoff_max_ms")
-        yield from _at_most(f"{path}.concurrency", service.concurrency, "min_limit", "max_limit")
-        yield from _at_most(
-            f"{path}.ejection", service.ejection, "base_ejection_ms", "max_ejection_ms"
-        )
-
-
-def _at_most(path: str, struct: Any, low: str, high: str, factor: int = 1) -> Iterator[Fault]:
-    low_value, high_value = getattr(struct, low), getattr(struct, high)
-    if low_value * factor > high_value:
-        part = "" if factor == 1 else f"1/{factor} of "
-        expected = f"at most {part}{high} ({high_value})"
-        yield Fault(f"{path}.{low}", expected, str(low_value))
-
-
-@SETTINGS_CHECKS.register("shares")
-def _check_shares(settings: Settings, policies: Policies) -> Iterator[Fault]:
-    """Services with a share of 100% use what the shares below 100% leave."""
-    shares = [service.admission.share_percent for service in settings.services]
-    own = [share for share in shares if share < 100]
-    limit = 100 if len(own) == len(shares) else 99
-    if sum(own) > limit:
-        expected = f"admission shares below 100 % with a sum of at most {limit} %"
-        yield Fault("services", expected, f"{sum(own)} %")
-
-
-@SETTINGS_CHECKS.register("renewers")
-def _check_renewers(settings: Settings, policies: Policies) -> Iterator[Fault]:
-    """An even number of renewers tolerates no more losses than one renewer less."""
-    count = settings.ownership.renewers_per_server
-    if count % 2 == 0:
-        yield Fault("ownership.renewers_per_server", "an odd number", str(count))
+        if service.target_latency_ms > service.timeout_ms:
+            expected = f"at most timeout_ms ({service.timeout_ms})"
+            got = str(service.target_latency_ms)
+            yield Fault(f"services[{position}].target_latency_ms", expected, got)
+        if not service.health_path.startswith("/"):
+            expected = "a path that begins with a slash"
+            yield Fault(
+                f"services[{position}].health_path", expected, describe_value(service.health_path)
+            )
--- a/nutmeglead/settings/loader.py
+++ b/nutmeglead/settings/loader.py
@@ -1,6 +1,5 @@
 """Read settings and tickets from JSON with comments."""
 
-from collections.abc import Mapping
 from json import JSONDecodeError
 from pathlib import Path
 from typing import Any, TypeVar
@@ -9,7 +8,6 @@
 from result import Err, Ok, Result
 
 from nutmeglead._generated.settings.ttypes import Settings
-from nutmeglead.core.registry import Registry
 from nutmeglead.settings.checks import check_settings
 from nutmeglead.settings.errors import Fault, FileUnreadable, SettingsFaults
 from nutmeglead.settings.structs import DuplicateField, fill_struct
@@ -42,28 +40,21 @@
     return Err(SettingsFaults(source, tuple(faults))) if faults else Ok(filled)
 
 
-def parse_settings(
-    text: str, policies: Mapping[str, Registry[Any]], source: str = "settings"
-) -> Result[Settings, SettingsFaults]:
-    """Return complete, checked settings, or every fault.
-
-    `policies` maps a kind of policy ("admission", "placement", "selection", ...) to its registry.
-    """
+def parse_settings(text: str, source: str = "settings") -> Result[Settings, SettingsFaults]:
+    """Return complete, checked settings, or every fault."""
     loaded = load_struct(text, Settings, source)
     if isinstance(loaded, Err):
         return loaded
-    faults = check_settings(loaded.ok_value, policies)
+    faults = check_settings(loaded.ok_value)
     return Err(SettingsFaults(source, faults)) if faults else loaded
 
 
-def load_settings(
-    path: Path, policies: Mapping[str, Registry[Any]]
-) -> Result[Settings, SettingsFaults | FileUnreadable]:
+def load_settings(path: Path) -> Result[Settings, SettingsFaults | FileUnreadable]:
     """Return complete, checked settings from a file, or every fault."""
     text = read_text(path)
     if isinstance(text, Err):
         return text
-    return parse_settings(text.ok_value, policies, str(path))
+    return parse_settings(text.ok_value, str(path))
 
 
 def _mark_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/nutmeglead/settings/structs.py
+++ b/nutmeglead/settings/structs.py
@@ -7,8 +7,7 @@
 
 from thrift.Thrift import TType
 
-from nutmeglead._generated.common.ttypes import UnitId, UnitKind
-from nutmeglead._generated.messages.ttypes import AuditKind, AuditRecord
+from nutmeglead._generated.audit.ttypes import AuditKind, AuditRecord, KeyMove, MoveReason
 from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState
 from nutmeglead.settings.errors import Fault, describe_value
 
@@ -20,7 +19,7 @@
 _ENUM_FIELDS: dict[tuple[type, str], type[IntEnum]] = {
     (ServerItem, "state"): ServerState,
     (AuditRecord, "kind"): AuditKind,
-    (UnitId, "kind"): UnitKind,
+    (KeyMove, "reason"): MoveReason,
 }
 
 
--- a/nutmeglead/tickets/checks.py
+++ b/nutmeglead/tickets/checks.py
@@ -8,21 +8,27 @@
 from nutmeglead._generated.settings.ttypes import ServiceSettings, Settings
 from nutmeglead._generated.tickets.ttypes import KeyClaim, ServerItem, ServerState, Ticket
 from nutmeglead.core.registry import Registry
+from nutmeglead.ranges.keys import KEY_COUNT
 from nutmeglead.settings.checks import check_ip
 from nutmeglead.settings.errors import Fault, describe_value
 from nutmeglead.settings.loader import load_struct
 from nutmeglead.settings.ranges import NAME_PATTERN
 from nutmeglead.tickets.errors import TicketFaults
-from nutmeglead.tickets.items import BucketItem, ServerItemId, claim_id, overlaps, touched_items
-
-__all__ = ["MAX_ITEMS", "TICKET_CHECKS", "check_claimed_servers", "check_ticket", "load_ticket"]
-
-# One ticket is one transaction with a row per item. The table service takes several hundred writes
-# per second in all, so a larger ticket would hold up the writes of moves.
-MAX_ITEMS = 256
-# Row keys hold the percent-encoded key, which is up to three times as long.
+from nutmeglead.tickets.items import KeysItem, ServerItemId, claim_id, overlaps, touched_items
+
+__all__ = [
+    "MAX_ITEMS",
+    "TICKET_CHECKS",
+    "check_claimed_servers",
+    "check_known_servers",
+    "check_ticket",
+    "load_ticket",
+]
+
+# One ticket is one transaction with a row per item and six for its header. The store takes 100
+# entries in a transaction.
+MAX_ITEMS = 90
 MAX_KEY_BYTES = 512
-MAX_WEIGHT = 100
 FILING_ID_PATTERN = "[A-Za-z0-9][A-Za-z0-9._-]{0,127}"
 
 Check = Callable[[Ticket, Settings], Iterable[Fault]]
@@ -69,6 +75,28 @@
     return tuple(faults)
 
 
+def check_known_servers(
+    ticket: Ticket, head_servers: Mapping[ServerItemId, ServerItem]
+) -> tuple[Fault, ...]:
+    """Return a fault for each server that a ticket moves or brings back.
+
+    A process at another address under the same id would be taken for the one that holds the keys.
+    """
+    faults: list[Fault] = []
+    for position, server in enumerate(ticket.servers or []):
+        known = head_servers.get(ServerItemId(server.service_name, server.server_id))
+        if known is None or server.state == ServerState.REMOVED:
+            continue
+        if known.state == ServerState.REMOVED:
+            got = f"the id of the removed server {describe_value(server.server_id)}"
+            faults.append(Fault(f"servers[{position}].server_id", "a new id", got))
+        elif known.address != server.address:
+            expected = f"the address {known.address.ip}:{known.address.port}"
+            got = f"{server.address.ip}:{server.address.port}"
+            faults.append(Fault(f"servers[{position}].address", expected, got))
+    return tuple(faults)
+
+
 def _services(settings: Settings) -> dict[str, ServiceSettings]:
     return {service.name: service for service in settings.services}
 
@@ -116,9 +144,6 @@
     if not re.fullmatch(NAME_PATTERN, server.server_id):
         expected = f"a name of the form {NAME_PATTERN}"
         yield Fault(f"{path}.server_id", expected, describe_value(server.server_id))
-    if not 0 < server.weight <= MAX_WEIGHT:
-        expected = f"a number above 0 and up to {MAX_WEIGHT}"
-        yield Fault(f"{path}.weight", expected, describe_value(server.weight))
     # A leaving server still needs its address, because its keys are released by message.
     if server.state != ServerState.REMOVED:
         yield from _check_place(server, path, domains)
@@ -154,54 +179,45 @@
 
 @TICKET_CHECKS.register("claims")
 def _check_claims(ticket: Ticket, settings: Settings) -> Iterator[Fault]:
-    services = _services(settings)
     for position, claim in enumerate(ticket.claims or []):
         path = f"claims[{position}]"
         item_id = claim_id(claim)
         if item_id is None:
-            expected = "exactly one of key, prefix, and first_bucket with last_bucket"
+            expected = "either key, or first_number with last_number"
             yield Fault(path, expected, _given_forms(claim))
-        elif not isinstance(item_id, BucketItem):
-            yield from _check_key(claim, path)
-        elif claim.service_name in services:
-            yield from _check_buckets(item_id, path, services[claim.service_name].hash_buckets)
+        elif claim.key is not None:
+            yield from _check_key(claim.key, path)
+        else:
+            yield from _check_numbers(item_id, path)
 
 
 def _given_forms(claim: KeyClaim) -> str:
-    names = ("key", "prefix", "first_bucket", "last_bucket")
+    names = ("key", "first_number", "last_number")
     given = [name for name in names if getattr(claim, name) is not None]
     return " and ".join(given) or "none of them"
 
 
-def _check_key(claim: KeyClaim, path: str) -> Iterator[Fault]:
-    name = "key" if claim.key is not None else "prefix"
-    size_bytes = len(getattr(claim, name).encode("utf-8", errors="surrogatepass"))
+def _check_key(key: str, path: str) -> Iterator[Fault]:
+    size_bytes = len(key.encode("utf-8", errors="surrogatepass"))
     if not 1 <= size_bytes <= MAX_KEY_BYTES:
-        yield Fault(f"{path}.{name}", f"from 1 to {MAX_KEY_BYTES} bytes", f"{size_bytes} bytes")
+        yield Fault(f"{path}.key", f"from 1 to {MAX_KEY_BYTES} bytes", f"{size_bytes} bytes")
 
 
-def _check_buckets(item_id: BucketItem, path: str, hash_buckets: int) -> Iterator[Fault]:
-    if not 0 <= item_id.first < hash_buckets:
-        expected = f"a bucket from 0 to {hash_buckets - 1}"
-        yield Fault(f"{path}.first_bucket", expected, str(item_id.first))
-    if not item_id.first <= item_id.last < hash_buckets:
-        expected = f"a bucket from first_bucket ({item_id.first}) to {hash_buckets - 1}"
-        yield Fault(f"{path}.last_bucket", expected, str(item_id.last))
+def _check_numbers(item_id: KeysItem, path: str) -> Iterator[Fault]:
+    if not 0 <= item_id.first < KEY_COUNT:
+        expected = f"a key number from 0 to {KEY_COUNT - 1}"
+        yield Fault(f"{path}.first_number", expected, str(item_id.first))
+    if not item_id.first <= item_id.last < KEY_COUNT:
+        expected = f"a key number from first_number ({item_id.first}) to {KEY_COUNT - 1}"
+        yield Fault(f"{path}.last_number", expected, str(item_id.last))
 
 
 @TICKET_CHECKS.register("overlaps")
 def _check_overlaps(ticket: Ticket, settings: Settings) -> Iterator[Fault]:
-    """Two items about the same keys or server would make the result depend on their order.
-
-    A key and a covering prefix do not: the more specific claim applies.
-    """
+    """Two items about the same keys or server would make the result depend on their order."""
     items = touched_items(ticket)
     for position, item in enumerate(items):
         for earlier in items[:position]:
-            same_kind = type(earlier.item_id) is type(item.item_id)
-            is_range = isinstance(item.item_id, BucketItem)
-            if earlier.item_id == item.item_id or (
-                same_kind and is_range and overlaps(earlier.item_id, item.item_id)
-            ):
+            if overlaps(earlier.item_id, item.item_id):
                 expected = f"an item that does not overlap {earlier.path}"
                 yield Fault(item.path, expected, str(item.item_id))
--- a/nutmeglead/tickets/filing.py
+++ b/nutmeglead/tickets/filing.py
@@ -6,12 +6,12 @@
 from result import Err, Ok, Result
 
 from nutmeglead._generated.settings.ttypes import Settings
-from nutmeglead._generated.tickets.ttypes import ServerState, Ticket
+from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState, Ticket
 from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.ids import TicketNumber
 from nutmeglead.platform.errors import RowConflict, TableAnswerLost, TableUnavailable
 from nutmeglead.platform.ports import RowCheck, TableStore
-from nutmeglead.tickets.checks import check_claimed_servers, check_ticket
+from nutmeglead.tickets.checks import check_claimed_servers, check_known_servers, check_ticket
 from nutmeglead.tickets.errors import (
     BaseAhead,
     BaseTooOld,
@@ -30,7 +30,7 @@
     filing_row,
     number_row,
     read_header,
-    read_server_state,
+    read_server,
     read_ticket,
     ticket_writes,
 )
@@ -206,18 +206,20 @@
         return Ok([self._seen[number] for number in range(base_number + 1, head_number + 1)])
 
     async def _check_servers(self, ticket: Ticket) -> Result[None, FilingError]:
-        """Refuse claims on servers that are not present at the head."""
-        states: dict[ServerItemId, ServerState] = {}
-        for claim in ticket.claims or []:
-            if claim.server_id is None:
+        """Refuse what does not fit the servers at the head."""
+        named = [*(ticket.servers or []), *(ticket.claims or [])]
+        known: dict[ServerItemId, ServerItem] = {}
+        for item in named:
+            if item.server_id is None:
                 continue
-            item_id = ServerItemId(claim.service_name, claim.server_id)
-            read = await read_server_state(self._store, item_id)
+            item_id = ServerItemId(item.service_name, item.server_id)
+            read = await read_server(self._store, item_id)
             if isinstance(read, Err):
                 return read
             if read.ok_value is not None:
-                states[item_id] = read.ok_value
-        faults = check_claimed_servers(ticket, states)
+                known[item_id] = read.ok_value
+        states = {item_id: ServerState(server.state) for item_id, server in known.items()}
+        faults = check_known_servers(ticket, known) + check_claimed_servers(ticket, states)
         return Err(TicketFaults(ticket.filing_id, faults)) if faults else Ok(None)
 
     async def _commit(self, ticket: Ticket, head: _Head) -> "Result[Filed, FilingError] | _Moved":
--- a/nutmeglead/tickets/items.py
+++ b/nutmeglead/tickets/items.py
@@ -4,12 +4,11 @@
 from urllib.parse import quote
 
 from nutmeglead._generated.tickets.ttypes import KeyClaim, ServerItem, Ticket
+from nutmeglead.tickets.keys import key_number
 
 __all__ = [
-    "BucketItem",
-    "ExactItem",
     "ItemId",
-    "PrefixItem",
+    "KeysItem",
     "ServerItemId",
     "TouchedItem",
     "claim_id",
@@ -30,40 +29,18 @@
 
 
 @dataclass(frozen=True, order=True)
-class ExactItem:
-    """Identify a claim of one key."""
-
-    service_name: str
-    key: str
-
-    def __str__(self) -> str:
-        return f"{self.service_name}/key/{quote(self.key, safe='')}"
-
-
-@dataclass(frozen=True, order=True)
-class PrefixItem:
-    """Identify a claim of all keys with a prefix."""
-
-    service_name: str
-    prefix: str
-
-    def __str__(self) -> str:
-        return f"{self.service_name}/prefix/{quote(self.prefix, safe='')}"
-
-
-@dataclass(frozen=True, order=True)
-class BucketItem:
-    """Identify a claim of a range of hash buckets; both ends are included."""
+class KeysItem:
+    """Identify a claim of the key numbers from `first` to `last`, both included."""
 
     service_name: str
     first: int
     last: int
 
     def __str__(self) -> str:
-        return f"{self.service_name}/buckets/{self.first}-{self.last}"
+        return f"{self.service_name}/keys/{self.first}-{self.last}"
 
 
-ItemId = ServerItemId | ExactItem | PrefixItem | BucketItem
+ItemId = ServerItemId | KeysItem
 
 
 @dataclass(frozen=True)
@@ -75,18 +52,16 @@
     item: ServerItem | KeyClaim
 
 
-def claim_id(claim: KeyClaim) -> ExactItem | PrefixItem | BucketItem | None:
+def claim_id(claim: KeyClaim) -> KeysItem | None:
     """Return the identity of a claim, or None unless exactly one form is set."""
-    forms: list[ExactItem | PrefixItem | BucketItem] = []
+    has_numbers = claim.first_number is not None and claim.last_number is not None
+    has_any_number = claim.first_number is not None or claim.last_number is not None
     if claim.key is not None:
-        forms.append(ExactItem(claim.service_name, claim.key))
-    if claim.prefix is not None:
-        forms.append(PrefixItem(claim.service_name, claim.prefix))
-    if claim.first_bucket is not None and claim.last_bucket is not None:
-        forms.append(BucketItem(claim.service_name, claim.first_bucket, claim.last_bucket))
-    elif claim.first_bucket is not None or claim.last_bucket is not None:
-        return None
-    return forms[0] if len(forms) == 1 else None
+        number = key_number(claim.key)
+        return None if has_any_number else KeysItem(claim.service_name, number, number)
+    if has_numbers:
+        return KeysItem(claim.service_name, claim.first_number, claim.last_number)
+    return None
 
 
 def touched_items(ticket: Ticket) -> list[TouchedItem]:
@@ -103,24 +78,9 @@
 
 
 def overlaps(one: ItemId, other: ItemId) -> bool:
-    """Tell whether two items concern the same server or the same keys.
-
-    Keys and prefixes overlap if one covers the other. Neither overlaps a range of buckets: the more
-    specific claim applies whichever is filed first, so the two commute.
-    """
+    """Tell whether two items concern the same server or the same keys."""
     if one.service_name != other.service_name:
         return False
-    if isinstance(one, BucketItem) and isinstance(other, BucketItem):
+    if isinstance(one, KeysItem) and isinstance(other, KeysItem):
         return one.first <= other.last and other.first <= one.last
-    if isinstance(one, PrefixItem) and isinstance(other, PrefixItem | ExactItem):
-        return _covers(one, other)
-    if isinstance(one, ExactItem) and isinstance(other, PrefixItem):
-        return _covers(other, one)
     return one == other
-
-
-def _covers(prefix: PrefixItem, other: PrefixItem | ExactItem) -> bool:
-    if isinstance(other, ExactItem):
-        return other.key.startswith(prefix.prefix)
-    shorter, longer = sorted((prefix.prefix, other.prefix), key=len)
-    return longer.startswith(shorter)
--- a/nutmeglead/tickets/rows.py
+++ b/nutmeglead/tickets/rows.py
@@ -1,4 +1,4 @@
-"""Name, encode and read the ticket rows of the table service."""
+"""Name, encode and read the rows of the store's table of tickets."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState, Ticket
+from nutmeglead._generated.tickets.ttypes import ServerItem, Ticket
 from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.ids import RowKey, TicketNumber
 from nutmeglead.platform.errors import TableUnavailable
@@ -18,20 +18,22 @@
 __all__ = [
     "HEAD_ROW",
     "ITEM_PREFIX",
+    "TICKETS_TABLE",
     "ReadError",
     "filing_row",
     "item_row",
     "number_row",
     "read_desired",
     "read_header",
-    "read_server_state",
+    "read_server",
     "read_since",
     "read_ticket",
     "ticket_writes",
 ]
 
-HEAD_ROW = RowKey("ticket/head")
-ITEM_PREFIX = "ticket/item/"
+TICKETS_TABLE = "tickets"
+HEAD_ROW = RowKey("head")
+ITEM_PREFIX = "item/"
 
 # Zero-padded numbers keep the table's key order equal to the order of filing. Ten digits last for
 # 1,140 years at 24,000 tickets a day.
@@ -42,12 +44,12 @@
 
 def number_row(number: int) -> RowKey:
     """Return the key of the row that holds a whole ticket."""
-    return RowKey(f"ticket/number/{number:0{_NUMBER_DIGITS}}")
+    return RowKey(f"number/{number:0{_NUMBER_DIGITS}}")
 
 
 def filing_row(filing_id: str) -> RowKey:
     """Return the key of the row that holds the header of the ticket filed under an id."""
-    return RowKey(f"ticket/filing/{quote(filing_id, safe='')}")
+    return RowKey(f"filing/{quote(filing_id, safe='')}")
 
 
 def item_row(item_id: ItemId) -> RowKey:
@@ -123,10 +125,10 @@
     return Ok(tickets)
 
 
-async def read_server_state(
+async def read_server(
     store: TableStore, item_id: ServerItemId
-) -> Result[ServerState | None, ReadError]:
-    """Return the state that the last ticket gave a server, or None if no ticket touched it."""
+) -> Result[ServerItem | None, ReadError]:
+    """Return the server as the last ticket gave it, or None if no ticket touched it."""
     key = item_row(item_id)
     read = await read_header(store, key)
     if isinstance(read, Err):
@@ -136,7 +138,7 @@
         return Ok(None)
     if not part.servers:
         return Err(CorruptRow(key, "expected one server, got none"))
-    return Ok(ServerState(part.servers[0].state))
+    return Ok(part.servers[0])
 
 
 async def read_desired(store: TableStore) -> Result[DesiredState, ReadError]:
--- a/nutmeglead/tickets/state.py
+++ b/nutmeglead/tickets/state.py
@@ -6,9 +6,9 @@
 from nutmeglead._generated.common.ttypes import Address
 from nutmeglead._generated.tickets.ttypes import KeyClaim, ServerItem, ServerState, Ticket
 from nutmeglead.core.ids import FailureDomainName, ServerId, ServiceName, TicketNumber
-from nutmeglead.tickets.items import BucketItem, ExactItem, PrefixItem, claim_id
+from nutmeglead.tickets.items import claim_id
 
-__all__ = ["BucketClaim", "Claim", "DesiredServer", "DesiredState", "ServiceState", "fold"]
+__all__ = ["Claim", "DesiredServer", "DesiredState", "ServiceState", "fold"]
 
 
 @dataclass(frozen=True)
@@ -19,66 +19,43 @@
     state: ServerState
     address: Address | None
     failure_domain: FailureDomainName | None
-    weight: float
     ticket_number: TicketNumber
 
 
 @dataclass(frozen=True)
 class Claim:
-    """Assign keys to a server since a ticket."""
-
-    server_id: ServerId
-    ticket_number: TicketNumber
-
-
-@dataclass(frozen=True)
-class BucketClaim:
-    """Assign the buckets `first` to `last`, both included, to a server."""
+    """Assign the key numbers `first` to `last`, both included, to a server since a ticket."""
 
     first: int
     last: int
-    claim: Claim
+    server_id: ServerId
+    ticket_number: TicketNumber
 
 
 @dataclass(frozen=True)
 class ServiceState:
-    """Hold the servers and claims of one service.
+    """Hold the servers and claims of one service; claims do not overlap and are in order.
 
     A claim takes effect while its server is PRESENT. While the server is leaving or removed, the
-    placement policy places the claim's keys, because a leaving server must get no new work.
+    balancer places the claim's keys, because a leaving server must get no new work.
     """
 
     servers: Mapping[ServerId, DesiredServer] = field(default_factory=dict)
-    exact: Mapping[str, Claim] = field(default_factory=dict)
-    prefixes: Mapping[str, Claim] = field(default_factory=dict)
-    buckets: tuple[BucketClaim, ...] = ()
+    claims: tuple[Claim, ...] = ()
 
     def is_present(self, server_id: ServerId) -> bool:
         """Tell whether a server may own keys."""
         server = self.servers.get(server_id)
         return server is not None and server.state == ServerState.PRESENT
 
-    def effective(self) -> "ServiceState":
-        """Return the state with only the claims that take effect."""
-        return replace(
-            self,
-            exact=self._present_claims(self.exact),
-            prefixes=self._present_claims(self.prefixes),
-            buckets=tuple(b for b in self.buckets if self.is_present(b.claim.server_id)),
-        )
-
-    def claim_of(self, key: str, bucket: int) -> Claim | None:
-        """Return the most specific claim on a key that takes effect."""
-        candidates = [self.exact.get(key)]
-        candidates += [self.prefixes.get(key[:end]) for end in range(len(key), 0, -1)]
-        candidates += [b.claim for b in self.buckets if b.first <= bucket <= b.last]
-        for claim in candidates:
-            if claim is not None and self.is_present(claim.server_id):
-                return claim
-        return None
+    def effective_claims(self) -> tuple[Claim, ...]:
+        """Return the claims that take effect."""
+        return tuple(claim for claim in self.claims if self.is_present(claim.server_id))
 
-    def _present_claims(self, claims: Mapping[str, Claim]) -> dict[str, Claim]:
-        return {key: claim for key, claim in claims.items() if self.is_present(claim.server_id)}
+    def claim_of(self, number: int) -> Claim | None:
+        """Return the claim on a key number that takes effect."""
+        found = (claim for claim in self.effective_claims() if claim.first <= number <= claim.last)
+        return next(found, None)
 
 
 @dataclass(frozen=True)
@@ -98,45 +75,32 @@
 
     def __init__(self, state: ServiceState) -> None:
         self.servers = dict(state.servers)
-        self.exact = dict(state.exact)
-        self.prefixes = dict(state.prefixes)
-        self.buckets = list(state.buckets)
+        self.claims = list(state.claims)
 
     def put_server(self, item: ServerItem, number: TicketNumber) -> None:
         server_id = ServerId(item.server_id)
         self.servers[server_id] = DesiredServer(
-            server_id,
-            ServerState(item.state),
-            item.address,
-            item.failure_domain,
-            item.weight,
-            number,
+            server_id, ServerState(item.state), item.address, item.failure_domain, number
         )
 
     def put_claim(self, item: KeyClaim, number: TicketNumber) -> None:
-        claim = None if item.server_id is None else Claim(ServerId(item.server_id), number)
         item_id = claim_id(item)
-        if isinstance(item_id, ExactItem):
-            _put(self.exact, item_id.key, claim)
-        elif isinstance(item_id, PrefixItem):
-            _put(self.prefixes, item_id.prefix, claim)
-        elif isinstance(item_id, BucketItem):
-            self.buckets = _overlay(self.buckets, item_id.first, item_id.last, claim)
+        if item_id is None:
+            return
+        self.claims = _cut_out(self.claims, item_id.first, item_id.last)
+        if item.server_id is not None:
+            owner = ServerId(item.server_id)
+            self.claims.append(Claim(item_id.first, item_id.last, owner, number))
 
     def build(self) -> ServiceState:
-        buckets = tuple(sorted(self.buckets, key=lambda entry: entry.first))
-        return ServiceState(
-            dict(sorted(self.servers.items())),
-            dict(sorted(self.exact.items())),
-            dict(sorted(self.prefixes.items())),
-            buckets,
-        )
+        claims = tuple(sorted(self.claims, key=lambda claim: claim.first))
+        return ServiceState(dict(sorted(self.servers.items())), claims)
 
 
 def fold(tickets: Iterable[Ticket], start: DesiredState | None = None) -> DesiredState:
     """Return the state after numbered tickets, whatever order they are given in.
 
-    The last ticket that touches an item determines it.
+    The last ticket that touches a server or a key number determines it.
     """
     state = start or DesiredState()
     builders = {name: _ServiceBuilder(service) for name, service in state.services.items()}
@@ -154,23 +118,12 @@
     return builders.setdefault(ServiceName(name), _ServiceBuilder(ServiceState()))
 
 
-def _put(claims: dict[str, Claim], key: str, claim: Claim | None) -> None:
-    if claim is None:
-        claims.pop(key, None)
-    else:
-        claims[key] = claim
-
-
-def _overlay(
-    claims: list[BucketClaim], first: int, last: int, claim: Claim | None
-) -> list[BucketClaim]:
-    """Cut a range out of the claims and put a new claim, if any, in its place."""
-    kept: list[BucketClaim] = []
+def _cut_out(claims: list[Claim], first: int, last: int) -> list[Claim]:
+    """Take a range of key numbers out of the claims."""
+    kept: list[Claim] = []
     for entry in claims:
         if entry.first < first:
             kept.append(replace(entry, last=min(entry.last, first - 1)))
         if entry.last > last:
             kept.append(replace(entry, first=max(entry.first, last + 1)))
-    if claim is not None:
-        kept.append(BucketClaim(first, last, claim))
     return kept
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -97,3 +97,10 @@
   2: LoadReport load_report,
   3: MapPush map_push,
 }
+
+// Which ticket a node follows, and what keeps it from being in force there.
+struct TicketStatus {
+  1: required string node_id,
+  2: required i64 ticket_number,
+  3: required list<string> missing,
+}
--- a/schema/tickets.thrift
+++ b/schema/tickets.thrift
@@ -14,17 +14,16 @@
   3: required ServerState state,
   4: optional common.Address address,
   5: optional string failure_domain,
-  6: optional double weight = 1.0,
 }
 
-// Exactly one of key, prefix and the bucket pair is set. `server_id` absent gives the keys back to the policy.
+// Either `key` or the pair of key numbers is set; a key stands for its number. `server_id` absent gives the keys back
+// to the balancer.
 struct KeyClaim {
   1: required string service_name,
   2: optional string key,
-  3: optional string prefix,
-  4: optional i32 first_bucket,
-  5: optional i32 last_bucket,
-  6: optional string server_id,
+  3: optional i32 first_number,
+  4: optional i32 last_number,
+  5: optional string server_id,
 }
 
 struct Ticket {
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -10,7 +10,7 @@
 fi
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-for schema in common peers settings tickets messages; do
+for schema in audit common emulator peers settings tickets; do
     thrift -I schema --gen py:enum -out "$out" "schema/$schema.thrift"
 done
 rm -f "$out"/nutmeglead/__init__.py
