--- a/nutmeglead/_generated/peers/ttypes.py
+++ b/nutmeglead/_generated/peers/ttypes.py
@@ -17,6 +17,13 @@
 all_structs = []
 
 
+class Scope(IntEnum):
+    NODE = 1
+    GROUP = 2
+    ALL = 3
+
+
+
 class Life(object):
     """
     Attributes:
@@ -102,11 +109,13 @@
      - fences
      - pending
      - previous
+     - witness_sets
+     - last_keys
 
     """
 
 
-    def __init__(self, service_name=None, version=None, epoch=None, fence=None, servers=None, first_keys=None, owners=None, fences=None, pending=None, previous=None,):
+    def __init__(self, service_name=None, version=None, epoch=None, fence=None, servers=None, first_keys=None, owners=None, fences=None, pending=None, previous=None, witness_sets=None, last_keys=None,):
         self.service_name = service_name
         self.version = version
         self.epoch = epoch
@@ -117,6 +126,8 @@
         self.fences = fences
         self.pending = pending
         self.previous = previous
+        self.witness_sets = witness_sets
+        self.last_keys = last_keys
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -214,6 +225,31 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.witness_sets = []
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = []
+                        (_etype52, _size49) = iprot.readListBegin()
+                        for _i53 in range(_size49):
+                            _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem48.append(_elem54)
+                        iprot.readListEnd()
+                        self.witness_sets.append(_elem48)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.last_keys = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readI32()
+                        self.last_keys.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -243,49 +279,66 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter43 in self.servers:
-                iter43.write(oprot)
+            for iter61 in self.servers:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.first_keys is not None:
             oprot.writeFieldBegin('first_keys', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.first_keys))
-            for iter44 in self.first_keys:
-                oprot.writeI32(iter44)
+            for iter62 in self.first_keys:
+                oprot.writeI32(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owners is not None:
             oprot.writeFieldBegin('owners', TType.LIST, 7)
             oprot.writeListBegin(TType.I16, len(self.owners))
-            for iter45 in self.owners:
-                oprot.writeI16(iter45)
+            for iter63 in self.owners:
+                oprot.writeI16(iter63)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fences is not None:
             oprot.writeFieldBegin('fences', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.fences))
-            for iter46 in self.fences:
-                oprot.writeI64(iter46)
+            for iter64 in self.fences:
+                oprot.writeI64(iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pending is not None:
             oprot.writeFieldBegin('pending', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.pending))
-            for iter47 in self.pending:
-                oprot.writeI32(iter47)
+            for iter65 in self.pending:
+                oprot.writeI32(iter65)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.previous is not None:
             oprot.writeFieldBegin('previous', TType.MAP, 10)
             oprot.writeMapBegin(TType.I32, TType.LIST, len(self.previous))
-            for kiter48, viter49 in self.previous.items():
-                oprot.writeI32(kiter48)
-                oprot.writeListBegin(TType.I16, len(viter49))
-                for iter50 in viter49:
-                    oprot.writeI16(iter50)
+            for kiter66, viter67 in self.previous.items():
+                oprot.writeI32(kiter66)
+                oprot.writeListBegin(TType.I16, len(viter67))
+                for iter68 in viter67:
+                    oprot.writeI16(iter68)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.witness_sets is not None:
+            oprot.writeFieldBegin('witness_sets', TType.LIST, 11)
+            oprot.writeListBegin(TType.LIST, len(self.witness_sets))
+            for iter69 in self.witness_sets:
+                oprot.writeListBegin(TType.STRING, len(iter69))
+                for iter70 in iter69:
+                    oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.last_keys is not None:
+            oprot.writeFieldBegin('last_keys', TType.LIST, 12)
+            oprot.writeListBegin(TType.I32, len(self.last_keys))
+            for iter71 in self.last_keys:
+                oprot.writeI32(iter71)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -310,6 +363,8 @@
             raise TProtocolException(message='Required field pending is unset!')
         if self.previous is None:
             raise TProtocolException(message='Required field previous is unset!')
+        if self.witness_sets is None:
+            raise TProtocolException(message='Required field witness_sets is unset!')
         return
 
     def __repr__(self):
@@ -520,6 +575,79 @@
         return not (self == other)
 
 
+class SentOrder(object):
+    """
+    Attributes:
+     - server
+     - ago_ms
+
+    """
+
+
+    def __init__(self, server=None, ago_ms=None,):
+        self.server = server
+        self.ago_ms = ago_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.server = Life()
+                    self.server.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.ago_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SentOrder')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRUCT, 1)
+            self.server.write(oprot)
+            oprot.writeFieldEnd()
+        if self.ago_ms is not None:
+            oprot.writeFieldBegin('ago_ms', TType.I32, 2)
+            oprot.writeI32(self.ago_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.server is None:
+            raise TProtocolException(message='Required field server is unset!')
+        if self.ago_ms is None:
+            raise TProtocolException(message='Required field ago_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ServiceView(object):
     """
     Attributes:
@@ -528,18 +656,22 @@
      - step
      - role_epoch
      - acting_node_id
-     - renewed_ago_ms
+     - is_confirmed
+     - quiet_ms
+     - sent
 
     """
 
 
-    def __init__(self, service_name=None, map_version=None, step=None, role_epoch=None, acting_node_id=None, renewed_ago_ms=None,):
+    def __init__(self, service_name=None, map_version=None, step=None, role_epoch=None, acting_node_id=None, is_confirmed=None, quiet_ms=None, sent=None,):
         self.service_name = service_name
         self.map_version = map_version
         self.step = step
         self.role_epoch = role_epoch
         self.acting_node_id = acting_node_id
-        self.renewed_ago_ms = renewed_ago_ms
+        self.is_confirmed = is_confirmed
+        self.quiet_ms = quiet_ms
+        self.sent = sent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -576,8 +708,24 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_confirmed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
                 if ftype == TType.I32:
-                    self.renewed_ago_ms = iprot.readI32()
+                    self.quiet_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.sent = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = SentOrder()
+                        _elem77.read(iprot)
+                        self.sent.append(_elem77)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -610,9 +758,20 @@
             oprot.writeFieldBegin('acting_node_id', TType.STRING, 5)
             oprot.writeString(self.acting_node_id.encode('utf-8') if sys.version_info[0] == 2 else self.acting_node_id)
             oprot.writeFieldEnd()
-        if self.renewed_ago_ms is not None:
-            oprot.writeFieldBegin('renewed_ago_ms', TType.I32, 6)
-            oprot.writeI32(self.renewed_ago_ms)
+        if self.is_confirmed is not None:
+            oprot.writeFieldBegin('is_confirmed', TType.BOOL, 6)
+            oprot.writeBool(self.is_confirmed)
+            oprot.writeFieldEnd()
+        if self.quiet_ms is not None:
+            oprot.writeFieldBegin('quiet_ms', TType.I32, 7)
+            oprot.writeI32(self.quiet_ms)
+            oprot.writeFieldEnd()
+        if self.sent is not None:
+            oprot.writeFieldBegin('sent', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.sent))
+            for iter78 in self.sent:
+                iter78.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -628,8 +787,12 @@
             raise TProtocolException(message='Required field role_epoch is unset!')
         if self.acting_node_id is None:
             raise TProtocolException(message='Required field acting_node_id is unset!')
-        if self.renewed_ago_ms is None:
-            raise TProtocolException(message='Required field renewed_ago_ms is unset!')
+        if self.is_confirmed is None:
+            raise TProtocolException(message='Required field is_confirmed is unset!')
+        if self.quiet_ms is None:
+            raise TProtocolException(message='Required field quiet_ms is unset!')
+        if self.sent is None:
+            raise TProtocolException(message='Required field sent is unset!')
         return
 
     def __repr__(self):
@@ -656,11 +819,14 @@
      - store_age_ms
      - views
      - in_flight
+     - scope
+     - nodes
+     - wants_all
 
     """
 
 
-    def __init__(self, node_id=None, incarnation=None, sent_ms=None, echo_ms=None, leaving=None, table_versions=None, store_age_ms=None, views=None, in_flight=None,):
+    def __init__(self, node_id=None, incarnation=None, sent_ms=None, echo_ms=None, leaving=None, table_versions=None, store_age_ms=None, views=None, in_flight=None, scope=None, nodes=None, wants_all=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.sent_ms = sent_ms
@@ -670,6 +836,9 @@
         self.store_age_ms = store_age_ms
         self.views = views
         self.in_flight = in_flight
+        self.scope = scope
+        self.nodes = nodes
+        self.wants_all = wants_all
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -708,11 +877,11 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.table_versions = {}
-                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
-                    for _i55 in range(_size51):
-                        _key56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val57 = iprot.readI64()
-                        self.table_versions[_key56] = _val57
+                    (_ktype80, _vtype81, _size79) = iprot.readMapBegin()
+                    for _i83 in range(_size79):
+                        _key84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val85 = iprot.readI64()
+                        self.table_versions[_key84] = _val85
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -724,11 +893,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.views = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = ServiceView()
-                        _elem63.read(iprot)
-                        self.views.append(_elem63)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = ServiceView()
+                        _elem91.read(iprot)
+                        self.views.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -737,6 +906,21 @@
                     self.in_flight = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.scope = Scope(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.nodes = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.wants_all = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -770,9 +954,9 @@
         if self.table_versions is not None:
             oprot.writeFieldBegin('table_versions', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_versions))
-            for kiter64, viter65 in self.table_versions.items():
-                oprot.writeString(kiter64.encode('utf-8') if sys.version_info[0] == 2 else kiter64)
-                oprot.writeI64(viter65)
+            for kiter92, viter93 in self.table_versions.items():
+                oprot.writeString(kiter92.encode('utf-8') if sys.version_info[0] == 2 else kiter92)
+                oprot.writeI64(viter93)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.store_age_ms is not None:
@@ -782,14 +966,26 @@
         if self.views is not None:
             oprot.writeFieldBegin('views', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.views))
-            for iter66 in self.views:
-                iter66.write(oprot)
+            for iter94 in self.views:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
             oprot.writeFieldBegin('in_flight', TType.STRING, 9)
             oprot.writeBinary(self.in_flight)
             oprot.writeFieldEnd()
+        if self.scope is not None:
+            oprot.writeFieldBegin('scope', TType.I32, 10)
+            oprot.writeI32(Scope[self.scope].value)
+            oprot.writeFieldEnd()
+        if self.nodes is not None:
+            oprot.writeFieldBegin('nodes', TType.STRING, 11)
+            oprot.writeBinary(self.nodes)
+            oprot.writeFieldEnd()
+        if self.wants_all is not None:
+            oprot.writeFieldBegin('wants_all', TType.BOOL, 12)
+            oprot.writeBool(self.wants_all)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -812,6 +1008,12 @@
             raise TProtocolException(message='Required field views is unset!')
         if self.in_flight is None:
             raise TProtocolException(message='Required field in_flight is unset!')
+        if self.scope is None:
+            raise TProtocolException(message='Required field scope is unset!')
+        if self.nodes is None:
+            raise TProtocolException(message='Required field nodes is unset!')
+        if self.wants_all is None:
+            raise TProtocolException(message='Required field wants_all is unset!')
         return
 
     def __repr__(self):
@@ -924,7 +1126,251 @@
         return not (self == other)
 
 
-class MapPush(object):
+class OrderReport(object):
+    """
+    Attributes:
+     - node_id
+     - service_name
+     - answered
+     - failed
+     - refused
+     - stale
+
+    """
+
+
+    def __init__(self, node_id=None, service_name=None, answered=None, failed=None, refused=None, stale=None,):
+        self.node_id = node_id
+        self.service_name = service_name
+        self.answered = answered
+        self.failed = failed
+        self.refused = refused
+        self.stale = stale
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.answered = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.refused = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.stale = []
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = iprot.readI32()
+                        self.stale.append(_elem100)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrderReport')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.STRING, 3)
+            oprot.writeBinary(self.answered)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.STRING, 4)
+            oprot.writeBinary(self.failed)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRING, 5)
+            oprot.writeBinary(self.refused)
+            oprot.writeFieldEnd()
+        if self.stale is not None:
+            oprot.writeFieldBegin('stale', TType.LIST, 6)
+            oprot.writeListBegin(TType.I32, len(self.stale))
+            for iter101 in self.stale:
+                oprot.writeI32(iter101)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node_id is None:
+            raise TProtocolException(message='Required field node_id is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.answered is None:
+            raise TProtocolException(message='Required field answered is unset!')
+        if self.failed is None:
+            raise TProtocolException(message='Required field failed is unset!')
+        if self.refused is None:
+            raise TProtocolException(message='Required field refused is unset!')
+        if self.stale is None:
+            raise TProtocolException(message='Required field stale is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MapDelta(object):
+    """
+    Attributes:
+     - node_id
+     - from_version
+     - from_step
+     - step
+     - changes
+
+    """
+
+
+    def __init__(self, node_id=None, from_version=None, from_step=None, step=None, changes=None,):
+        self.node_id = node_id
+        self.from_version = from_version
+        self.from_step = from_step
+        self.step = step
+        self.changes = changes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.from_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.from_step = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.step = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.changes = RangeMap()
+                    self.changes.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MapDelta')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.from_version is not None:
+            oprot.writeFieldBegin('from_version', TType.I64, 2)
+            oprot.writeI64(self.from_version)
+            oprot.writeFieldEnd()
+        if self.from_step is not None:
+            oprot.writeFieldBegin('from_step', TType.I32, 3)
+            oprot.writeI32(self.from_step)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I32, 4)
+            oprot.writeI32(self.step)
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.STRUCT, 5)
+            self.changes.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node_id is None:
+            raise TProtocolException(message='Required field node_id is unset!')
+        if self.from_version is None:
+            raise TProtocolException(message='Required field from_version is unset!')
+        if self.from_step is None:
+            raise TProtocolException(message='Required field from_step is unset!')
+        if self.step is None:
+            raise TProtocolException(message='Required field step is unset!')
+        if self.changes is None:
+            raise TProtocolException(message='Required field changes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MapCopy(object):
     """
     Attributes:
      - node_id
@@ -973,7 +1419,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('MapPush')
+        oprot.writeStructBegin('MapCopy')
         if self.node_id is not None:
             oprot.writeFieldBegin('node_id', TType.STRING, 1)
             oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
@@ -1132,11 +1578,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = CopiedRow()
-                        _elem72.read(iprot)
-                        self.rows.append(_elem72)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = CopiedRow()
+                        _elem107.read(iprot)
+                        self.rows.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1161,8 +1607,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter73 in self.rows:
-                iter73.write(oprot)
+            for iter108 in self.rows:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1194,15 +1640,17 @@
     Attributes:
      - heartbeat
      - load_report
-     - map_push
+     - map_delta
+     - order_report
 
     """
 
 
-    def __init__(self, heartbeat=None, load_report=None, map_push=None,):
+    def __init__(self, heartbeat=None, load_report=None, map_delta=None, order_report=None,):
         self.heartbeat = heartbeat
         self.load_report = load_report
-        self.map_push = map_push
+        self.map_delta = map_delta
+        self.order_report = order_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1227,8 +1675,14 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRUCT:
-                    self.map_push = MapPush()
-                    self.map_push.read(iprot)
+                    self.map_delta = MapDelta()
+                    self.map_delta.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.order_report = OrderReport()
+                    self.order_report.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1249,9 +1703,13 @@
             oprot.writeFieldBegin('load_report', TType.STRUCT, 2)
             self.load_report.write(oprot)
             oprot.writeFieldEnd()
-        if self.map_push is not None:
-            oprot.writeFieldBegin('map_push', TType.STRUCT, 3)
-            self.map_push.write(oprot)
+        if self.map_delta is not None:
+            oprot.writeFieldBegin('map_delta', TType.STRUCT, 3)
+            self.map_delta.write(oprot)
+            oprot.writeFieldEnd()
+        if self.order_report is not None:
+            oprot.writeFieldBegin('order_report', TType.STRUCT, 4)
+            self.order_report.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1308,10 +1766,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.missing.append(_elem79)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.missing.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1336,8 +1794,8 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.missing))
-            for iter80 in self.missing:
-                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
+            for iter115 in self.missing:
+                oprot.writeString(iter115.encode('utf-8') if sys.version_info[0] == 2 else iter115)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1381,6 +1839,8 @@
     (8, TType.LIST, 'fences', (TType.I64, None, False), None, ),  # 8
     (9, TType.LIST, 'pending', (TType.I32, None, False), None, ),  # 9
     (10, TType.MAP, 'previous', (TType.I32, None, TType.LIST, (TType.I16, None, False), False), None, ),  # 10
+    (11, TType.LIST, 'witness_sets', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 11
+    (12, TType.LIST, 'last_keys', (TType.I32, None, False), None, ),  # 12
 )
 all_structs.append(RoleRow)
 RoleRow.thrift_spec = (
@@ -1398,6 +1858,12 @@
     (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
     (5, TType.DOUBLE, 'cpu_cores', None, None, ),  # 5
 )
+all_structs.append(SentOrder)
+SentOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'server', [Life, None], None, ),  # 1
+    (2, TType.I32, 'ago_ms', None, None, ),  # 2
+)
 all_structs.append(ServiceView)
 ServiceView.thrift_spec = (
     None,  # 0
@@ -1406,7 +1872,9 @@
     (3, TType.I32, 'step', None, None, ),  # 3
     (4, TType.I64, 'role_epoch', None, None, ),  # 4
     (5, TType.STRING, 'acting_node_id', 'UTF8', None, ),  # 5
-    (6, TType.I32, 'renewed_ago_ms', None, None, ),  # 6
+    (6, TType.BOOL, 'is_confirmed', None, None, ),  # 6
+    (7, TType.I32, 'quiet_ms', None, None, ),  # 7
+    (8, TType.LIST, 'sent', (TType.STRUCT, [SentOrder, None], False), None, ),  # 8
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -1420,6 +1888,9 @@
     (7, TType.I32, 'store_age_ms', None, None, ),  # 7
     (8, TType.LIST, 'views', (TType.STRUCT, [ServiceView, None], False), None, ),  # 8
     (9, TType.STRING, 'in_flight', 'BINARY', None, ),  # 9
+    (10, TType.I32, 'scope', None, None, ),  # 10
+    (11, TType.STRING, 'nodes', 'BINARY', None, ),  # 11
+    (12, TType.BOOL, 'wants_all', None, None, ),  # 12
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
@@ -1429,8 +1900,27 @@
     (3, TType.STRING, 'keys', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'samples', 'BINARY', None, ),  # 4
 )
-all_structs.append(MapPush)
-MapPush.thrift_spec = (
+all_structs.append(OrderReport)
+OrderReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'answered', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'failed', 'BINARY', None, ),  # 4
+    (5, TType.STRING, 'refused', 'BINARY', None, ),  # 5
+    (6, TType.LIST, 'stale', (TType.I32, None, False), None, ),  # 6
+)
+all_structs.append(MapDelta)
+MapDelta.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'from_version', None, None, ),  # 2
+    (3, TType.I32, 'from_step', None, None, ),  # 3
+    (4, TType.I32, 'step', None, None, ),  # 4
+    (5, TType.STRUCT, 'changes', [RangeMap, None], None, ),  # 5
+)
+all_structs.append(MapCopy)
+MapCopy.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
     (2, TType.I32, 'step', None, None, ),  # 2
@@ -1455,7 +1945,8 @@
     None,  # 0
     (1, TType.STRUCT, 'heartbeat', [Heartbeat, None], None, ),  # 1
     (2, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 2
-    (3, TType.STRUCT, 'map_push', [MapPush, None], None, ),  # 3
+    (3, TType.STRUCT, 'map_delta', [MapDelta, None], None, ),  # 3
+    (4, TType.STRUCT, 'order_report', [OrderReport, None], None, ),  # 4
 )
 all_structs.append(TicketStatus)
 TicketStatus.thrift_spec = (
--- a/nutmeglead/core/tests/steps/codec_steps.py
+++ b/nutmeglead/core/tests/steps/codec_steps.py
@@ -27,6 +27,7 @@
             fences=[4, 9, 0],
             pending=[1],
             previous={1: [0]},
+            witness_sets=[["entry-1"]],
         )
         self.data = encode(self.message)
 
--- a/nutmeglead/emulator/cluster.py
+++ b/nutmeglead/emulator/cluster.py
@@ -293,7 +293,7 @@
     def acting(self, service: ServiceName) -> NodeId | None:
         """Return the node that acts for a service, or None."""
         acting = [
-            (process.controllers[service].role_epoch, node_id)
+            (process.controllers[service].role.epoch, node_id)
             for node_id, process in self.nodes.items()
             if service in process.controllers and process.controllers[service].is_acting
         ]
--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from result import Err
 
-from nutmeglead._generated.peers.ttypes import TableCopy, TicketStatus
+from nutmeglead._generated.peers.ttypes import TableCopy
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.events import Event, log_event
@@ -31,7 +31,7 @@
 
 
 class TableCopies:
-    """Serve copies of tables and the ticket's status, and fetch newer copies from peers."""
+    """Serve copies of tables to peers, and fetch newer ones from them."""
 
     def __init__(
         self,
@@ -40,14 +40,15 @@
         fetcher: HttpFetcher,
         clock: Clock,
         settings: NodeSettings,
-        ticket_status: Callable[[], TicketStatus | None],
+        others: Mapping[str, Callable[[str], bytes | None]],
     ) -> None:
+        """`others` serves more paths, by their beginnings."""
         self._watches = {watch.table: watch for watch in watches}
         self._membership = membership
         self._fetcher = fetcher
         self._clock = clock
         self._settings = settings
-        self._ticket_status = ticket_status
+        self._others = others
         self._behind_since_ms: dict[str, int] = {}
         limits = ClientLimits()
         edge = CallerLimits(
@@ -71,10 +72,10 @@
             await exchange.respond(200, [], copy)
 
     def encoded(self, path: str) -> bytes | None:
-        """Return the copy or the status that a path names, or None."""
-        if path == TICKET_STATUS_PATH:
-            status = self._ticket_status()
-            return None if status is None else encode(status)
+        """Return what a path names, or None."""
+        for prefix, serve in self._others.items():
+            if path.startswith(prefix):
+                return serve(path)
         watch = self._watches.get(path.removeprefix(COPY_PATH))
         return None if watch is None else encode(watch.copy())
 
--- /dev/null
+++ b/nutmeglead/entry/map_copies.py
@@ -0,0 +1,110 @@
+"""Fetch range maps from peers that know a newer state."""
+
+import asyncio
+import logging
+from collections.abc import Mapping
+
+from result import Err
+
+from nutmeglead._generated.peers.ttypes import MapCopy
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.messages import RequestHead
+from nutmeglead.peers.membership import Membership, Peer
+from nutmeglead.ranges.controller import RangeController
+from nutmeglead.ranges.model import from_wire, to_wire
+
+__all__ = ["MAP_PATH", "MapCopies"]
+
+logger = logging.getLogger(__name__)
+
+MAP_PATH = "/ranges/"
+CHECK_INTERVAL_MS = 100
+# Changes are sent in batches and passed on once; a node that lacks them for longer has lost some.
+DELTA_DELAY_MS = 200
+FETCH_TIMEOUT_MS = 1_000
+
+
+class MapCopies:
+    """Serve this node's maps, and fetch newer ones."""
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        controllers: Mapping[ServiceName, RangeController],
+        membership: Membership,
+        fetcher: HttpFetcher,
+        clock: Clock,
+    ) -> None:
+        self._node_id = node_id
+        self._controllers = controllers
+        self._membership = membership
+        self._fetcher = fetcher
+        self._clock = clock
+        self._behind_since_ms: dict[ServiceName, int] = {}
+
+    def encoded(self, path: str) -> bytes | None:
+        """Return the map that a path names, or None."""
+        controller = self._controllers.get(ServiceName(path.removeprefix(MAP_PATH)))
+        if controller is None or controller.ranges is None:
+            return None
+        return encode(MapCopy(self._node_id, controller.step, to_wire(controller.ranges)))
+
+    async def run(self) -> None:
+        """Look for newer maps until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+            for controller in list(self._controllers.values()):
+                peer = self._find_newer(controller)
+                if peer is not None:
+                    await self._fetch(controller, peer)
+
+    def _find_newer(self, controller: RangeController) -> Peer | None:
+        """Return the peer with the newest map, once the own one is behind for some time."""
+        own = controller.ranges
+        newest, state = None, (0, 0) if own is None else (own.version, controller.step)
+        now_ms = self._clock.now_ms()
+        for peer in self._membership:
+            known = peer.views.get(controller.service)
+            if known is None or not peer.is_heard(now_ms):
+                continue
+            told = (known.view.map_version, known.view.step)
+            if told > state:
+                newest, state = peer, told
+        if newest is None or controller.is_acting:
+            self._behind_since_ms.pop(controller.service, None)
+            return None
+        since_ms = self._behind_since_ms.setdefault(controller.service, now_ms)
+        return newest if now_ms - since_ms >= DELTA_DELAY_MS else None
+
+    async def _fetch(self, controller: RangeController, peer: Peer) -> None:
+        head = RequestHead(b"GET", (MAP_PATH + controller.service).encode())
+        address = (peer.row.ip, peer.row.peer_port)
+        fetched = await self._fetcher.fetch(*address, head, b"", FETCH_TIMEOUT_MS)
+        if isinstance(fetched, Err):
+            logger.info("no map from %s: %s", peer.node_id, fetched.err_value)
+            return
+        decoded = decode(MapCopy, fetched.ok_value[1])
+        if isinstance(decoded, Err):
+            error = str(decoded.err_value)
+            log_event(logger, Event.MESSAGE_REFUSED, sender=peer.node_id, error=error)
+            return
+        copy = decoded.ok_value
+        try:
+            ranges = from_wire(copy.ranges)
+        except (ValueError, IndexError) as error:
+            log_event(logger, Event.MESSAGE_REFUSED, sender=peer.node_id, error=str(error))
+            return
+        self._behind_since_ms.pop(controller.service, None)
+        controller.take_copy(ranges, copy.step)
+        log_event(
+            logger,
+            Event.MAP_COPIED,
+            service=controller.service,
+            peer=peer.node_id,
+            map=ranges.version,
+            step=copy.step,
+        )
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -9,12 +9,19 @@
 
 from result import Err
 
-from nutmeglead._generated.peers.ttypes import LoadReport, MapPush, NodeRow, ServiceView
+from nutmeglead._generated.peers.ttypes import (
+    LoadReport,
+    MapDelta,
+    NodeRow,
+    OrderReport,
+    ServiceView,
+)
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.codec import encode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
-from nutmeglead.entry.copies import TableCopies
+from nutmeglead.entry.copies import TICKET_STATUS_PATH, TableCopies
+from nutmeglead.entry.map_copies import MAP_PATH, MapCopies
 from nutmeglead.entry.metrics import MetricsServer
 from nutmeglead.entry.operator_feed import FedTable, OperatorFeed, PlatformFeed
 from nutmeglead.entry.tables import NODES_TABLE, apply_node_rows
@@ -31,8 +38,8 @@
 from nutmeglead.platform.node_settings import NodeSettings
 from nutmeglead.platform.store import StoreClient, StoreRow, StoreRows
 from nutmeglead.platform.wire import READY_TARGET
-from nutmeglead.ranges.controller import ControllerContext, RangeController
-from nutmeglead.ranges.model import RangeMap, from_wire, to_wire
+from nutmeglead.ranges.context import ControllerContext
+from nutmeglead.ranges.controller import RangeController
 from nutmeglead.ranges.role import RoleRows
 
 __all__ = ["EntryProcess"]
@@ -41,8 +48,6 @@
 
 STORE_TIMEOUT_MS = 1_500
 HOUSEKEEPING_MS = 250
-# A map is sent again to a peer that lacks it no sooner than this.
-PUSH_INTERVAL_MS = 250
 # Waiting requests are placed anew after others' reports no more often than this.
 WAKE_INTERVAL_MS = 30
 MAX_REPORTED_KEYS = 2_000
@@ -76,13 +81,12 @@
         self._order_fetcher = order_fetcher or HttpFetcher(
             max_idle_count=3, max_body_bytes=8_388_608
         )
-        self.membership = Membership(settings.node_id)
+        self.membership = Membership(
+            settings.node_id, settings.failure_domain, settings.cpu_cores, clock.now_ms()
+        )
         self.registry = ServerRegistry()
         self.peers = PeerService(self.membership, self.incarnation, self, clock)
         self.controllers: dict[ServiceName, RangeController] = {}
-        self._work_by_peer: dict[NodeId, dict[int, int]] = {}
-        self._work_elsewhere: dict[int, int] = {}
-        self._pushed_ms: dict[NodeId, int] = {}
         self._woken_ms = 0
         self._keys: dict[ServiceName, list[int]] = {}
         self.forwarder = Forwarder(
@@ -93,7 +97,7 @@
             settings.failure_domain,
             settings.bounds,
             self._count_nodes,
-            lambda tag: self._work_elsewhere.get(tag, 0),
+            self.peers.shares.elsewhere,
         )
         self._metrics = MetricsServer(self, clock)
         self.front = PipelineServer(self.forwarder.handle, self._limits, clock)
@@ -104,8 +108,16 @@
             FedTable(NODES_TABLE, self._on_nodes, NODES_SETTLE_MS),
         ]
         self._copied = [self._watch(table) for table in tables]
+        self._maps = MapCopies(
+            settings.node_id, self.controllers, self.membership, self._order_fetcher, clock
+        )
         self._copies = TableCopies(
-            self._copied, self.membership, self._order_fetcher, clock, settings, self.feed.status
+            self._copied,
+            self.membership,
+            self._order_fetcher,
+            clock,
+            settings,
+            {TICKET_STATUS_PATH: self._encoded_status, MAP_PATH: self._maps.encoded},
         )
         self._tasks: list[asyncio.Task[None]] = []
         self.is_stopping = False
@@ -132,6 +144,7 @@
         for watch in self._copied:
             self._spawn(watch.run())
         self._spawn(self._copies.run())
+        self._spawn(self._maps.run())
         self._spawn(self._register())
         self._spawn(self.peers.run())
         self._spawn(self._keep_house())
@@ -139,7 +152,7 @@
     async def stop(self) -> int:
         """Leave rotation, answer what has arrived, end; return how many answers were cut off."""
         self.is_stopping = True
-        self.peers.is_leaving = True
+        self.membership.is_leaving = True
         for controller in self.controllers.values():
             controller.is_leaving_node = True
         self.peers.send_heartbeats()
@@ -177,9 +190,9 @@
             task.cancel()
         self.peers.close()
 
-    def encoded_copy(self, path: str) -> bytes:
-        """Return a copy of a table, as peers fetch it."""
-        return self._copies.encoded(path) or b""
+    def _encoded_status(self, path: str) -> bytes | None:
+        status = self.feed.status()
+        return None if status is None else encode(status)
 
     def _watch(self, table: FedTable) -> TableWatch:
         return TableWatch(
@@ -269,7 +282,7 @@
                 self._add_controller(spec.name)
 
     def _on_nodes(self, rows: StoreRows, is_snapshot: bool) -> None:
-        apply_node_rows(self.membership, rows, is_snapshot)
+        apply_node_rows(self.membership, self.clock, rows, is_snapshot)
 
     def _add_controller(self, service: ServiceName) -> None:
         node_id = self.settings.node_id
@@ -285,7 +298,8 @@
             self.store_age_ms,
             self._health_path,
             self.operator_version,
-            self._push_map,
+            self.peers.send_delta,
+            self.peers.report,
             self.forwarder.set_ranges,
         )
         controller = RangeController(service, rows, context)
@@ -331,55 +345,37 @@
         """Return the requests in flight per server tag."""
         return self.forwarder.work()
 
-    def on_heartbeat(self, peer: Peer, work: dict[int, int]) -> None:
-        """Follow a peer's views and its work in flight."""
-        self._set_work(peer.node_id, work)
-        now_ms = self.clock.now_ms()
+    def witnesses(self) -> set[NodeId]:
+        """Return the nodes that may renew grants of any service."""
+        known = (controller.ranges for controller in self.controllers.values())
+        return {node_id for ranges in known if ranges is not None for node_id in ranges.renewers}
+
+    def on_heartbeat(self, peer: Peer) -> None:
+        """Follow a peer's views, and place what waits after it has told of other work."""
         for controller in self.controllers.values():
             view = peer.views.get(controller.service)
             if view is not None:
                 controller.take_view(view.view)
-            self._push_if_behind(peer, controller, now_ms)
+        now_ms = self.clock.now_ms()
         if now_ms - self._woken_ms >= WAKE_INTERVAL_MS:
             self._woken_ms = now_ms
             self.forwarder.wake()
 
-    def _set_work(self, node_id: NodeId, work: dict[int, int]) -> None:
-        for tag, count in self._work_by_peer.get(node_id, {}).items():
-            self._work_elsewhere[tag] -= count
-        self._work_by_peer[node_id] = work
-        for tag, count in work.items():
-            self._work_elsewhere[tag] = self._work_elsewhere.get(tag, 0) + count
-
-    def _push_if_behind(self, peer: Peer, controller: RangeController, now_ms: int) -> None:
-        if controller.ranges is None or not controller.speaks(now_ms):
-            return
-        known = peer.views.get(controller.service)
-        at = (known.view.map_version, known.view.step) if known is not None else (0, 0)
-        if at >= (controller.ranges.version, controller.step):
-            return
-        if now_ms - self._pushed_ms.get(peer.node_id, 0) < PUSH_INTERVAL_MS:
-            return
-        self._pushed_ms[peer.node_id] = now_ms
-        self.peers.push(self._push_message(controller.ranges, controller.step), peer)
-
-    def _push_map(self, ranges: RangeMap, step: int) -> None:
-        self.peers.push(self._push_message(ranges, step))
-
-    def _push_message(self, ranges: RangeMap, step: int) -> MapPush:
-        return MapPush(self.settings.node_id, step, to_wire(ranges))
-
-    def on_map_push(self, push: MapPush) -> None:
-        """Take a range map."""
-        controller = self.controllers.get(ServiceName(push.ranges.service_name))
+    def on_map_delta(self, delta: MapDelta) -> None:
+        """Take changes of a range map."""
+        controller = self.controllers.get(ServiceName(delta.changes.service_name))
         if controller is None:
             return
         try:
-            ranges = from_wire(push.ranges)
+            controller.take_delta(delta)
         except (ValueError, IndexError) as error:
-            log_event(logger, Event.MESSAGE_REFUSED, sender=push.node_id, error=str(error))
-            return
-        controller.take_map(ranges, push.step, NodeId(push.node_id))
+            log_event(logger, Event.MESSAGE_REFUSED, sender=delta.node_id, error=str(error))
+
+    def on_order_report(self, report: OrderReport) -> None:
+        """Take what a node that renews has heard of its orders."""
+        controller = self.controllers.get(ServiceName(report.service_name))
+        if controller is not None:
+            controller.take_report(report)
 
     # ---- load ----
 
@@ -398,11 +394,11 @@
             if controller.is_acting:
                 controller.hits.add(keys, now_ms)
                 controller.candidates.take_samples(samples)
-            elif controller.acting_id is not None and (keys or samples):
+            elif controller.role.acting_id is not None and (keys or samples):
                 report = LoadReport(
                     self.settings.node_id, service, encode_keys(keys), encode_samples(samples)
                 )
-                self.peers.report(report, controller.acting_id)
+                self.peers.report(report, controller.role.acting_id)
 
     def on_load_report(self, report: LoadReport) -> None:
         """Enter the keys of a peer's requests."""
--- a/nutmeglead/entry/tables.py
+++ b/nutmeglead/entry/tables.py
@@ -74,7 +74,9 @@
     log_event(logger, Event.SERVER_CHANGED, server=row.key, state=state, row=row.version)
 
 
-def apply_node_rows(membership: Membership, rows: StoreRows, is_snapshot: bool) -> None:
+def apply_node_rows(
+    membership: Membership, clock: Clock, rows: StoreRows, is_snapshot: bool
+) -> None:
     """Enter the entry VMs."""
     present = set()
     for row in rows.rows:
@@ -87,7 +89,7 @@
             logger.warning("node row %s: %s", row.key, decoded.err_value)
             continue
         present.add(node_id)
-        membership.set_node(node_id, decoded.ok_value)
+        membership.set_node(node_id, decoded.ok_value, clock.now_ms())
     if is_snapshot:
         membership.has_rows = True
         for peer in list(membership):
--- a/nutmeglead/entry/tests/ownership_mix.feature
+++ b/nutmeglead/entry/tests/ownership_mix.feature
@@ -12,3 +12,12 @@
       | 2    | a server that was silent once was never used again, and no other was left          |
       | 4    | an old grant was repeated to the next life of a server and not taken back from it  |
       | 7    | none yet                                                                           |
+
+  Scenario Outline: A seed with nodes that are no hubs
+    When random troubles run with seed <seed> on <nodes> nodes
+    Then no key had two holders and all keys are held at the end
+
+    Examples: each row names the failure it guards against
+      | seed | nodes | failure                                                                         |
+      | 213  | 12    | restarted nodes waited 16.5 s for each answer of a store that was silent at first |
+      | 201  | 12    | none yet                                                                        |
--- a/nutmeglead/entry/tests/steps/mix_steps.py
+++ b/nutmeglead/entry/tests/steps/mix_steps.py
@@ -10,6 +10,11 @@
     context.mix = Mix(seed).run()
 
 
+@when("random troubles run with seed {seed:d} on {nodes:d} nodes")
+def step_run_on(context, seed, nodes):
+    context.mix = Mix(seed, nodes).run()
+
+
 @then("no key had two holders and all keys are held at the end")
 def step_check(context):
     mix = context.mix
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -23,6 +23,8 @@
 logger = logging.getLogger(__name__)
 
 FEED_WAIT_MS = 15_000
+# A node that knows nothing yet, or whose last call failed, must not wait long for a silent store.
+PROBE_WAIT_MS = 1_000
 # A refused call is priced too; a change must be in force 2 s after it was acknowledged.
 RETRY_MIN_MS = 200
 RETRY_MAX_MS = 800
@@ -87,6 +89,7 @@
         # Version of the newest change of the table; `version` grows with changes of any table.
         self.changed_version = 0
         self._rows: dict[str, StoreRow] = {}
+        self._has_failed = False
 
     @property
     def table(self) -> str:
@@ -112,11 +115,13 @@
         while True:
             fed = await self._next_rows()
             if isinstance(fed, Err):
+                self._has_failed = True
                 self._contact.on_failure(self._table, str(fed.err_value))
                 await asyncio.sleep(retry_ms * (0.75 + 0.5 * self._rng.random()) / 1000)
                 retry_ms = min(RETRY_MAX_MS, retry_ms * 2)
                 continue
             retry_ms = RETRY_MIN_MS
+            self._has_failed = False
             self._contact.on_answer()
             await asyncio.sleep(self._settle_ms / 1000)
 
@@ -126,7 +131,8 @@
         A feed from version 0 returns all rows in one call, as long as the store has its whole
         history.
         """
-        fed = await self._store.feed(self._table, self.version, FEED_WAIT_MS)
+        wait_ms = PROBE_WAIT_MS if self._has_failed or not self.version else FEED_WAIT_MS
+        fed = await self._store.feed(self._table, self.version, wait_ms)
         is_snapshot = self.version == 0
         if isinstance(fed, Err) and isinstance(fed.err_value, StoreHistoryLost):
             logger.info("%s: read anew: %s", self._table, fed.err_value)
--- a/nutmeglead/peers/codec.py
+++ b/nutmeglead/peers/codec.py
@@ -3,27 +3,45 @@
 import struct
 import zlib
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from nutmeglead._generated.peers.ttypes import Datagram
 from nutmeglead.core.codec import decode, encode
 from nutmeglead.core.errors import CodecError
-from nutmeglead.core.ids import ServerId
+from nutmeglead.core.ids import NodeId, ServerId
 
 __all__ = [
+    "NodeState",
     "decode_datagram",
     "decode_keys",
     "decode_samples",
+    "decode_states",
     "decode_work",
     "encode_datagram",
     "encode_keys",
     "encode_samples",
+    "encode_states",
     "encode_work",
+    "node_tag",
     "server_tag",
 ]
 
 MAX_COUNT = 0xFFFF
+# Ages of node states are told in steps of this length, in one byte.
+AGE_STEP_MS = 10
+_STATE = struct.Struct("<IBB")
+_LEAVING, _REACHES_STORE = 1, 2
+
+
+class NodeState(NamedTuple):
+    """Tell when a node was last heard and what it said."""
+
+    tag: int
+    age_ms: int
+    is_leaving: bool
+    reaches_store: bool
 
 
 def encode_datagram(**variant: object) -> bytes:
@@ -47,6 +65,32 @@
     return zlib.crc32(server_id.encode()) & 0xFFFF
 
 
+def node_tag(node_id: NodeId) -> int:
+    """Return 32 bits of a node's id."""
+    return zlib.crc32(node_id.encode())
+
+
+def encode_states(states: Iterable[NodeState]) -> bytes:
+    """Return the states of nodes, 6 bytes each."""
+    return b"".join(
+        _STATE.pack(
+            state.tag,
+            min(state.age_ms // AGE_STEP_MS, 0xFF),
+            _LEAVING * state.is_leaving | _REACHES_STORE * state.reaches_store,
+        )
+        for state in states
+    )
+
+
+def decode_states(data: bytes) -> list[NodeState]:
+    """Return the states of nodes; a cut tail is dropped."""
+    whole = data[: len(data) // _STATE.size * _STATE.size]
+    return [
+        NodeState(tag, age * AGE_STEP_MS, bool(flags & _LEAVING), bool(flags & _REACHES_STORE))
+        for tag, age, flags in _STATE.iter_unpack(whole)
+    ]
+
+
 def encode_work(counts: Mapping[int, int]) -> bytes:
     """Return tags and counts of requests in flight, 4 bytes each."""
     flat = [
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -1,19 +1,29 @@
-"""Decide from heartbeats who lives, and which range map a majority knows."""
+"""Decide from heartbeats who lives, which nodes are hubs, and what a set of nodes knows.
 
-from collections.abc import Iterator
+The first nodes of each failure domain are its hubs. Hubs tell each other of the nodes that they
+hear; every other node talks to the hubs of its domain only. So a node's messages grow with the
+hubs and, on a hub, with the nodes of its domain.
+"""
+
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from nutmeglead._generated.peers.ttypes import Heartbeat, NodeRow, ServiceView
-from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.core.ids import FailureDomainName, NodeId, ServiceName
+from nutmeglead.peers.codec import NodeState, decode_states, node_tag
 
-__all__ = ["Membership", "Peer", "PeerView"]
+__all__ = ["HEARTBEAT_INTERVAL_MS", "STORE_SILENT_AFTER_MS", "Membership", "Peer", "PeerView"]
 
 HEARTBEAT_INTERVAL_MS = 150
 # Three heartbeats and half an interval more, so that one lost datagram changes nothing.
 SILENT_AFTER_MS = 550
+# What hubs tell of other nodes is up to two heartbeats older.
+TOLD_SILENT_AFTER_MS = SILENT_AFTER_MS + 2 * HEARTBEAT_INTERVAL_MS
 # A store that has not answered for this time does not serve the node. A successor must have the
 # role and have moved the keys of a leaving server within the platform's drain bound of 2 s.
 STORE_SILENT_AFTER_MS = 600
+# One hub may be lost without its domain being unheard.
+HUBS_PER_DOMAIN = 2
 
 
 @dataclass
@@ -25,45 +35,84 @@
     # Own time at which the heartbeat was sent that the peer had when it sent this view.
     echoed_ms: int
 
-    @property
-    def last_renewal_ms(self) -> int:
-        """Return the own time after which the peer has sent no renewal before this view."""
-        return self.heard_ms - self.view.renewed_ago_ms
-
 
 @dataclass
 class Peer:
-    """Hold the row of an entry VM and its newest heartbeat."""
+    """Hold the row of an entry VM, its newest own heartbeat and what others tell of it."""
 
     node_id: NodeId
     row: NodeRow
+    known_ms: int
     heard_ms: int | None = None
     heartbeat: Heartbeat | None = None
     views: dict[ServiceName, PeerView] = field(default_factory=dict)
+    told_ms: int | None = None
+    told: NodeState | None = None
+
+    def is_heard(self, now_ms: int) -> bool:
+        """Tell whether the node was heard lately, by this node or by one that tells of it."""
+        own = self.heard_ms is not None and now_ms - self.heard_ms <= SILENT_AFTER_MS
+        return own or (self.told_ms is not None and now_ms - self.told_ms <= TOLD_SILENT_AFTER_MS)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the node has said that it stops, as far as the newest word goes."""
+        if self._is_own_newer:
+            return bool(self.heartbeat and self.heartbeat.leaving)
+        return bool(self.told and self.told.is_leaving)
+
+    @property
+    def reaches_store(self) -> bool:
+        """Tell whether the store serves the node, as far as the newest word goes."""
+        if self._is_own_newer:
+            return bool(self.heartbeat and self.heartbeat.store_age_ms <= STORE_SILENT_AFTER_MS)
+        return bool(self.told and self.told.reaches_store)
+
+    @property
+    def _is_own_newer(self) -> bool:
+        return self.told_ms is None or (self.heard_ms is not None and self.heard_ms >= self.told_ms)
 
 
 class Membership:
     """Follow the rows and heartbeats of the other entry VMs."""
 
-    def __init__(self, own_id: NodeId) -> None:
+    def __init__(
+        self,
+        own_id: NodeId,
+        domain: FailureDomainName,
+        cpu_cores: float,
+        started_ms: int,
+    ) -> None:
         self.own_id = own_id
-        # Without the rows this node does not know how many nodes there are.
+        # Without the rows this node does not know which nodes there are.
         self.has_rows = False
+        self.is_leaving = False
+        self._domain = domain
+        self._cpu_cores = cpu_cores
+        self._started_ms = started_ms
         self._peers: dict[NodeId, Peer] = {}
+        self._by_tag: dict[int, NodeId] = {}
 
-    def set_node(self, node_id: NodeId, row: NodeRow) -> None:
+    def set_node(self, node_id: NodeId, row: NodeRow, now_ms: int) -> None:
         """Enter a row; a new incarnation forgets the heartbeats of the earlier one."""
         if node_id == self.own_id:
             return
         known = self._peers.get(node_id)
         if known is not None and known.row.incarnation >= row.incarnation:
-            known.row.ip, known.row.peer_port = row.ip, row.peer_port
+            row.incarnation = known.row.incarnation
+            known.row = row
             return
-        self._peers[node_id] = Peer(node_id, row)
+        self._add(Peer(node_id, row, now_ms))
+
+    def _add(self, peer: Peer) -> Peer:
+        self._peers[peer.node_id] = peer
+        self._by_tag[node_tag(peer.node_id)] = peer.node_id
+        return peer
 
     def remove_node(self, node_id: NodeId) -> None:
         """Drop a row."""
         self._peers.pop(node_id, None)
+        self._by_tag.pop(node_tag(node_id), None)
 
     def on_heartbeat(
         self, heartbeat: Heartbeat, address: tuple[str, int], now_ms: int
@@ -75,10 +124,11 @@
         node_id = NodeId(heartbeat.node_id)
         if node_id == self.own_id:
             return None
-        if node_id not in self._peers:
-            row = NodeRow(*address, heartbeat.incarnation, "", 0.0)
-            self._peers[node_id] = Peer(node_id, row)
-        peer = self._peers[node_id]
+        peer = self._peers.get(node_id)
+        if peer is None:
+            peer = self._add(
+                Peer(node_id, NodeRow(*address, heartbeat.incarnation, "", 0.0), now_ms)
+            )
         if heartbeat.incarnation < peer.row.incarnation:
             return None
         last = peer.heartbeat
@@ -92,8 +142,33 @@
             ServiceName(view.service_name): PeerView(view, now_ms, heartbeat.echo_ms)
             for view in heartbeat.views
         }
+        self._take_states(decode_states(heartbeat.nodes), node_id, now_ms)
         return peer
 
+    def _take_states(self, states: Iterable[NodeState], sender: NodeId, now_ms: int) -> None:
+        for state in states:
+            node_id = self._by_tag.get(state.tag)
+            if node_id is None or node_id == sender:
+                continue
+            peer = self._peers[node_id]
+            seen_ms = now_ms - state.age_ms
+            if peer.told_ms is None or seen_ms >= peer.told_ms:
+                peer.told_ms, peer.told = seen_ms, state
+
+    def states(self, node_ids: Iterable[NodeId], now_ms: int) -> list[NodeState]:
+        """Return what this node can tell of some nodes that it has heard of."""
+        found = []
+        for node_id in node_ids:
+            peer = self._peers.get(node_id)
+            if peer is None:
+                continue
+            times = [at for at in (peer.heard_ms, peer.told_ms) if at is not None]
+            if times and peer.is_heard(now_ms):
+                age_ms = now_ms - max(times)
+                tag = node_tag(node_id)
+                found.append(NodeState(tag, age_ms, peer.is_leaving, peer.reaches_store))
+        return found
+
     def __iter__(self) -> Iterator[Peer]:
         return iter(self._peers.values())
 
@@ -101,53 +176,112 @@
         """Return a peer, or None if it has no row."""
         return self._peers.get(node_id)
 
-    @property
-    def node_count(self) -> int:
-        """Count the entry VMs that have rows, this one included."""
-        return len(self._peers) + 1
+    # ---- who lives ----
 
     def is_alive(self, node_id: NodeId, now_ms: int) -> bool:
         """Tell whether a node was heard lately and is not stopping."""
         if node_id == self.own_id:
             return True
         peer = self._peers.get(node_id)
-        return peer is not None and _is_heard(peer, now_ms) and not _is_leaving(peer)
+        return peer is not None and peer.is_heard(now_ms) and not peer.is_leaving
 
     def alive_ids(self, now_ms: int) -> list[NodeId]:
-        """List the living nodes in order of rank, this one included."""
-        ids = [node_id for node_id in self._peers if self.is_alive(node_id, now_ms)]
-        return sorted([*ids, self.own_id])
+        """List the living nodes, this one included."""
+        return [self.own_id, *(n for n in self._peers if self.is_alive(n, now_ms))]
 
-    def rank(self, now_ms: int) -> int:
-        """Return how many living nodes that reach the store come before this one."""
-        before = [node_id for node_id in self.alive_ids(now_ms) if node_id < self.own_id]
-        return sum(self.reaches_store(node_id) for node_id in before)
+    def is_gone(self, node_id: NodeId, silent_ms: int, now_ms: int) -> bool:
+        """Tell whether a node has no row, or has not been heard of for some time."""
+        if node_id == self.own_id:
+            return False
+        peer = self._peers.get(node_id)
+        if peer is None:
+            return True
+        times = [at for at in (peer.heard_ms, peer.told_ms) if at is not None]
+        return now_ms - max([peer.known_ms, *times]) > silent_ms
 
     def reaches_store(self, node_id: NodeId) -> bool:
-        """Tell whether the store answers a peer, as it last told."""
+        """Tell whether the store answers a peer, as was last told."""
         peer = self._peers.get(node_id)
-        if peer is None or peer.heartbeat is None:
-            return False
-        return bool(peer.heartbeat.store_age_ms <= STORE_SILENT_AFTER_MS)
+        return peer is not None and peer.reaches_store
+
+    def rank(self, now_ms: int) -> int:
+        """Return how many living nodes that reach the store come before this one, hubs first."""
+        hubs = set(self.hub_ids(now_ms))
+        own = (self.own_id not in hubs, *self._order(self.own_id))
+        return sum(
+            (node_id not in hubs, *self._order(node_id)) < own
+            for node_id, peer in self._peers.items()
+            if self.is_alive(node_id, now_ms) and peer.reaches_store
+        )
 
-    def majority_echo_ms(self, service: ServiceName, map_version: int, now_ms: int) -> int | None:
-        """Return the latest own time at which a majority knew no newer map, or None.
+    # ---- hubs ----
 
-        This node counts as one that knows the map now.
+    def _order(self, node_id: NodeId) -> tuple[float, NodeId]:
+        """Put nodes with more processor time first."""
+        cores = self._cpu_cores if node_id == self.own_id else self._peers[node_id].row.cpu_cores
+        return -cores, node_id
+
+    def _domain_of(self, node_id: NodeId) -> str:
+        return self._domain if node_id == self.own_id else self._peers[node_id].row.failure_domain
+
+    def _may_be_hub(self, node_id: NodeId, now_ms: int) -> bool:
+        if node_id == self.own_id:
+            return not self.is_leaving
+        peer = self._peers[node_id]
+        # A node that nobody has heard yet may be about to start.
+        since_ms = max(peer.known_ms, self._started_ms)
+        is_new = peer.heard_ms is None and now_ms - since_ms <= TOLD_SILENT_AFTER_MS
+        return (peer.is_heard(now_ms) and not peer.is_leaving) or is_new
+
+    def hub_ids(self, now_ms: int) -> list[NodeId]:
+        """List the hubs of all failure domains in order."""
+        counts: dict[str, int] = {}
+        hubs = []
+        for node_id in sorted([self.own_id, *self._peers], key=self._order):
+            domain = self._domain_of(node_id)
+            if counts.get(domain, 0) < HUBS_PER_DOMAIN and self._may_be_hub(node_id, now_ms):
+                counts[domain] = counts.get(domain, 0) + 1
+                hubs.append(node_id)
+        return hubs
+
+    def own_hub_ids(self, now_ms: int) -> list[NodeId]:
+        """List the hubs of the own failure domain, or the first ones of others if it has none."""
+        hubs = [node_id for node_id in self.hub_ids(now_ms) if node_id != self.own_id]
+        own = [node_id for node_id in hubs if self._domain_of(node_id) == self._domain]
+        return own or hubs[:HUBS_PER_DOMAIN]
+
+    def domain_ids(self) -> list[NodeId]:
+        """List the other nodes of the own failure domain."""
+        return [n for n, peer in self._peers.items() if peer.row.failure_domain == self._domain]
+
+    # ---- what a set of nodes knows ----
+
+    def _views(
+        self, service: ServiceName, node_ids: Collection[NodeId]
+    ) -> Iterator[tuple[NodeId, PeerView]]:
+        for node_id in node_ids:
+            peer = self._peers.get(node_id)
+            view = None if peer is None else peer.views.get(service)
+            if view is not None:
+                yield node_id, view
+
+    def majority_echo_ms(
+        self, service: ServiceName, map_version: int, witnesses: Collection[NodeId], now_ms: int
+    ) -> int | None:
+        """Return the latest own time at which most of some nodes knew no newer map, or None.
+
+        This node counts, if it is one of them, as one that knows the map now.
         """
         echoes = [
             view.echoed_ms
-            for peer in self._peers.values()
-            if (view := peer.views.get(service)) is not None
-            and view.view.map_version <= map_version
-            and view.echoed_ms > 0
+            for _, view in self._views(service, witnesses)
+            if view.view.is_confirmed and view.view.map_version <= map_version
+            if view.echoed_ms > 0
         ]
-        needed = self.node_count // 2
-        if not self.has_rows or len(echoes) < needed:
+        needed = len(witnesses) // 2 + 1 - (self.own_id in witnesses)
+        if not witnesses or len(echoes) < needed:
             return None
-        if needed == 0:
-            return now_ms
-        return sorted(echoes, reverse=True)[needed - 1]
+        return sorted(echoes, reverse=True)[needed - 1] if needed else now_ms
 
     def knows_newer(self, service: ServiceName, map_version: int) -> bool:
         """Tell whether a peer has told of a newer map."""
@@ -157,23 +291,17 @@
             if (view := peer.views.get(service)) is not None
         )
 
-    def nodes_at(self, service: ServiceName, map_version: int) -> list[Peer]:
-        """List the peers that know this map or a newer one."""
-        return [
-            peer
-            for peer in self._peers.values()
-            if (view := peer.views.get(service)) is not None
-            and view.view.map_version >= map_version
-        ]
-
-    def is_majority(self, peer_count: int) -> bool:
-        """Tell whether some peers and this node are more than half of all."""
-        return self.has_rows and 2 * (peer_count + 1) > self.node_count
-
-
-def _is_heard(peer: Peer, now_ms: int) -> bool:
-    return peer.heard_ms is not None and now_ms - peer.heard_ms <= SILENT_AFTER_MS
-
+    def informed(
+        self, service: ServiceName, map_version: int, node_ids: Collection[NodeId]
+    ) -> dict[NodeId, PeerView]:
+        """Return the views of those among some nodes that know this map or a newer one."""
+        return {
+            node_id: view
+            for node_id, view in self._views(service, node_ids)
+            if view.view.map_version >= map_version
+        }
 
-def _is_leaving(peer: Peer) -> bool:
-    return peer.heartbeat is not None and peer.heartbeat.leaving
+    def is_majority(self, node_ids: Collection[NodeId], witnesses: Collection[NodeId]) -> bool:
+        """Tell whether some of the witnesses, with this node, are most of them."""
+        known = {n for n in witnesses if n in node_ids or n == self.own_id}
+        return 2 * len(known) > len(witnesses)
--- /dev/null
+++ b/nutmeglead/peers/tests/steps/membership_steps.py
@@ -0,0 +1,137 @@
+"""Steps for membership and for work that is summed up, with times given."""
+
+import re
+
+from behave import given, then, when
+
+from nutmeglead._generated.peers.ttypes import Heartbeat, NodeRow, Scope
+from nutmeglead.core.ids import FailureDomainName, NodeId
+from nutmeglead.peers.codec import NodeState, encode_states, node_tag
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.work import WorkShares
+
+NOW_MS = 10_000
+OWN = NodeId("n-11")
+ADDRESS = ("10.0.0.2", 7_000)
+TAG = 7
+STORE_AGE_MS = 0
+
+
+class MembershipScenario:
+    def __init__(self, silent=(), leaving=(), many_cores=()):
+        self.membership = Membership(OWN, FailureDomainName("zone-2"), 1.0, 0)
+        self.sent_ms = 0
+        for number in range(11):
+            name = f"n-{number:02}"
+            cores = 4.0 if name in many_cores else 1.0
+            row = NodeRow(*ADDRESS, 1, f"zone-{number % 3}", cores)
+            self.membership.set_node(NodeId(name), row, 0)
+            if name not in silent:
+                self.hear(name, NOW_MS, is_leaving=name in leaving)
+
+    def hear(self, name, now_ms, is_leaving=False, states=()):
+        self.sent_ms += 1
+        heartbeat = Heartbeat(
+            name,
+            1,
+            self.sent_ms,
+            0,
+            is_leaving,
+            {},
+            STORE_AGE_MS,
+            [],
+            b"",
+            Scope.GROUP,
+            encode_states(states),
+            False,
+        )
+        self.membership.on_heartbeat(heartbeat, ADDRESS, now_ms)
+
+
+@given("12 nodes in 3 failure domains, where {changes}")
+def step_nodes(context, changes):
+    names = re.findall(r"n-\d+", changes)
+    if "silent" in changes:
+        context.members = MembershipScenario(silent=names)
+    elif "leaving" in changes:
+        context.members = MembershipScenario(leaving=names)
+    else:
+        context.members = MembershipScenario(many_cores=names)
+
+
+@then("the hubs are {hubs}")
+def step_hubs(context, hubs):
+    found = context.members.membership.hub_ids(NOW_MS)
+    assert sorted(found) == sorted(hubs.split()), found
+
+
+@when("hub n-00 tells that n-09 was heard {age_ms:d} ms ago")
+def step_told(context, age_ms):
+    state = NodeState(node_tag(NodeId("n-09")), age_ms, False, True)
+    # Nothing else is heard of n-09 any more.
+    context.members.membership.get(NodeId("n-09")).heard_ms = None
+    context.members.hear("n-00", NOW_MS, states=[state])
+
+
+@then("{name} is alive for {time_ms:d} ms more and then it is not")
+def step_alive(context, name, time_ms):
+    membership = context.members.membership
+    assert membership.is_alive(NodeId(name), NOW_MS + time_ms)
+    assert not membership.is_alive(NodeId(name), NOW_MS + time_ms + 1)
+
+
+@given("a hub that serves two nodes with {one:d} and {two:d} requests at a server")
+def step_serves(context, one, two):
+    context.shares = WorkShares()
+    context.own = 0
+    context.now_ms = NOW_MS
+    for name, count in (("n-01", one), ("n-02", two)):
+        context.shares.take(Scope.NODE, NodeId(name), {TAG: count}, 0, NOW_MS)
+
+
+@given("another hub that tells of {count:d} requests of its group")
+def step_group(context, count):
+    context.shares.take(Scope.GROUP, NodeId("n-03"), {TAG: count}, 0, NOW_MS)
+
+
+@given("the hub itself has {count:d} requests at the server")
+def step_own(context, count):
+    context.own = count
+
+
+@when("900 ms pass without a word")
+def step_pass(context):
+    context.now_ms += 900
+
+
+@then(
+    "it knows of {elsewhere:d} requests elsewhere, tells hubs of {group:d}"
+    " and its nodes of {total:d}"
+)
+def step_sums(context, elsewhere, group, total):
+    own = {TAG: context.own}
+    assert context.shares.elsewhere(TAG) == elsewhere, context.shares.elsewhere(TAG)
+    assert context.shares.group_sum(own, context.now_ms)[TAG] == group
+    assert context.shares.total(own, context.now_ms)[TAG] == total
+
+
+@then("it tells hubs of {count:d} requests")
+def step_group_sum(context, count):
+    found = context.shares.group_sum({}, context.now_ms)
+    assert found.get(TAG, 0) == count, found
+
+
+@given("a node that has told of {count:d} requests at a server in heartbeat {sent_ms:d}")
+def step_reported(context, count, sent_ms):
+    context.shares = WorkShares()
+    context.shares.note_report(sent_ms, {TAG: count})
+
+
+@when("its hub tells of {count:d} requests and echoes heartbeat {sent_ms:d}")
+def step_all(context, count, sent_ms):
+    context.shares.take(Scope.ALL, NodeId("n-00"), {TAG: count}, sent_ms, NOW_MS)
+
+
+@then("the node knows of {count:d} requests elsewhere")
+def step_elsewhere(context, count):
+    assert context.shares.elsewhere(TAG) == count, context.shares.elsewhere(TAG)
--- a/nutmeglead/ranges/candidates.py
+++ b/nutmeglead/ranges/candidates.py
@@ -3,12 +3,13 @@
 import logging
 from collections.abc import Mapping
 
+from nutmeglead._generated.peers.ttypes import OrderReport
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import ServiceName
 from nutmeglead.forwarding.model import ServerLife, ServerRecord
 from nutmeglead.forwarding.registry import ServerRegistry
-from nutmeglead.peers.codec import server_tag
+from nutmeglead.peers.codec import decode_keys, server_tag
 from nutmeglead.ranges.balance import ServerLoad
 from nutmeglead.ranges.health import HolderHealth
 from nutmeglead.ranges.speed import ServerSpeeds
@@ -59,6 +60,21 @@
             if server_tag(record.server_id) in samples:
                 self.health.on_answer(record.life, now_ms)
 
+    def take_report(self, report: OrderReport) -> None:
+        """Enter what another node has heard of its orders."""
+        now_ms = self._clock.now_ms()
+        lives = {
+            server_tag(record.server_id): record.life
+            for record in self._registry.records(self._service)
+        }
+        for tag in decode_keys(report.answered):
+            if tag in lives:
+                self.health.on_answer(lives[tag], now_ms)
+        for tags, is_refused in ((report.failed, False), (report.refused, True)):
+            for tag in decode_keys(tags):
+                if tag in lives:
+                    self.health.on_failure(lives[tag], is_refused, now_ms)
+
     def _service_time_ms(self, record: ServerRecord, now_ms: int) -> float:
         time_ms = self._speeds.time_ms(server_tag(record.server_id), now_ms)
         seen_ms = self._registry.seen_ms.get(record.life, now_ms)
--- /dev/null
+++ b/nutmeglead/ranges/context.py
@@ -0,0 +1,33 @@
+"""Group what the controllers of all services on a node share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from nutmeglead._generated.peers.ttypes import MapDelta, OrderReport
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.forwarding.registry import ServerRegistry
+from nutmeglead.peers.membership import Membership
+from nutmeglead.platform.grants import GrantClient
+from nutmeglead.ranges.model import RangeMap
+
+__all__ = ["ControllerContext"]
+
+
+@dataclass(frozen=True)
+class ControllerContext:
+    """Hold the parts of the entry process that controllers use."""
+
+    node_id: NodeId
+    incarnation: int
+    clock: Clock
+    membership: Membership
+    registry: ServerRegistry
+    grants: GrantClient
+    max_hold_ms: int
+    store_age_ms: Callable[[], int]
+    health_path: Callable[[ServiceName], str]
+    manifest_version: Callable[[], int]
+    send_delta: Callable[[MapDelta], None]
+    send_report: Callable[[OrderReport, NodeId], None]
+    on_map: Callable[[RangeMap], None]
--- a/nutmeglead/ranges/orders.py
+++ b/nutmeglead/ranges/orders.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
@@ -15,7 +16,7 @@
 from nutmeglead.ranges.model import KeyRange, RangeMap
 from nutmeglead.ranges.rights import RenewalRights
 
-__all__ = ["HOLD_MS", "NoRight", "Orders"]
+__all__ = ["HOLD_MS", "NoRight", "OrderResults", "Orders"]
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +39,22 @@
         return "the map is not confirmed to be the newest"
 
 
+@dataclass
+class OrderResults:
+    """Collect the servers that answered orders, did not, or refused them."""
+
+    answered: set[ServerLife] = field(default_factory=set)
+    failed: list[ServerLife] = field(default_factory=list)
+    refused: list[ServerLife] = field(default_factory=list)
+    # First keys of ranges whose owners have seen a higher fence.
+    stale: set[int] = field(default_factory=set)
+
+    def clear(self) -> None:
+        """Forget everything."""
+        for part in (self.answered, self.failed, self.refused, self.stale):
+            part.clear()
+
+
 class Orders:
     """Order the servers of one service."""
 
@@ -64,6 +81,8 @@
         self._probes: set[asyncio.Task[None]] = set()
         # Ranges whose owner has seen a higher fence; they need a new one.
         self.stale: set[KeyRange] = set()
+        # What was heard since the acting node was told.
+        self.results = OrderResults()
 
     async def grant(
         self, owner: ServerLife, keys: KeyRange, handover: str | None
@@ -74,7 +93,7 @@
         if record is None or self._registry.is_over(owner):
             return Err(ServerUnreachable(owner.server_id, "this life of the server is over"))
         # The boot-time clock is read right before the send; a VM may have been suspended.
-        if current is None or not self._rights.may_send(current.version, self._clock.now_ms()):
+        if current is None or not self._rights.may_send(current, self._clock.now_ms()):
             return Err(NoRight())
         self._rights.begin_order(owner)
         # Until its connection ended, the order may have been on its way.
@@ -132,15 +151,16 @@
         if await self._client.is_alive(record.server_id, address, health_path, GRANT_TIMEOUT_MS):
             self._health.on_answer(record.life, self._clock.now_ms())
 
-    def renew_due(self) -> None:
-        """Begin the renewals that are due; each server's run at the same time."""
+    def renew_due(self, owners: Collection[ServerLife]) -> None:
+        """Begin the renewals of some servers that are due; each server's run at the same time."""
         current = self._current_map()
         now_ms = self._clock.now_ms()
-        if current is None or not self._rights.may_send(current.version, now_ms):
+        if current is None or not self._rights.may_send(current, now_ms):
             return
         by_owner: dict[ServerLife, list[KeyRange]] = {}
         for entry in current:
-            if entry.owner is not None and not entry.is_pending:
+            if entry.owner in owners and not entry.is_pending:
+                assert entry.owner is not None
                 by_owner.setdefault(entry.owner, []).append(entry)
         for owner, owned in by_owner.items():
             due_ms = self._renewed_ms.get(owner, -RENEW_INTERVAL_MS) + RENEW_INTERVAL_MS
@@ -167,6 +187,7 @@
         if isinstance(sent, Err) and isinstance(sent.err_value, GrantRefused):
             if sent.err_value.is_stale:
                 self.stale.add(entry)
+                self.results.stale.add(entry.first)
             log_event(
                 logger,
                 Event.GRANT_REFUSED,
@@ -180,15 +201,15 @@
 
     def _note(self, owner: ServerLife, sent: Result[None, GrantError]) -> None:
         now_ms = self._clock.now_ms()
-        if isinstance(sent, Ok):
-            self._health.on_answer(owner, now_ms)
-            return
-        error = sent.err_value
-        if isinstance(error, GrantRefused) and error.is_stale:
+        error = None if isinstance(sent, Ok) else sent.err_value
+        if error is None or (isinstance(error, GrantRefused) and error.is_stale):
             self._health.on_answer(owner, now_ms)
+            self.results.answered.add(owner)
         elif not isinstance(error, NoRight):
             refused = isinstance(error, ServerUnreachable) and "refused" in error.reason.lower()
-            self._health.on_failure(owner, refused or isinstance(error, GrantRefused), now_ms)
+            is_refused = refused or isinstance(error, GrantRefused)
+            self._health.on_failure(owner, is_refused, now_ms)
+            (self.results.refused if is_refused else self.results.failed).append(owner)
 
     def close(self) -> None:
         """Cancel the renewals under way."""
--- a/nutmeglead/ranges/role.py
+++ b/nutmeglead/ranges/role.py
@@ -83,15 +83,15 @@
             return Ok(StoredState(role, None))
         return decode_map(map_row.value).map(lambda ranges: StoredState(role, ranges))
 
-    async def read_map_version(self) -> Result[int, StoreUnavailable | CodecError]:
-        """Return the number of the map in the store, 0 if there is none."""
+    async def read_map(self) -> Result[RangeMap | None, StoreUnavailable | CodecError]:
+        """Return the map in the store, None if there is none."""
         rows = await self._store.read(RANGES_TABLE, self._service)
         if isinstance(rows, Err):
             return rows
         row = _find(rows.ok_value.rows, MAP_KEY)
         if row is None or not row.value:
-            return Ok(0)
-        return decode_map(row.value).map(lambda ranges: ranges.version)
+            return Ok(None)
+        return decode_map(row.value)
 
     async def take(
         self, epoch: int, audit: AuditRecord
--- a/nutmeglead/ranges/transfer.py
+++ b/nutmeglead/ranges/transfer.py
@@ -5,20 +5,17 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
 
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.forwarding.model import ServerLife
 from nutmeglead.platform.grants import GrantError, GrantRefused
+from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.model import KeyRange, RangeMap
 from nutmeglead.ranges.orders import NoRight, Orders
 from nutmeglead.ranges.rights import RenewalRights
 
-if TYPE_CHECKING:
-    from nutmeglead.ranges.controller import ControllerContext
-
 __all__ = ["Transfers"]
 
 logger = logging.getLogger(__name__)
@@ -39,12 +36,14 @@
         rights: RenewalRights,
         context: ControllerContext,
         confirm: Callable[[KeyRange], None],
+        current_map: Callable[[], RangeMap | None],
     ) -> None:
         self._orders = orders
         self._rights = rights
         self._context = context
         self._clock = context.clock
         self._confirm = confirm
+        self._current_map = current_map
         self._tasks: dict[KeyRange, asyncio.Task[None]] = {}
         # Handovers by range, from releases whose range was given to another owner meanwhile.
         self._handovers: dict[tuple[int, int], str] = {}
@@ -102,8 +101,11 @@
             release.cancel()
 
     def _has_ended(self, holder: ServerLife, map_version: int) -> bool:
-        now_ms = self._clock.now_ms()
-        end_ms = self._rights.hold_end_ms(holder, map_version, self._orders.hold_ms, now_ms)
+        now_ms, ranges = self._clock.now_ms(), self._current_map()
+        if ranges is None:
+            return False
+        hold_ms = self._orders.hold_ms
+        end_ms = self._rights.hold_end_ms(holder, ranges, map_version, hold_ms, now_ms)
         return end_ms is not None and now_ms >= end_ms
 
     async def _release(self, holder: ServerLife, entry: KeyRange) -> str | None:
