entry: let hubs follow the store's tables and serve the others

Change: a node that is no hub takes changes of the tables from its hub, whose heartbeats tell the newest version; a copy holds the rows after a version, and tells when the store was away lately, so that lapsed entries are kept as before. Ruled out: longer waits of feeds (calls come from changes of server entries, not from waits that end).

--- a/nutmeglead/_generated/peers/ttypes.py
+++ b/nutmeglead/_generated/peers/ttypes.py
@@ -1525,8 +1525,6 @@
             raise TProtocolException(message='Required field key is unset!')
         if self.version is None:
             raise TProtocolException(message='Required field version is unset!')
-        if self.value is None:
-            raise TProtocolException(message='Required field value is unset!')
         return
 
     def __repr__(self):
@@ -1547,14 +1545,18 @@
      - store_version
      - changed_version
      - rows
+     - is_whole
+     - was_away
 
     """
 
 
-    def __init__(self, store_version=None, changed_version=None, rows=None,):
+    def __init__(self, store_version=None, changed_version=None, rows=None, is_whole=None, was_away=None,):
         self.store_version = store_version
         self.changed_version = changed_version
         self.rows = rows
+        self.is_whole = is_whole
+        self.was_away = was_away
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1586,6 +1588,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.was_away = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1611,6 +1623,14 @@
                 iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.is_whole is not None:
+            oprot.writeFieldBegin('is_whole', TType.BOOL, 4)
+            oprot.writeBool(self.is_whole)
+            oprot.writeFieldEnd()
+        if self.was_away is not None:
+            oprot.writeFieldBegin('was_away', TType.BOOL, 5)
+            oprot.writeBool(self.was_away)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1621,6 +1641,10 @@
             raise TProtocolException(message='Required field changed_version is unset!')
         if self.rows is None:
             raise TProtocolException(message='Required field rows is unset!')
+        if self.is_whole is None:
+            raise TProtocolException(message='Required field is_whole is unset!')
+        if self.was_away is None:
+            raise TProtocolException(message='Required field was_away is unset!')
         return
 
     def __repr__(self):
@@ -1939,6 +1963,8 @@
     (1, TType.I64, 'store_version', None, None, ),  # 1
     (2, TType.I64, 'changed_version', None, None, ),  # 2
     (3, TType.LIST, 'rows', (TType.STRUCT, [CopiedRow, None], False), None, ),  # 3
+    (4, TType.BOOL, 'is_whole', None, None, ),  # 4
+    (5, TType.BOOL, 'was_away', None, None, ),  # 5
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -23,8 +23,10 @@
 logger = logging.getLogger(__name__)
 
 COPY_PATH = "/copies/"
+# Asks for changes after a version of the store.
+AFTER = "?after="
 TICKET_STATUS_PATH = "/ticket-status"
-CHECK_INTERVAL_MS = 200
+CHECK_INTERVAL_MS = 100
 # The own feed brings a change within this time while the store serves this node.
 FEED_DELAY_MS = 500
 FETCH_TIMEOUT_MS = 1_000
@@ -76,8 +78,11 @@
         for prefix, serve in self._others.items():
             if path.startswith(prefix):
                 return serve(path)
-        watch = self._watches.get(path.removeprefix(COPY_PATH))
-        return None if watch is None else encode(watch.copy())
+        table, _, after = path.removeprefix(COPY_PATH).partition(AFTER)
+        watch = self._watches.get(table)
+        if watch is None:
+            return None
+        return encode(watch.copy(int(after) if after.isdecimal() else 0))
 
     async def run(self) -> None:
         """Look for newer copies until cancelled."""
@@ -103,10 +108,11 @@
             self._behind_since_ms.pop(table, None)
             return None
         since_ms = self._behind_since_ms.setdefault(table, now_ms)
-        return newest if now_ms - since_ms >= FEED_DELAY_MS else None
+        delay_ms = FEED_DELAY_MS if watch.follows_store() else 0
+        return newest if now_ms - since_ms >= delay_ms else None
 
     async def _fetch(self, table: str, watch: TableWatch, peer: Peer) -> None:
-        head = RequestHead(b"GET", (COPY_PATH + table).encode())
+        head = RequestHead(b"GET", f"{COPY_PATH}{table}{AFTER}{watch.version}".encode())
         address = (peer.row.ip, peer.row.peer_port)
         fetched = await self._fetcher.fetch(*address, head, b"", FETCH_TIMEOUT_MS)
         if isinstance(fetched, Err):
--- a/nutmeglead/entry/operator_feed.py
+++ b/nutmeglead/entry/operator_feed.py
@@ -2,32 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from nutmeglead._generated.peers.ttypes import TicketStatus
 from nutmeglead.entry.tables import apply_manifest_rows, apply_server_rows
+from nutmeglead.entry.watch import FedTable
 from nutmeglead.platform.store import StoreRows
 from nutmeglead.platform.wire import MANIFEST_TABLE, SERVERS_TABLE
 
 if TYPE_CHECKING:
     from nutmeglead.entry.process import EntryProcess
 
-__all__ = ["FedTable", "OperatorFeed", "PlatformFeed"]
+__all__ = ["OperatorFeed", "PlatformFeed"]
 
 MANIFEST_SETTLE_MS = 50
 # Several server entries change together; their feed is asked again after a pause.
 SERVERS_SETTLE_MS = 300
 
 
-class FedTable(NamedTuple):
-    """Name a table of the store, what takes its rows, and the pause after each change."""
-
-    name: str
-    apply: Callable[[StoreRows, bool], None]
-    settle_ms: int
-
-
 class OperatorFeed(Protocol):
     """Pass the operator's wishes on to the parts of an entry process."""
 
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -20,12 +20,13 @@
 from nutmeglead.core.codec import encode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.entry.contact import StoreContact
 from nutmeglead.entry.copies import TICKET_STATUS_PATH, TableCopies
 from nutmeglead.entry.map_copies import MAP_PATH, MapCopies
 from nutmeglead.entry.metrics import MetricsServer
-from nutmeglead.entry.operator_feed import FedTable, OperatorFeed, PlatformFeed
+from nutmeglead.entry.operator_feed import OperatorFeed, PlatformFeed
 from nutmeglead.entry.tables import NODES_TABLE, apply_node_rows
-from nutmeglead.entry.watch import StoreContact, TableWatch
+from nutmeglead.entry.watch import FedTable, TableWatch
 from nutmeglead.forwarding.forwarder import Forwarder
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.registry import ServerRegistry
@@ -195,9 +196,14 @@
         return None if status is None else encode(status)
 
     def _watch(self, table: FedTable) -> TableWatch:
-        return TableWatch(
-            self.store, table.name, table.apply, self.contact, self._rng, table.settle_ms
-        )
+        return TableWatch(self.store, table, self.contact, self._rng, self._follows_store)
+
+    def _follows_store(self) -> bool:
+        """Tell whether this node reads the tables itself, as hubs do for the others."""
+        now_ms = self.clock.now_ms()
+        hubs = self.membership.own_hub_ids(now_ms)
+        is_hub = self.settings.node_id in self.membership.hub_ids(now_ms)
+        return is_hub or not any(self.membership.is_alive(hub, now_ms) for hub in hubs)
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/nutmeglead/entry/tables.py
+++ b/nutmeglead/entry/tables.py
@@ -9,7 +9,7 @@
 from nutmeglead.core.codec import decode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServerId
-from nutmeglead.entry.watch import StoreContact
+from nutmeglead.entry.contact import StoreContact
 from nutmeglead.forwarding.forwarder import Forwarder
 from nutmeglead.forwarding.registry import RETURN_GRACE_MS, ServerRegistry
 from nutmeglead.peers.membership import Membership
--- a/nutmeglead/entry/ticket_feed.py
+++ b/nutmeglead/entry/ticket_feed.py
@@ -14,7 +14,7 @@
 from nutmeglead.core.codec import decode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import ServerId, ServiceName
-from nutmeglead.entry.operator_feed import FedTable
+from nutmeglead.entry.watch import FedTable
 from nutmeglead.forwarding.model import ServerState
 from nutmeglead.platform.store import StoreRows
 from nutmeglead.tickets.interface import build_manifest, pins_of, server_records
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -1,15 +1,16 @@
-"""Follow a table of the store by its feed."""
+"""Follow a table of the store by its feed, or by copies from a hub."""
 
 import asyncio
 import logging
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from nutmeglead._generated.peers.ttypes import CopiedRow, TableCopy
-from nutmeglead.core.clock import Clock
-from nutmeglead.core.events import Event, log_event
+from nutmeglead.entry.contact import StoreContact
+from nutmeglead.forwarding.registry import RETURN_GRACE_MS
 from nutmeglead.platform.store import (
     StoreClient,
     StoreHistoryLost,
@@ -18,52 +19,31 @@
     StoreUnavailable,
 )
 
-__all__ = ["StoreContact", "TableWatch"]
+__all__ = ["FedTable", "TableWatch"]
 
 logger = logging.getLogger(__name__)
 
 FEED_WAIT_MS = 15_000
 # A node that knows nothing yet, or whose last call failed, must not wait long for a silent store.
 PROBE_WAIT_MS = 1_000
+# A node that becomes a hub follows the store after this time.
+FOLLOW_CHECK_MS = 100
+# Removed rows that are kept for copies of changes.
+MAX_REMOVED_ROWS = 500
 # A refused call is priced too; a change must be in force 2 s after it was acknowledged.
 RETRY_MIN_MS = 200
 RETRY_MAX_MS = 800
 
 
-class StoreContact:
-    """Tell since when the store has answered this node."""
+class FedTable(NamedTuple):
+    """Name a table of the store, what takes its rows, and the pause after each change.
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._answered_ms = clock.now_ms()
-        self._lost_ms: int | None = None
-        self._regained_ms: int | None = None
+    The pause lets several changes come in one call.
+    """
 
-    def on_answer(self) -> None:
-        """Note an answer."""
-        now_ms = self._clock.now_ms()
-        self._answered_ms = now_ms
-        if self._lost_ms is not None:
-            log_event(logger, Event.STORE_REGAINED, away_ms=now_ms - self._lost_ms)
-            self._regained_ms, self._lost_ms = now_ms, None
-
-    def on_failure(self, table: str, reason: str) -> None:
-        """Note a failed call."""
-        if self._lost_ms is None:
-            self._lost_ms = self._clock.now_ms()
-            log_event(logger, Event.STORE_LOST, table=table, reason=reason)
-
-    @property
-    def age_ms(self) -> int:
-        """Return the time since the last answer, 0 while no call has failed since."""
-        return 0 if self._lost_ms is None else self._clock.now_ms() - self._answered_ms
-
-    def was_away_within(self, duration_ms: int) -> bool:
-        """Tell whether the store was away at any time within a duration."""
-        if self._lost_ms is not None:
-            return True
-        regained_ms = self._regained_ms
-        return regained_ms is not None and self._clock.now_ms() - regained_ms <= duration_ms
+    name: str
+    apply: Callable[[StoreRows, bool], None]
+    settle_ms: int
 
 
 class TableWatch:
@@ -72,23 +52,26 @@
     def __init__(
         self,
         store: StoreClient,
-        table: str,
-        apply: Callable[[StoreRows, bool], None],
+        table: FedTable,
         contact: StoreContact,
         rng: random.Random,
-        settle_ms: int,
+        follows_store: Callable[[], bool],
     ) -> None:
-        """`settle_ms` is a pause after each change, which lets several come in one call."""
+        """A node for which `follows_store` is false takes copies from its hub instead."""
         self._store = store
-        self._table = table
-        self._apply = apply
+        self._table = table.name
+        self._apply = table.apply
+        self._settle_ms = table.settle_ms
         self._contact = contact
         self._rng = rng
-        self._settle_ms = settle_ms
+        self.follows_store = follows_store
         self.version = 0
         # Version of the newest change of the table; `version` grows with changes of any table.
         self.changed_version = 0
+        # Present rows, and removed ones without a value.
         self._rows: dict[str, StoreRow] = {}
+        # Copies of changes reach back to this version.
+        self._kept_after = 0
         self._has_failed = False
 
     @property
@@ -96,23 +79,34 @@
         """Return the table's name."""
         return self._table
 
-    def copy(self) -> TableCopy:
-        """Return the rows for a node that the store turns away."""
-        rows = [CopiedRow(row.key, row.version, row.value) for row in self._rows.values()]
-        return TableCopy(self.version, self.changed_version, rows)
+    def copy(self, after: int) -> TableCopy:
+        """Return the rows that have changed after a version, or all where that is not known."""
+        is_whole = not after or after < self._kept_after
+        rows = [
+            CopiedRow(row.key, row.version, row.value)
+            for row in self._rows.values()
+            if (row.value is not None if is_whole else row.version > after)
+        ]
+        was_away = self._contact.was_away_within(RETURN_GRACE_MS)
+        return TableCopy(self.version, self.changed_version, rows, is_whole, was_away)
 
     def take_copy(self, copy: TableCopy) -> None:
         """Apply another node's rows if they are newer."""
         if copy.changed_version <= self.changed_version or copy.store_version < self.version:
             return
+        if copy.was_away:
+            self._contact.note_outage_elsewhere()
         rows = [StoreRow(self._table, "", row.key, row.value, row.version) for row in copy.rows]
-        self._take(StoreRows(tuple(rows), copy.store_version), True)
+        self._take(StoreRows(tuple(rows), copy.store_version), copy.is_whole)
         self.changed_version = copy.changed_version
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         retry_ms = RETRY_MIN_MS
         while True:
+            if not self.follows_store():
+                await asyncio.sleep(FOLLOW_CHECK_MS / 1000)
+                continue
             fed = await self._next_rows()
             if isinstance(fed, Err):
                 self._has_failed = True
@@ -149,14 +143,19 @@
     def _take(self, rows: StoreRows, is_snapshot: bool) -> None:
         if is_snapshot:
             self._rows.clear()
+            self._kept_after = rows.version
         for row in rows.rows:
-            if row.part:
-                continue
-            self.changed_version = max(self.changed_version, row.version)
-            if row.value is None:
-                self._rows.pop(row.key, None)
-            else:
+            if not row.part:
+                self.changed_version = max(self.changed_version, row.version)
                 self._rows[row.key] = row
+        self._forget_removed()
         self.version = rows.version
         if rows.rows or is_snapshot:
             self._apply(rows, is_snapshot)
+
+    def _forget_removed(self) -> None:
+        removed = [row for row in self._rows.values() if row.value is None]
+        if len(removed) > MAX_REMOVED_ROWS:
+            for row in removed:
+                del self._rows[row.key]
+            self._kept_after = max(row.version for row in removed)
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -124,17 +124,21 @@
   3: required RangeMap ranges,
 }
 
-// A copy of a table of the store, for a node that the store turns away.
+// Rows of a table of the store, for a node that does not follow the store itself. A removed row has no value. Without
+// `is_whole`, only rows with versions after the one that was asked for are in it. `was_away` tells that the store did not
+// answer the sender lately, so that entries may have lapsed.
 struct CopiedRow {
   1: required string key,
   2: required i64 version,
-  3: required binary value,
+  3: optional binary value,
 }
 
 struct TableCopy {
   1: required i64 store_version,
   2: required i64 changed_version,
   3: required list<CopiedRow> rows,
+  4: required bool is_whole,
+  5: required bool was_away,
 }
 
 union Datagram {
