soak: run the real programs as processes and inject faults from outside

Cause: the emulator runs all parts in one process on virtual time; signals, sockets and interpreters are not in it.

--- /dev/null
+++ b/nutmeglead/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs as separate processes and inject faults from outside."""
--- /dev/null
+++ b/nutmeglead/soak/fleet.py
@@ -0,0 +1,245 @@
+"""Run entry processes of the real program, with their surroundings in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import random
+import signal
+import sys
+import tempfile
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+
+from nutmeglead._generated.common.ttypes import Address
+from nutmeglead._generated.settings.ttypes import (
+    BoundsSettings,
+    FailureDomain,
+    LogSettings,
+    NodeSettings,
+    ServiceSettings,
+    Settings,
+)
+from nutmeglead._generated.tickets.ttypes import ServerItem, ServerState
+from nutmeglead.core.clock import SystemClock
+from nutmeglead.core.ids import ServiceName
+from nutmeglead.emulator.judge import Holder, Judge
+from nutmeglead.emulator.key_server import KeyServer
+from nutmeglead.emulator.rows import RowStore
+from nutmeglead.emulator.server_host import RunLedger, ServerHost, ServerOptions
+from nutmeglead.emulator.store_host import StoreHost
+from nutmeglead.settings.structs import plain_struct
+from nutmeglead.soak.proxy import Proxy
+
+__all__ = ["EntryProgram", "Fleet", "SoakServer"]
+
+logger = logging.getLogger(__name__)
+
+ENVIRONMENT_IP = "127.0.0.1"
+# Entry processes have addresses of their own, so that all of them use the same ports.
+ENTRY_IP = "127.0.{net}.{number}"
+FRONT_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 18_080, 18_081, 18_082, 18_083
+SERVICES = (
+    ServiceSettings("stock", 4, 130, idempotent=True, timeout_ms=2_000, target_latency_ms=500),
+    ServiceSettings("orders", 4, 130, timeout_ms=2_000, target_latency_ms=500, priority=0),
+)
+WORK_MS = 20.0
+STOP_GRACE_MS = 4_000
+# A process that has not ended by itself by then is killed.
+END_TIMEOUT_S = 6.0
+
+
+@dataclass(eq=False)
+class SoakServer:
+    """Hold a backend server and the proxy in front of it."""
+
+    service: ServiceName
+    server_id: str
+    domain: str
+    port: int
+    proxy: Proxy
+    proxy_port: int
+    host: ServerHost
+    holder: Holder
+
+
+class EntryProgram:
+    """Run one entry process; only processes started here are signalled."""
+
+    def __init__(self, ip: str, settings_path: Path, log_path: Path) -> None:
+        self.ip = ip
+        self._settings_path = settings_path
+        self._log_path = log_path
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the program."""
+        with self._log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "nutmeglead.programs.entry",
+                "--settings",
+                str(self._settings_path),
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ, PYTHONHASHSEED="0"),
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def wait_ended(self) -> int:
+        """Wait for the end, kill a process that does not end, and return its exit code."""
+        assert self._process is not None
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                return await self._process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGKILL)
+            return await self._process.wait()
+
+
+class Fleet:
+    """Own the store, the servers and the entry programs of one run."""
+
+    def __init__(self, seed: int, entry_count: int, servers_per_service: int, net: int) -> None:
+        """`net` is the third part of the entry programs' addresses; each run needs its own."""
+        self.clock = SystemClock()
+        self.rng = random.Random(seed)
+        self.rows = RowStore(self.clock)
+        self.store = StoreHost(self.rows, self.clock)
+        self.store_proxies: list[Proxy] = []
+        self.judge = Judge(self.clock)
+        self.ledger = RunLedger()
+        self.servers: dict[str, SoakServer] = {}
+        self.entries: list[EntryProgram] = []
+        self.store_port = 0
+        self._net = net
+        self._entry_count = entry_count
+        self._servers_per_service = servers_per_service
+        self._directory = tempfile.TemporaryDirectory(prefix="nutmeglead-soak-")
+
+    @property
+    def logs(self) -> Path:
+        """Return the directory of the entry programs' logs."""
+        return Path(self._directory.name)
+
+    async def start(self) -> None:
+        """Start everything; each entry program reaches the store through a proxy of its own."""
+        self.store_port = await self.store.start(ENVIRONMENT_IP, 0)
+        for service in SERVICES:
+            for number in range(self._servers_per_service):
+                await self._add_server(service, number)
+        for number in range(1, self._entry_count + 1):
+            proxy = Proxy((ENVIRONMENT_IP, self.store_port))
+            self.store_proxies.append(proxy)
+            port = await proxy.start(ENVIRONMENT_IP)
+            path = self.logs / f"entry-{number}.jsonc"
+            path.write_text(json.dumps(plain_struct(self.settings(number, port))))
+            self.entries.append(
+                EntryProgram(self._entry_ip(number), path, self.logs / f"entry-{number}.log")
+            )
+        await asyncio.gather(*(entry.start() for entry in self.entries))
+
+    def _entry_ip(self, number: int) -> str:
+        return ENTRY_IP.format(net=self._net, number=number)
+
+    def settings(self, number: int, store_port: int) -> Settings:
+        """Return the settings of an entry program."""
+        domains = [FailureDomain(f"domain-{domain}", "default") for domain in range(3)]
+        node = NodeSettings(
+            f"entry-{number}",
+            self._entry_ip(number),
+            domains[number % 3].name,
+            FRONT_PORT,
+            READY_PORT,
+            PEER_PORT,
+            METRICS_PORT,
+        )
+        bounds = BoundsSettings(stop_grace_ms=STOP_GRACE_MS)
+        store = Address(ENVIRONMENT_IP, store_port)
+        return Settings("soak", node, store, domains, list(SERVICES), bounds, LogSettings())
+
+    async def _add_server(self, service: ServiceSettings, number: int) -> None:
+        server_id = f"{service.name}-{number}"
+        name = ServiceName(service.name)
+        keys = KeyServer(server_id, self.clock, partial(self.judge.on_change, name))
+        host = self._host(keys)
+        port = await host.start(ENVIRONMENT_IP, 0)
+        proxy = Proxy((ENVIRONMENT_IP, port))
+        proxy_port = await proxy.start(ENVIRONMENT_IP)
+        holder = Holder(name, keys)
+        self.judge.holders.append(holder)
+        domain = f"domain-{number % 3}"
+        self.servers[server_id] = SoakServer(
+            name, server_id, domain, port, proxy, proxy_port, host, holder
+        )
+
+    def _host(self, keys: KeyServer) -> ServerHost:
+        rng = random.Random(self.rng.random())
+        options = ServerOptions(work_ms=WORK_MS)
+        return ServerHost(keys, options, self.ledger, self.clock, rng)
+
+    async def restart_server(self, server_id: str, away_s: float) -> None:
+        """End a server's process and begin one at the same address that holds nothing."""
+        server = self.servers[server_id]
+        server.holder.is_up = False
+        await server.host.stop()
+        await asyncio.sleep(away_s)
+        on_change = partial(self.judge.on_change, server.service)
+        keys = KeyServer(server_id, self.clock, on_change)
+        server.host = self._host(keys)
+        server.holder = Holder(server.service, keys)
+        self.judge.holders.append(server.holder)
+        await server.host.start(ENVIRONMENT_IP, server.port)
+
+    def server_items(self) -> list[ServerItem]:
+        """Return the servers as the first ticket names them, at their proxies' addresses."""
+        return [
+            ServerItem(
+                server.service,
+                server.server_id,
+                ServerState.PRESENT,
+                Address(ENVIRONMENT_IP, server.proxy_port),
+                server.domain,
+            )
+            for server in self.servers.values()
+        ]
+
+    def fronts(self) -> dict[tuple[str, int], tuple[str, int]]:
+        """Return the ready ports of the entry programs by their front ports."""
+        return {(entry.ip, FRONT_PORT): (entry.ip, READY_PORT) for entry in self.entries}
+
+    def proxies(self) -> Iterable[Proxy]:
+        """Yield all proxies."""
+        yield from self.store_proxies
+        yield from (server.proxy for server in self.servers.values())
+
+    async def stop(self) -> None:
+        """End the entry programs, and then their surroundings."""
+        for entry in self.entries:
+            entry.signal(signal.SIGCONT)
+            entry.signal(signal.SIGKILL)
+        await asyncio.gather(*(entry.wait_ended() for entry in self.entries))
+        for proxy in self.proxies():
+            await proxy.stop()
+        for server in self.servers.values():
+            await server.host.stop()
+        await self.store.stop()
+
+    def discard_logs(self) -> None:
+        """Remove the logs of a run that kept every promise."""
+        self._directory.cleanup()
