--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -169,7 +169,10 @@
         limit_ms = request.deadline_ms
         if upstream.is_congested(now_ms):
             limit_ms = min(limit_ms, request.received_ms + request.route.target_latency_ms)
-        expected_ms = upstream.expected_ms(now_ms, self._ahead(request))
+        ahead = self._ahead(request)
+        expected_ms = upstream.expected_ms(now_ms, ahead)
+        if upstream.total_in_flight >= self._free_places(upstream):
+            expected_ms += upstream.share_wait_ms(self._node_count(), ahead, now_ms)
         if now_ms + expected_ms > limit_ms:
             return 0
         return round(limit_ms - upstream.service_time_ms)
@@ -280,18 +283,23 @@
     def _has_room(self, upstream: Upstream) -> bool:
         """Tell whether a request may be sent to a server now, and take its share if it is full."""
         upstream.in_flight_elsewhere = self._work_elsewhere(upstream.tag)
-        now_ms, node_count = self._clock.now_ms(), self._node_count()
-        slots, total = upstream.record.slots, upstream.total_in_flight
-        limit = slots * self._settings.queue_ratio
-        if total < limit:
+        now_ms, total = self._clock.now_ms(), upstream.total_in_flight
+        limit = upstream.record.slots * self._settings.queue_ratio
+        if total < self._free_places(upstream):
             upstream.full_since_ms = None
-        elif upstream.full_since_ms is None:
-            upstream.full_since_ms = now_ms
-        # The more nodes there are, the more of them may take the same place in the queue.
-        free = slots + (limit - slots) * min(1.0, limit / max(1, node_count))
-        if total < free:
             return True
-        return upstream.in_flight < limit and upstream.take_share(node_count, now_ms)
+        if upstream.full_since_ms is None:
+            upstream.full_since_ms = now_ms
+        return upstream.in_flight < limit and upstream.take_share(self._node_count(), now_ms)
+
+    def _free_places(self, upstream: Upstream) -> float:
+        """Return how many requests may be at a server before a node needs its share of it.
+
+        The more nodes there are, the more of them may take the same place in the queue.
+        """
+        slots = upstream.record.slots
+        limit = slots * self._settings.queue_ratio
+        return slots + (limit - slots) * min(1.0, limit / max(1, self._node_count()))
 
     def _overloaded(self, reason: str) -> Overloaded:
         ready = [upstream for upstream in self.upstreams.values() if upstream.is_ready]
--- a/nutmeglead/forwarding/upstream.py
+++ b/nutmeglead/forwarding/upstream.py
@@ -103,14 +103,25 @@
         What other nodes have told is up to three heartbeats old; without shares all of them would
         fill the same free slot.
         """
-        gained = (now_ms - self._share_ms) * self.record.slots / self.service_time_ms
-        self._share = min(1.0, self._share + gained / max(1, node_count))
+        self._share = self._share_at(node_count, now_ms)
         self._share_ms = now_ms
         if self._share < 1.0:
             return False
         self._share -= 1.0
         return True
 
+    def _share_at(self, node_count: int, now_ms: int) -> float:
+        gained = (now_ms - self._share_ms) / self._share_interval_ms(node_count)
+        return min(1.0, self._share + gained)
+
+    def _share_interval_ms(self, node_count: int) -> float:
+        return self.service_time_ms * max(1, node_count) / self.record.slots
+
+    def share_wait_ms(self, node_count: int, ahead: int, now_ms: int) -> float:
+        """Return the time until a share is due behind some requests that wait on this node."""
+        missing = ahead + 1 - self._share_at(node_count, now_ms)
+        return max(0.0, missing) * self._share_interval_ms(node_count)
+
     def take_samples(self) -> tuple[int, float]:
         """Return the answers and their mean service time since the last call."""
         count, total_ms = self.sample_count, self.sample_total_ms
