entry: remove the row of a node that is gone, and register again after a removal

Cause: each machine that failed or was replaced left its row in the list of nodes, so the list, and every tick over it, grew with each of them.

The acting node removes the row of a node that holds nothing and has not been heard of for 30 s. A node whose row was removed while it was only cut off registers again. Registration and load reports move out of process.py, which had grown to more than one subject.

Ruled out: removing the row when a node is judged dead, since a node that was only cut off would then be strange to the ones that still hear it.

--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -50,6 +50,7 @@
 
     PEER_SILENT = (4001, logging.WARNING, "an entry VM sends no heartbeats")
     PEER_SEEN = (4002, logging.INFO, "an entry VM sends heartbeats")
+    NODE_REMOVED = (4003, logging.INFO, "the row of an entry VM that is gone was removed")
     MESSAGE_REFUSED = (4004, logging.WARNING, "a message could not be decoded or was not expected")
     MAP_COPIED = (4006, logging.INFO, "a range map was taken from a peer")
     TABLE_COPIED = (4005, logging.INFO, "a table of the store was taken from a peer")
--- /dev/null
+++ b/nutmeglead/entry/node_rows.py
@@ -0,0 +1,118 @@
+"""Keep the rows of the entry VMs in the store."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Collection
+
+from result import Err
+
+from nutmeglead._generated.peers.ttypes import NodeRow
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.ids import NodeId
+from nutmeglead.entry.contact import StoreContact
+from nutmeglead.peers.membership import Membership
+from nutmeglead.platform.node_settings import NodeSettings
+from nutmeglead.platform.store import StoreClient, StoreRow, StoreRows
+
+__all__ = ["NODES_TABLE", "NodeRows"]
+
+logger = logging.getLogger(__name__)
+
+NODES_TABLE = "nodes"
+# The row of a node that was not heard for so long is removed by an acting node.
+NODE_GONE_MS = 30_000
+GONE_CHECK_MS = 5_000
+RETRY_MS = 500
+
+
+class NodeRows:
+    """Write the own row, follow those of others, and remove those of nodes that are gone."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        settings: NodeSettings,
+        incarnation: int,
+        membership: Membership,
+        clock: Clock,
+        contact: StoreContact,
+        witnesses: Callable[[], Collection[NodeId]],
+        is_acting: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._settings = settings
+        self._incarnation = incarnation
+        self._membership = membership
+        self._clock = clock
+        self._contact = contact
+        self._witnesses = witnesses
+        self._is_acting = is_acting
+        self._must_register = asyncio.Event()
+        self._must_register.set()
+
+    def apply(self, rows: StoreRows, is_snapshot: bool) -> None:
+        """Enter the entry VMs; a node that another one has taken for gone writes its row again."""
+        present = set()
+        for row in rows.rows:
+            node_id = NodeId(row.key)
+            if row.value is None:
+                self._membership.remove_node(node_id)
+                if node_id == self._settings.node_id:
+                    self._must_register.set()
+                continue
+            decoded = decode(NodeRow, row.value)
+            if isinstance(decoded, Err):
+                logger.warning("node row %s: %s", row.key, decoded.err_value)
+                continue
+            present.add(node_id)
+            self._membership.set_node(node_id, decoded.ok_value, self._clock.now_ms())
+        if is_snapshot:
+            for peer in list(self._membership):
+                if peer.node_id not in present:
+                    self._membership.remove_node(peer.node_id)
+
+    async def run(self) -> None:
+        """Write the own row when it is needed, and look for gone nodes, until cancelled."""
+        await asyncio.gather(self._register(), self._remove_gone())
+
+    async def _register(self) -> None:
+        settings = self._settings
+        row = NodeRow(
+            settings.ip,
+            settings.peer_port,
+            self._incarnation,
+            settings.failure_domain,
+            settings.cpu_cores,
+        )
+        target = StoreRow(NODES_TABLE, "", settings.node_id, encode(row), 0)
+        while True:
+            await self._must_register.wait()
+            written = await self._store.transact([], [target])
+            if isinstance(written, Err):
+                self._contact.on_failure(NODES_TABLE, str(written.err_value))
+                await asyncio.sleep(RETRY_MS / 1000)
+            else:
+                self._must_register.clear()
+
+    async def _remove_gone(self) -> None:
+        while True:
+            await asyncio.sleep(GONE_CHECK_MS / 1000)
+            if not self._is_acting():
+                continue
+            now_ms, witnesses = self._clock.now_ms(), self._witnesses()
+            gone = [
+                StoreRow(NODES_TABLE, "", peer.node_id, None, 0)
+                for peer in self._membership
+                if peer.node_id not in witnesses
+                and self._membership.is_gone(peer.node_id, NODE_GONE_MS, now_ms)
+            ]
+            if not gone:
+                continue
+            removed = await self._store.transact([], [], gone)
+            if isinstance(removed, Err):
+                logger.info("rows of gone nodes were not removed: %s", removed.err_value)
+                continue
+            for row in gone:
+                log_event(logger, Event.NODE_REMOVED, node=row.key)
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -7,12 +7,9 @@
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import replace
 
-from result import Err
-
 from nutmeglead._generated.peers.ttypes import (
     LoadReport,
     MapDelta,
-    NodeRow,
     OrderReport,
     ServiceView,
 )
@@ -22,22 +19,22 @@
 from nutmeglead.core.ids import NodeId, ServiceName
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.entry.copies import TICKET_STATUS_PATH, TableCopies
+from nutmeglead.entry.load_reports import LoadReports
 from nutmeglead.entry.map_copies import MAP_PATH, MapCopies
 from nutmeglead.entry.metrics import MetricsServer
+from nutmeglead.entry.node_rows import NODES_TABLE, NodeRows
 from nutmeglead.entry.operator_feed import OperatorFeed, PlatformFeed
-from nutmeglead.entry.tables import NODES_TABLE, apply_node_rows
 from nutmeglead.entry.watch import FedTable, TableWatch
 from nutmeglead.forwarding.forwarder import Forwarder
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
-from nutmeglead.peers.codec import decode_keys, decode_samples, encode_keys, encode_samples
 from nutmeglead.peers.membership import Membership, Peer
 from nutmeglead.peers.service import PeerHandler, PeerService
 from nutmeglead.platform.grants import GrantClient
 from nutmeglead.platform.node_settings import NodeSettings
-from nutmeglead.platform.store import StoreClient, StoreRow, StoreRows
+from nutmeglead.platform.store import StoreClient
 from nutmeglead.platform.wire import READY_TARGET
 from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.controller import RangeController
@@ -51,7 +48,6 @@
 HOUSEKEEPING_MS = 250
 # Waiting requests are placed anew after others' reports no more often than this.
 WAKE_INTERVAL_MS = 30
-MAX_REPORTED_KEYS = 2_000
 # After SIGTERM the balancer takes two questions, one a second, to leave a node out.
 LEAVE_ROTATION_MS = 2_300
 STOP_MARGIN_MS = 500
@@ -89,7 +85,6 @@
         self.peers = PeerService(self.membership, self.incarnation, self, clock)
         self.controllers: dict[ServiceName, RangeController] = {}
         self._woken_ms = 0
-        self._keys: dict[ServiceName, list[int]] = {}
         self.forwarder = Forwarder(
             self.registry,
             self,
@@ -100,13 +95,26 @@
             self._count_nodes,
             self.peers.shares.elsewhere,
         )
+        self._loads = LoadReports(
+            settings.node_id, self.controllers, self.forwarder, self.peers, clock
+        )
         self._metrics = MetricsServer(self, clock)
         self.front = PipelineServer(self.forwarder.handle, self._limits, clock)
         self.ready = PipelineServer(self._answer_ready, self._limits, clock)
+        self._nodes = NodeRows(
+            self.store,
+            settings,
+            self.incarnation,
+            self.membership,
+            clock,
+            self.contact,
+            self.witnesses,
+            lambda: any(controller.is_acting for controller in self.controllers.values()),
+        )
         self.feed = make_feed(self)
         tables = [
             *self.feed.tables(),
-            FedTable(NODES_TABLE, self._on_nodes, NODES_SETTLE_MS),
+            FedTable(NODES_TABLE, self._nodes.apply, NODES_SETTLE_MS),
         ]
         self._copied = [self._watch(table) for table in tables]
         self._maps = MapCopies(
@@ -146,7 +154,7 @@
             self._spawn(watch.run())
         self._spawn(self._copies.run())
         self._spawn(self._maps.run())
-        self._spawn(self._register())
+        self._spawn(self._nodes.run())
         self._spawn(self.peers.run())
         self._spawn(self._keep_house())
 
@@ -210,30 +218,12 @@
         task.add_done_callback(_raise_failure)
         self._tasks.append(task)
 
-    async def _register(self) -> None:
-        """Write this node's row, so that the peers find it."""
-        settings = self.settings
-        row = NodeRow(
-            settings.ip,
-            settings.peer_port,
-            self.incarnation,
-            settings.failure_domain,
-            settings.cpu_cores,
-        )
-        target = StoreRow(NODES_TABLE, "", settings.node_id, encode(row), 0)
-        while True:
-            written = await self.store.transact([], [target])
-            if not isinstance(written, Err):
-                return
-            self.contact.on_failure(NODES_TABLE, str(written.err_value))
-            await asyncio.sleep(0.5)
-
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_MS / 1000)
             self.registry.expire(self.clock.now_ms())
             self.forwarder.close_idle()
-            self._report_load()
+            self._loads.report()
 
     def _count_nodes(self) -> int:
         return len(self.membership.alive_ids(self.clock.now_ms()))
@@ -287,9 +277,6 @@
             if spec.has_keys and spec.takes_grants and spec.name not in self.controllers:
                 self._add_controller(spec.name)
 
-    def _on_nodes(self, rows: StoreRows, is_snapshot: bool) -> None:
-        apply_node_rows(self.membership, self.clock, rows, is_snapshot)
-
     def _add_controller(self, service: ServiceName) -> None:
         node_id = self.settings.node_id
         rows = RoleRows(self.store, service, node_id, self.incarnation)
@@ -383,35 +370,13 @@
         if controller is not None:
             controller.take_report(report)
 
-    # ---- load ----
-
     def note_key(self, service: ServiceName, key: int) -> None:
         """Count a request for a key."""
-        keys = self._keys.setdefault(service, [])
-        if len(keys) < MAX_REPORTED_KEYS:
-            keys.append(key)
-
-    def _report_load(self) -> None:
-        """Tell the acting controllers which keys were asked for."""
-        now_ms = self.clock.now_ms()
-        for service, controller in self.controllers.items():
-            keys = self._keys.pop(service, [])
-            samples = self.forwarder.take_samples(service)
-            if controller.is_acting:
-                controller.hits.add(keys, now_ms)
-                controller.candidates.take_samples(samples)
-            elif controller.role.acting_id is not None and (keys or samples):
-                report = LoadReport(
-                    self.settings.node_id, service, encode_keys(keys), encode_samples(samples)
-                )
-                self.peers.report(report, controller.role.acting_id)
+        self._loads.note_key(service, key)
 
     def on_load_report(self, report: LoadReport) -> None:
         """Enter the keys of a peer's requests."""
-        controller = self.controllers.get(ServiceName(report.service_name))
-        if controller is not None:
-            controller.hits.add(decode_keys(report.keys), self.clock.now_ms())
-            controller.candidates.take_samples(decode_samples(report.samples))
+        self._loads.take(report)
 
 
 def _raise_failure(task: "asyncio.Task[None]") -> None:
--- a/nutmeglead/entry/tables.py
+++ b/nutmeglead/entry/tables.py
@@ -4,26 +4,21 @@
 
 from result import Err
 
-from nutmeglead._generated.peers.ttypes import NodeRow
 from nutmeglead.core.clock import Clock
-from nutmeglead.core.codec import decode
 from nutmeglead.core.events import Event, log_event
-from nutmeglead.core.ids import NodeId, ServerId
+from nutmeglead.core.ids import ServerId
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.forwarding.forwarder import Forwarder
 from nutmeglead.forwarding.registry import RETURN_GRACE_MS, ServerRegistry
-from nutmeglead.peers.membership import Membership
 from nutmeglead.platform.manifest import decode_manifest
 from nutmeglead.platform.registry import decode_server
 from nutmeglead.platform.store import StoreRow, StoreRows
 from nutmeglead.platform.wire import MANIFEST_KEY
 
-__all__ = ["NODES_TABLE", "apply_manifest_rows", "apply_node_rows", "apply_server_rows"]
+__all__ = ["apply_manifest_rows", "apply_server_rows"]
 
 logger = logging.getLogger(__name__)
 
-NODES_TABLE = "nodes"
-
 
 def apply_manifest_rows(forwarder: Forwarder, rows: StoreRows) -> None:
     """Put the newest manifest among some rows in force; one that is damaged changes nothing."""
@@ -72,26 +67,3 @@
 
 def _log_server(row: StoreRow, state: str) -> None:
     log_event(logger, Event.SERVER_CHANGED, server=row.key, state=state, row=row.version)
-
-
-def apply_node_rows(
-    membership: Membership, clock: Clock, rows: StoreRows, is_snapshot: bool
-) -> None:
-    """Enter the entry VMs."""
-    present = set()
-    for row in rows.rows:
-        node_id = NodeId(row.key)
-        if row.value is None:
-            membership.remove_node(node_id)
-            continue
-        decoded = decode(NodeRow, row.value)
-        if isinstance(decoded, Err):
-            logger.warning("node row %s: %s", row.key, decoded.err_value)
-            continue
-        present.add(node_id)
-        membership.set_node(node_id, decoded.ok_value, clock.now_ms())
-    if is_snapshot:
-        membership.has_rows = True
-        for peer in list(membership):
-            if peer.node_id not in present:
-                membership.remove_node(peer.node_id)
--- a/nutmeglead/entry/tests/ownership.feature
+++ b/nutmeglead/entry/tests/ownership.feature
@@ -65,3 +65,9 @@
     When the trouble is that the store is slow and a server leaves
     Then the role stays where it is
     And no key ever has two holders
+
+  Scenario: The row of a node that is gone is removed, and one that comes back is known again
+    # Guards against a list of nodes that grows with every machine that is replaced.
+    Given 5 nodes, of which entry-3 is killed and entry-4 is cut off for 40 s
+    Then after 40 s the store lists entry-0 entry-1 entry-2
+    And 6 s after the cut has ended the store lists entry-0 entry-1 entry-2 entry-4
--- a/nutmeglead/entry/tests/steps/ownership_steps.py
+++ b/nutmeglead/entry/tests/steps/ownership_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from nutmeglead.core.ids import NodeId
 from nutmeglead.emulator.store_host import StoreFault
 from nutmeglead.entry.tests.deployment import (
     HEARTBEAT_MS,
@@ -305,3 +306,32 @@
 @then("the role stays where it is")
 def step_role(context):
     assert context.settled.role_changes == 0, context.settled.role_changes
+
+
+@given("5 nodes, of which {killed} is killed and {cut} is cut off for {time_s:d} s")
+def step_gone(context, killed, cut, time_s):
+    def listed(cluster):
+        rows = cluster.rows.rows.items()
+        return sorted(name[2] for name, row in rows if name[0] == "nodes" and row.value)
+
+    async def run(cluster):
+        await asyncio.sleep(SETTLE_MS / 1000)
+        cluster.kill_node(NodeId(killed))
+        cluster.silence(cluster.node_ip(NodeId(cut)))
+        await asyncio.sleep(time_s)
+        context.listed = [listed(cluster)]
+        cluster.unsilence(cluster.node_ip(NodeId(cut)))
+        await asyncio.sleep(6)
+        context.listed.append(listed(cluster))
+
+    run_cluster(36, run)
+
+
+@then("after 40 s the store lists {names}")
+def step_listed(context, names):
+    assert context.listed[0] == names.split(), context.listed
+
+
+@then("6 s after the cut has ended the store lists {names}")
+def step_listed_again(context, names):
+    assert context.listed[1] == names.split(), context.listed
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -84,8 +84,6 @@
         started_ms: int,
     ) -> None:
         self.own_id = own_id
-        # Without the rows this node does not know which nodes there are.
-        self.has_rows = False
         self.is_leaving = False
         self._domain = domain
         self._cpu_cores = cpu_cores
--- a/nutmeglead/programs/connect.py
+++ b/nutmeglead/programs/connect.py
@@ -12,7 +12,7 @@
 from nutmeglead.core.errors import CodecError, NutmegleadError
 from nutmeglead.core.ids import NodeId
 from nutmeglead.entry.copies import TICKET_STATUS_PATH
-from nutmeglead.entry.tables import NODES_TABLE
+from nutmeglead.entry.node_rows import NODES_TABLE
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.messages import RequestHead
 from nutmeglead.platform.store import StoreClient
