--- a/nutmeglead/emulator/run.py
+++ b/nutmeglead/emulator/run.py
@@ -34,6 +34,7 @@
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.platform.store import StoreClient
 from nutmeglead.platform.table import StoreTable
+from nutmeglead.tickets.checks import MAX_ITEMS
 from nutmeglead.tickets.filing import TicketFiling
 from nutmeglead.tickets.interface import build_manifest
 from nutmeglead.tickets.rows import TICKETS_TABLE
@@ -140,8 +141,10 @@
         HOST.set(OPERATOR_IP)
         await self.cluster.start()
         servers = [self.server_item(key, ServerState.PRESENT) for key in self.cluster.servers]
-        await self.file_ticket("all servers exist", servers=servers)
-        # The first ticket also waits for the first grants; it moves no key.
+        for first in range(0, len(servers), MAX_ITEMS):
+            batch = servers[first : first + MAX_ITEMS]
+            await self.file_ticket("all servers exist", servers=batch)
+        # The first tickets also wait for the first grants; they move no key.
         self.counts.tickets_in_force_ms.clear()
         sampler = asyncio.get_running_loop().create_task(self._sample())
         probes = self.cluster.run_on(CALLER_IP, self._balancer.run())
