--- a/nutmeglead/emulator/server_host.py
+++ b/nutmeglead/emulator/server_host.py
@@ -9,8 +9,9 @@
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.emulator.key_server import KeyServer
+from nutmeglead.http.exchange import CallerExchange, CallerLimits
 from nutmeglead.http.messages import Headers, header_value
-from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
+from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.platform.grants import KeyOrder, decode_order
 from nutmeglead.platform.wire import (
     ANSWER_ID_HEADER,
--- a/nutmeglead/emulator/store_host.py
+++ b/nutmeglead/emulator/store_host.py
@@ -7,7 +7,8 @@
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.emulator.rows import RowStore
-from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
+from nutmeglead.http.exchange import CallerExchange, CallerLimits
+from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.platform.wire import STORE_TRANSACT_PATH
 
 __all__ = ["StoreFault", "StoreHost"]
--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -13,8 +13,9 @@
 from nutmeglead.entry.watch import TableWatch
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.exchange import CallerExchange, CallerLimits
 from nutmeglead.http.messages import RequestHead
-from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
+from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.peers.membership import Membership, Peer
 from nutmeglead.platform.node_settings import NodeSettings
 
--- a/nutmeglead/entry/metrics.py
+++ b/nutmeglead/entry/metrics.py
@@ -14,7 +14,8 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.request_log import DURATION_BOUNDS_MS
-from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
+from nutmeglead.http.exchange import CallerExchange, CallerLimits
+from nutmeglead.http.pipeline import PipelineServer
 
 if TYPE_CHECKING:
     from nutmeglead.entry.process import EntryProcess
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -29,7 +29,8 @@
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.pipeline import CallerExchange, CallerLimits, PipelineServer
+from nutmeglead.http.exchange import CallerExchange, CallerLimits
+from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.peers.membership import Membership, Peer
 from nutmeglead.peers.service import PeerHandler, PeerService
 from nutmeglead.platform.grants import GrantClient
--- a/nutmeglead/forwarding/answers.py
+++ b/nutmeglead/forwarding/answers.py
@@ -1,8 +1,8 @@
 """Send the answers that this node makes itself."""
 
 from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
+from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.http.messages import Headers
-from nutmeglead.http.pipeline import CallerExchange
 
 __all__ = ["final_status", "refuse"]
 
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -24,7 +24,7 @@
 from nutmeglead.forwarding.request import BadRequest, CallerRequest, parse_caller_request
 from nutmeglead.forwarding.request_log import RequestLog
 from nutmeglead.forwarding.routes import RouteTable, WeightedChoice
-from nutmeglead.http.pipeline import CallerExchange
+from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.platform.node_settings import Bounds
 from nutmeglead.ranges.model import RangeMap
 
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -25,7 +25,7 @@
 from nutmeglead.forwarding.request import CallerRequest
 from nutmeglead.forwarding.request_log import RequestSummary
 from nutmeglead.forwarding.upstream import Upstream
-from nutmeglead.http.pipeline import CallerExchange
+from nutmeglead.http.exchange import CallerExchange
 
 if TYPE_CHECKING:
     from nutmeglead.forwarding.forwarder import Forwarder
--- a/nutmeglead/forwarding/tests/steps/requests_steps.py
+++ b/nutmeglead/forwarding/tests/steps/requests_steps.py
@@ -21,7 +21,8 @@
 )
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.forwarding.tests.scripted_server import GOOD, ScriptedServer
-from nutmeglead.http.pipeline import CallerLimits, PipelineServer
+from nutmeglead.http.exchange import CallerLimits
+from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.platform.node_settings import Bounds
 
 SERVICE = ServiceName("stock")
--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -7,7 +7,6 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import h11
 
@@ -15,10 +14,11 @@
 from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.errors import HttpError, MalformedMessage, PeerClosed
-from nutmeglead.http.messages import Headers, RequestHead
+from nutmeglead.http.exchange import CallerExchange, CallerLimits
+from nutmeglead.http.messages import RequestHead
 from nutmeglead.http.sockets import detect_silence
 
-__all__ = ["CallerExchange", "CallerLimits", "PipelineServer"]
+__all__ = ["PipelineServer"]
 
 logger = logging.getLogger(__name__)
 
@@ -28,103 +28,7 @@
 # closed; closing with unread bytes would reset the connection and lose the answer.
 LINGER_MS = 1_000
 
-Handler = Callable[["CallerExchange"], Awaitable[None]]
-
-
-@dataclass(frozen=True)
-class CallerLimits:
-    """Bound what a caller may send, and how long it may take or stay idle."""
-
-    head_size_bytes: int
-    body_size_bytes: int
-    head_timeout_ms: int
-    idle_timeout_ms: int
-
-
-class CallerExchange:
-    """Hold one request, read whole, and send its response when its turn has come."""
-
-    def __init__(
-        self,
-        connection: "_CallerConnection",
-        parser: h11.Connection,
-        head: RequestHead,
-        body: bytes,
-        received_ms: int,
-        turn: "asyncio.Future[None] | None",
-    ) -> None:
-        self.head = head
-        self.body = body
-        self.received_ms = received_ms
-        self.response_started = False
-        self.finished: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._connection = connection
-        self._parser = parser
-        self._turn = turn
-
-    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole response."""
-        framing = [(b"content-length", b"%d" % len(body))]
-        await self._take_turn()
-        data = self._encoded(self._head(status, headers + framing))
-        # A response to HEAD and one with status 204 or 304 have no body.
-        if body and self._parser.our_state is h11.SEND_BODY and self.head.method != b"HEAD":
-            data += self._encoded(h11.Data(data=body))
-        data += self._encoded(h11.EndOfMessage())
-        await self._connection.write(data)
-        self._finish()
-
-    async def start_response(self, status: int, headers: Headers) -> None:
-        """Send the head of a response; without a length it is sent in chunks."""
-        await self._take_turn()
-        await self._connection.write(self._encoded(self._head(status, headers)))
-
-    async def send_body(self, data: bytes) -> None:
-        """Send a part of the response body."""
-        await self._connection.write(self._encoded(h11.Data(data=data)))
-
-    async def finish_response(self) -> None:
-        """End the response."""
-        data = self._encoded(h11.EndOfMessage())
-        if data:
-            await self._connection.write(data)
-        self._finish()
-
-    def abort(self) -> None:
-        """Cut the connection, so that a partial answer cannot be taken for a whole one."""
-        self._connection.abort()
-
-    async def _take_turn(self) -> None:
-        if self._turn is not None and not self._turn.done():
-            # Cancelling this exchange must not cancel the one before it.
-            await asyncio.shield(self._turn)
-        self._turn = None
-        self.response_started = True
-
-    def _head(self, status: int, headers: Headers) -> h11.Response:
-        if self._connection.closes_after(self):
-            headers = [*headers, (b"connection", b"close")]
-        return h11.Response(status_code=status, headers=headers)
-
-    def _encoded(self, event: h11.Event) -> bytes:
-        try:
-            return self._parser.send(event) or b""
-        except h11.LocalProtocolError as error:
-            raise MalformedMessage(str(error)) from error
-
-    def _finish(self) -> None:
-        if not self.finished.done():
-            self.finished.set_result(None)
-
-    @property
-    def peer_ip(self) -> str:
-        """Return the address of the caller."""
-        return self._connection.peer_ip
-
-    @property
-    def must_close(self) -> bool:
-        """Tell whether the connection carries no request after this one."""
-        return self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE
+Handler = Callable[[CallerExchange], Awaitable[None]]
 
 
 class PipelineServer:
@@ -240,8 +144,6 @@
             while self._handlers:
                 await asyncio.wait(self._handlers)
             await self._linger()
-        except PeerClosed:
-            pass
         except HttpError as error:
             logger.debug("connection ended: %s", error)
         finally:
@@ -290,8 +192,6 @@
         try:
             await self._server.handler(exchange)
             complete = exchange.finished.done()
-        except PeerClosed:
-            pass
         except HttpError as error:
             logger.debug("exchange ended: %s", error)
         finally:
--- a/nutmeglead/http/tests/steps/edge_steps.py
+++ b/nutmeglead/http/tests/steps/edge_steps.py
@@ -7,8 +7,9 @@
 
 from nutmeglead.core.clock import SystemClock
 from nutmeglead.http.client import HttpFetcher, connect
+from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.messages import RequestHead, header_value
-from nutmeglead.http.pipeline import CallerLimits, PipelineServer
+from nutmeglead.http.pipeline import PipelineServer
 
 # A hung exchange fails the scenario instead of stalling the run; no step judges elapsed time.
 GUARD_MS = 10_000
--- a/nutmeglead/platform/tests/adapters.py
+++ b/nutmeglead/platform/tests/adapters.py
@@ -5,7 +5,8 @@
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.emulator.rows import CallFault, RowStore, RowStoreFetcher
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.pipeline import CallerLimits, PipelineServer
+from nutmeglead.http.exchange import CallerLimits
+from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.platform.memory import MemoryTable, TableFault
 from nutmeglead.platform.store import StoreClient
 from nutmeglead.platform.table import StoreTable
