entry: judge a removed server by the node that read its row, not by the own contact

Rows of a copy now carry whether the node that read them from the store did so soon after an outage; an outage of the copying node alone says nothing of them.

Ruled out: late copies (both nodes had the removal 0.8 s after it was written).

Left: a hub that has just regained the store keeps servers that it reads itself as removed in the next 2 s, since it cannot tell an outage of its own from one of the store.

--- a/nutmeglead/_generated/peers/ttypes.py
+++ b/nutmeglead/_generated/peers/ttypes.py
@@ -1546,17 +1546,17 @@
      - changed_version
      - rows
      - is_whole
-     - was_away
+     - after_outage
 
     """
 
 
-    def __init__(self, store_version=None, changed_version=None, rows=None, is_whole=None, was_away=None,):
+    def __init__(self, store_version=None, changed_version=None, rows=None, is_whole=None, after_outage=None,):
         self.store_version = store_version
         self.changed_version = changed_version
         self.rows = rows
         self.is_whole = is_whole
-        self.was_away = was_away
+        self.after_outage = after_outage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1595,7 +1595,7 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.BOOL:
-                    self.was_away = iprot.readBool()
+                    self.after_outage = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1627,9 +1627,9 @@
             oprot.writeFieldBegin('is_whole', TType.BOOL, 4)
             oprot.writeBool(self.is_whole)
             oprot.writeFieldEnd()
-        if self.was_away is not None:
-            oprot.writeFieldBegin('was_away', TType.BOOL, 5)
-            oprot.writeBool(self.was_away)
+        if self.after_outage is not None:
+            oprot.writeFieldBegin('after_outage', TType.BOOL, 5)
+            oprot.writeBool(self.after_outage)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1643,8 +1643,8 @@
             raise TProtocolException(message='Required field rows is unset!')
         if self.is_whole is None:
             raise TProtocolException(message='Required field is_whole is unset!')
-        if self.was_away is None:
-            raise TProtocolException(message='Required field was_away is unset!')
+        if self.after_outage is None:
+            raise TProtocolException(message='Required field after_outage is unset!')
         return
 
     def __repr__(self):
@@ -1964,7 +1964,7 @@
     (2, TType.I64, 'changed_version', None, None, ),  # 2
     (3, TType.LIST, 'rows', (TType.STRUCT, [CopiedRow, None], False), None, ),  # 3
     (4, TType.BOOL, 'is_whole', None, None, ),  # 4
-    (5, TType.BOOL, 'was_away', None, None, ),  # 5
+    (5, TType.BOOL, 'after_outage', None, None, ),  # 5
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/nutmeglead/entry/contact.py
+++ b/nutmeglead/entry/contact.py
@@ -38,11 +38,6 @@
         """Return the time since the last answer, 0 while no call has failed since."""
         return 0 if self._lost_ms is None else self._clock.now_ms() - self._answered_ms
 
-    def note_outage_elsewhere(self) -> None:
-        """Note that the store did not answer the node that this one takes copies from."""
-        if self._lost_ms is None:
-            self._regained_ms = self._clock.now_ms()
-
     def was_away_within(self, duration_ms: int) -> bool:
         """Tell whether the store was away at any time within a duration."""
         if self._lost_ms is not None:
--- a/nutmeglead/entry/node_rows.py
+++ b/nutmeglead/entry/node_rows.py
@@ -52,7 +52,7 @@
         self._must_register = asyncio.Event()
         self._must_register.set()
 
-    def apply(self, rows: StoreRows, is_snapshot: bool) -> None:
+    def apply(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
         """Enter the entry VMs; a node that another one has taken for gone writes its row again."""
         present = set()
         for row in rows.rows:
--- a/nutmeglead/entry/operator_feed.py
+++ b/nutmeglead/entry/operator_feed.py
@@ -56,10 +56,10 @@
         """Return None; the platform has no tickets."""
         return None
 
-    def _on_manifest(self, rows: StoreRows, is_snapshot: bool) -> None:
+    def _on_manifest(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
         apply_manifest_rows(self._process.forwarder, rows)
         self._process.follow_manifest()
 
-    def _on_servers(self, rows: StoreRows, is_snapshot: bool) -> None:
+    def _on_servers(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
         process = self._process
-        apply_server_rows(process.registry, process.contact, process.clock, rows, is_snapshot)
+        apply_server_rows(process.registry, process.clock, rows, is_snapshot, after_outage)
--- a/nutmeglead/entry/tables.py
+++ b/nutmeglead/entry/tables.py
@@ -7,9 +7,8 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import ServerId
-from nutmeglead.entry.contact import StoreContact
 from nutmeglead.forwarding.forwarder import Forwarder
-from nutmeglead.forwarding.registry import RETURN_GRACE_MS, ServerRegistry
+from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.platform.manifest import decode_manifest
 from nutmeglead.platform.registry import decode_server
 from nutmeglead.platform.store import StoreRow, StoreRows
@@ -34,10 +33,10 @@
 
 def apply_server_rows(
     registry: ServerRegistry,
-    contact: StoreContact,
     clock: Clock,
     rows: StoreRows,
     is_snapshot: bool,
+    after_outage: bool,
 ) -> None:
     """Enter changed servers and drop those whose entries are gone."""
     changed = []
@@ -61,7 +60,6 @@
         removed |= registry.ids() - present
     for server_id in removed:
         log_event(logger, Event.SERVER_CHANGED, server=server_id, state="removed")
-    after_outage = contact.was_away_within(RETURN_GRACE_MS)
     registry.apply(changed, removed, clock.now_ms(), after_outage)
 
 
--- /dev/null
+++ b/nutmeglead/entry/tests/steps/copies_steps.py
@@ -0,0 +1,87 @@
+"""Steps for copies of tables; rows are handed to the watches instead of read from a store."""
+
+from behave import given, then, when
+
+from nutmeglead.core.clock import ManualClock
+from nutmeglead.entry.contact import StoreContact
+from nutmeglead.entry.watch import FedTable, TableWatch
+from nutmeglead.platform.store import StoreRow, StoreRows
+
+TABLE = "servers"
+SERVER = "i-1"
+OTHER_SERVER = "i-2"
+
+
+class CopyNode:
+    """Hold a table and remember how each removed row was applied."""
+
+    def __init__(self, clock):
+        self.contact = StoreContact(clock)
+        self.removed = {}
+        table = FedTable(TABLE, self.apply, 0)
+        self.watch = TableWatch(None, table, self.contact, None, lambda: True)
+
+    def apply(self, rows, is_snapshot, after_outage):
+        for row in rows.rows:
+            if row.value is None:
+                self.removed[row.key] = "lapsed" if after_outage else "removed"
+
+    def read(self, rows, version):
+        self.watch.take_fed(StoreRows(tuple(rows), version), version == 1)
+
+    def copy_from(self, other):
+        self.watch.take_copy(other.watch.copy(self.watch.version))
+
+
+def row(key, value, version):
+    return StoreRow(TABLE, "", key, value, version)
+
+
+@given("hub A, hub B and a node that takes copies from hub A")
+def step_nodes(context):
+    context.clock = ManualClock()
+    context.hub_a, context.hub_b, context.node = (CopyNode(context.clock) for _ in range(3))
+    context.hub_b.read([row(SERVER, b"{}", 1), row(OTHER_SERVER, b"{}", 1)], 1)
+    context.hub_a.copy_from(context.hub_b)
+    context.node.copy_from(context.hub_a)
+    context.version = 1
+
+
+@given("the store turns hub A away")
+def step_turned_away(context):
+    context.hub_a.contact.on_failure(TABLE, "refused")
+
+
+@given("the store was away for hub B until now")
+def step_was_away(context):
+    context.hub_b.contact.on_failure(TABLE, "refused")
+    context.clock.advance(1_000)
+    context.hub_b.contact.on_answer()
+
+
+@when("hub B reads that {which} server was removed and hub A takes a copy")
+def step_removed(context, which):
+    context.version += 1
+    key = SERVER if which == "a" else OTHER_SERVER
+    context.hub_b.read([row(key, None, context.version)], context.version)
+    context.hub_a.copy_from(context.hub_b)
+
+
+@when("the node takes a copy")
+def step_copy(context):
+    context.node.copy_from(context.hub_a)
+
+
+@when("{duration_ms:d} ms pass")
+def step_pass(context, duration_ms):
+    context.clock.advance(duration_ms)
+
+
+@then("hub A takes the server for {how}")
+def step_hub_takes(context, how):
+    assert context.hub_a.removed == {**context.hub_a.removed, SERVER: how}, context.hub_a.removed
+
+
+@then("the node takes the server for {how}")
+def step_node_takes(context, how):
+    assert context.node.removed == {**context.node.removed, SERVER: how}, context.node.removed
--- a/nutmeglead/entry/ticket_feed.py
+++ b/nutmeglead/entry/ticket_feed.py
@@ -53,7 +53,7 @@
         """Return the table of tickets."""
         return [FedTable(TICKETS_TABLE, self.apply, TICKETS_SETTLE_MS)]
 
-    def apply(self, rows: StoreRows, is_snapshot: bool) -> None:
+    def apply(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
         """Take changed rows; one that cannot be read leaves its item as it was."""
         if is_snapshot:
             self._parts.clear()
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -38,11 +38,12 @@
 class FedTable(NamedTuple):
     """Name a table of the store, what takes its rows, and the pause after each change.
 
-    The pause lets several changes come in one call.
+    `apply` is also told whether the rows are all of the table, and whether they were read from
+    the store soon after an outage. The pause lets several changes come in one call.
     """
 
     name: str
-    apply: Callable[[StoreRows, bool], None]
+    apply: Callable[[StoreRows, bool, bool], None]
     settle_ms: int
 
 
@@ -68,6 +69,8 @@
         self.version = 0
         # Version of the newest change of the table; `version` grows with changes of any table.
         self.changed_version = 0
+        # Version of the newest rows that were read soon after an outage.
+        self._outage_version = 0
         # Present rows, and removed ones without a value.
         self._rows: dict[str, StoreRow] = {}
         # Copies of changes reach back to this version.
@@ -87,17 +90,16 @@
             for row in self._rows.values()
             if (row.value is not None if is_whole else row.version > after)
         ]
-        was_away = self._contact.was_away_within(RETURN_GRACE_MS)
-        return TableCopy(self.version, self.changed_version, rows, is_whole, was_away)
+        after_outage = after < self._outage_version
+        return TableCopy(self.version, self.changed_version, rows, is_whole, after_outage)
 
     def take_copy(self, copy: TableCopy) -> None:
         """Apply another node's rows if they are newer."""
         if copy.changed_version <= self.changed_version or copy.store_version < self.version:
             return
-        if copy.was_away:
-            self._contact.note_outage_elsewhere()
         rows = [StoreRow(self._table, "", row.key, row.value, row.version) for row in copy.rows]
-        self._take(StoreRows(tuple(rows), copy.store_version), copy.is_whole)
+        # An outage of this node alone says nothing of rows that another one has read.
+        self._take(StoreRows(tuple(rows), copy.store_version), copy.is_whole, copy.after_outage)
         self.changed_version = copy.changed_version
 
     async def run(self) -> None:
@@ -134,13 +136,15 @@
             is_snapshot = True
         if isinstance(fed, Err):
             return fed
-        if fed.ok_value.version < self.version:
-            # A peer's copy that came meanwhile is newer.
-            return Ok(None)
-        self._take(fed.ok_value, is_snapshot)
+        self.take_fed(fed.ok_value, is_snapshot)
         return Ok(None)
 
-    def _take(self, rows: StoreRows, is_snapshot: bool) -> None:
+    def take_fed(self, rows: StoreRows, is_snapshot: bool) -> None:
+        """Apply rows of the store, unless a peer's copy that came meanwhile is newer."""
+        if rows.version >= self.version:
+            self._take(rows, is_snapshot, self._contact.was_away_within(RETURN_GRACE_MS))
+
+    def _take(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
         if is_snapshot:
             self._rows.clear()
             self._kept_after = rows.version
@@ -151,7 +155,9 @@
         self._forget_removed()
         self.version = rows.version
         if rows.rows or is_snapshot:
-            self._apply(rows, is_snapshot)
+            if after_outage:
+                self._outage_version = rows.version
+            self._apply(rows, is_snapshot, after_outage)
 
     def _forget_removed(self) -> None:
         removed = [row for row in self._rows.values() if row.value is None]
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -125,8 +125,8 @@
 }
 
 // Rows of a table of the store, for a node that does not follow the store itself. A removed row has no value. Without
-// `is_whole`, only rows with versions after the one that was asked for are in it. `was_away` tells that the store did not
-// answer the sender lately, so that entries may have lapsed.
+// `is_whole`, only rows with versions after the one that was asked for are in it. `after_outage` tells that some were
+// read from the store soon after it had not answered, so that entries may have lapsed.
 struct CopiedRow {
   1: required string key,
   2: required i64 version,
@@ -138,7 +138,7 @@
   2: required i64 changed_version,
   3: required list<CopiedRow> rows,
   4: required bool is_whole,
-  5: required bool was_away,
+  5: required bool after_outage,
 }
 
 union Datagram {
