--- a/nutmeglead/peers/service.py
+++ b/nutmeglead/peers/service.py
@@ -86,7 +86,7 @@
         self, membership: Membership, incarnation: int, handler: PeerHandler, clock: Clock
     ) -> None:
         self.shares = WorkShares()
-        self._membership = membership
+        self.membership = membership
         self._incarnation = incarnation
         self._handler = handler
         self._clock = clock
@@ -132,7 +132,7 @@
 
     def _on_heartbeat(self, heartbeat: Heartbeat, address: tuple[str, int]) -> None:
         now_ms = self._clock.now_ms()
-        peer = self._membership.on_heartbeat(heartbeat, address, now_ms)
+        peer = self.membership.on_heartbeat(heartbeat, address, now_ms)
         if peer is None:
             return
         node_id, scope = peer.node_id, Scope(heartbeat.scope)
@@ -150,7 +150,7 @@
         self._handler.on_map_delta(delta)
         # The node that places the ranges sends to hubs and witnesses; these pass it on.
         now_ms = self._clock.now_ms()
-        if self._membership.own_id in self._membership.hub_ids(now_ms):
+        if self.membership.own_id in self.membership.hub_ids(now_ms):
             self._send_to(data, self._served_ids(now_ms) - {NodeId(delta.node_id)})
 
     def _served_ids(self, now_ms: int) -> set[NodeId]:
@@ -169,7 +169,7 @@
         """Send one heartbeat to each node that needs one of this node's."""
         now_ms = self._clock.now_ms()
         self._ticks += 1
-        membership, handler = self._membership, self._handler
+        membership, handler = self.membership, self._handler
         heartbeat = Heartbeat(
             membership.own_id,
             self._incarnation,
@@ -207,20 +207,20 @@
         served = self._served_ids(now_ms)
         heartbeat.scope = Scope.GROUP
         heartbeat.in_flight = encode_work(self.shares.group_sum(own_work, now_ms))
-        heartbeat.nodes = encode_states(self._membership.states(served, now_ms))
-        self._send_heartbeat(heartbeat, to - {self._membership.own_id})
+        heartbeat.nodes = encode_states(self.membership.states(served, now_ms))
+        self._send_heartbeat(heartbeat, to - {self.membership.own_id})
 
     def _send_all(
         self, heartbeat: Heartbeat, to: set[NodeId], own_work: Mapping[int, int], now_ms: int
     ) -> None:
-        known = [peer.node_id for peer in self._membership]
+        known = [peer.node_id for peer in self.membership]
         heartbeat.scope = Scope.ALL
         heartbeat.in_flight = encode_work(self.shares.total(own_work, now_ms))
-        heartbeat.nodes = encode_states(self._membership.states(known, now_ms))
+        heartbeat.nodes = encode_states(self.membership.states(known, now_ms))
         self._send_heartbeat(heartbeat, to)
 
     def _send_own(self, heartbeat: Heartbeat, own_work: Mapping[int, int], now_ms: int) -> None:
-        hubs = self._membership.own_hub_ids(now_ms)
+        hubs = self.membership.own_hub_ids(now_ms)
         self._home = self._choose_home(hubs, now_ms)
         self.shares.note_report(now_ms, dict(own_work))
         heartbeat.scope = Scope.NODE
@@ -238,20 +238,20 @@
         candidates = heard or hubs
         if not candidates:
             return None
-        return candidates[sum(self._membership.own_id.encode()) % len(candidates)]
+        return candidates[sum(self.membership.own_id.encode()) % len(candidates)]
 
     def _hears(self, node_id: NodeId, now_ms: int) -> bool:
-        peer = self._membership.get(node_id)
+        peer = self.membership.get(node_id)
         heard_ms = None if peer is None else peer.heard_ms
         return heard_ms is not None and now_ms - heard_ms <= SILENT_AFTER_MS
 
     def _silent_ids(self, now_ms: int) -> set[NodeId]:
-        domain = self._membership.domain_ids()
-        return {n for n in domain if not self._membership.is_alive(n, now_ms)}
+        domain = self.membership.domain_ids()
+        return {n for n in domain if not self.membership.is_alive(n, now_ms)}
 
     def _send_heartbeat(self, heartbeat: Heartbeat, to: Iterable[NodeId]) -> None:
         for node_id in to:
-            peer = self._membership.get(node_id)
+            peer = self.membership.get(node_id)
             if peer is not None:
                 heartbeat.echo_ms = self._echo(peer)
                 self._send(encode_datagram(heartbeat=heartbeat), peer.row)
@@ -267,7 +267,7 @@
             logger.info("a map delta of %d bytes is left to be fetched", len(data))
             return
         now_ms = self._clock.now_ms()
-        hubs = set(self._membership.hub_ids(now_ms))
+        hubs = set(self.membership.hub_ids(now_ms))
         self._send_to(data, hubs | self._handler.witnesses() | self._served_ids(now_ms))
 
     def report(self, report: LoadReport | OrderReport, to: NodeId) -> None:
@@ -279,7 +279,7 @@
 
     def _send_to(self, data: bytes, to: Collection[NodeId]) -> None:
         for node_id in to:
-            peer = self._membership.get(node_id)
+            peer = self.membership.get(node_id)
             if peer is not None:
                 self._send(data, peer.row)
 
@@ -288,8 +288,8 @@
             self._transport.sendto(data, (row.ip, row.peer_port))
 
     def _note_changes(self) -> None:
-        alive = set(self._membership.alive_ids(self._clock.now_ms()))
-        for node_id in alive - self._alive - {self._membership.own_id}:
+        alive = set(self.membership.alive_ids(self._clock.now_ms()))
+        for node_id in alive - self._alive - {self.membership.own_id}:
             log_event(logger, Event.PEER_SEEN, peer=node_id)
         for node_id in self._alive - alive:
             log_event(logger, Event.PEER_SILENT, peer=node_id)
