--- a/nutmeglead/entry/node_rows.py
+++ b/nutmeglead/entry/node_rows.py
@@ -69,6 +69,8 @@
             present.add(node_id)
             self._membership.set_node(node_id, decoded.ok_value, self._clock.now_ms())
         if is_snapshot:
+            if self._settings.node_id not in present:
+                self._must_register.set()
             for peer in list(self._membership):
                 if peer.node_id not in present:
                     self._membership.remove_node(peer.node_id)
--- a/tools/measure_peers.py
+++ b/tools/measure_peers.py
@@ -8,6 +8,7 @@
 import statistics
 import time
 from collections import defaultdict
+from collections.abc import Callable
 
 from nutmeglead._generated.peers.ttypes import NodeRow, ServiceView
 from nutmeglead.core.clock import ManualClock
@@ -51,58 +52,80 @@
         self.sent.append((data, address))
 
 
+class Fleet:
+    """Hold nodes that know each other's rows, and count what each sends, takes and spends."""
+
+    def __init__(self, node_count: int, domain_count: int) -> None:
+        self.clock = ManualClock(1_000)
+        self.nodes: dict[str, PeerService] = {}
+        self._wires: dict[str, Wire] = {}
+        self.counts: dict[str, dict[str, float]] = {}
+        rows = [
+            NodeRow(f"10.0.{number}", 7, 1, f"zone-{number % domain_count}", 2.0)
+            for number in range(node_count)
+        ]
+        for number, row in enumerate(rows):
+            domain = FailureDomainName(row.failure_domain)
+            membership = Membership(NodeId(row.ip), domain, 2.0, self.clock.now_ms())
+            for other in rows:
+                membership.set_node(NodeId(other.ip), other, self.clock.now_ms())
+            service = PeerService(membership, 1, Handler(number), self.clock)
+            self._wires[row.ip] = Wire()
+            service.connection_made(self._wires[row.ip])
+            self.nodes[row.ip] = service
+
+    def forget(self) -> None:
+        """Begin to count anew."""
+        self.counts = {name: defaultdict(float) for name in ("sent", "taken", "bytes", "spent_s")}
+
+    def _run(self, ip: str, action: Callable[..., None], *arguments: object) -> None:
+        begun = time.process_time()
+        action(*arguments)
+        self.counts["spent_s"][ip] += time.process_time() - begun
+
+    def tick(self) -> None:
+        """Let one heartbeat interval pass."""
+        for ip, service in self.nodes.items():
+            self._run(ip, service.send_heartbeats)
+        for ip, wire in self._wires.items():
+            batch, wire.sent = wire.sent, []
+            for data, (receiver, _) in batch:
+                self.counts["sent"][ip] += 1
+                self.counts["taken"][receiver] += 1
+                self.counts["bytes"][ip] += len(data)
+                self.counts["bytes"][receiver] += len(data)
+                self._run(receiver, self.nodes[receiver].datagram_received, data, (ip, 7))
+        self.clock.advance(HEARTBEAT_INTERVAL_MS)
+
+    def hub_ips(self) -> set[str]:
+        """Return the hubs, once every node takes every other one for alive."""
+        for service in self.nodes.values():
+            alive = len(service.membership.alive_ids(self.clock.now_ms()))
+            if alive != len(self.nodes):
+                raise RuntimeError(f"a node takes {alive} of {len(self.nodes)} nodes for alive")
+        first = next(iter(self.nodes.values()))
+        return {str(node_id) for node_id in first.membership.hub_ids(self.clock.now_ms())}
+
+
 def measure(node_count: int, domain_count: int, ticks: int) -> None:
     """Print a line per role."""
-    clock = ManualClock(1_000)
-    rows = {
-        NodeId(f"n-{number}"): NodeRow(f"10.0.{number}", 7, 1, f"zone-{number % domain_count}", 2.0)
-        for number in range(node_count)
-    }
-    nodes, wires = {}, {}
-    for number, (node_id, row) in enumerate(rows.items()):
-        membership = Membership(node_id, FailureDomainName(row.failure_domain), 2.0, 1_000)
-        for other, other_row in rows.items():
-            membership.set_node(other, other_row, clock.now_ms())
-        service = PeerService(membership, 1, Handler(number), clock)
-        wires[row.ip] = Wire()
-        service.connection_made(wires[row.ip])
-        nodes[row.ip] = service
-    spent, sent, taken, size = (defaultdict(float) for _ in range(4))
-    for tick in range(SETTLE_TICKS + ticks):
-        if tick == SETTLE_TICKS:
-            for counts in (spent, sent, taken, size):
-                counts.clear()
-        for ip, service in nodes.items():
-            begun = time.process_time()
-            service.send_heartbeats()
-            spent[ip] += time.process_time() - begun
-        for ip, wire in wires.items():
-            batch, wire.sent = wire.sent, []
-            for data, address in batch:
-                sent[ip] += 1
-                taken[address[0]] += 1
-                size[ip] += len(data)
-                size[address[0]] += len(data)
-                begun = time.process_time()
-                nodes[address[0]].datagram_received(data, (ip, 7))
-                spent[address[0]] += time.process_time() - begun
-        clock.advance(HEARTBEAT_INTERVAL_MS)
+    fleet = Fleet(node_count, domain_count)
+    fleet.forget()
+    for _ in range(SETTLE_TICKS):
+        fleet.tick()
+    fleet.forget()
+    for _ in range(ticks):
+        fleet.tick()
     span_s = ticks * HEARTBEAT_INTERVAL_MS / 1000
-    for service in nodes.values():
-        alive = len(service.membership.alive_ids(clock.now_ms()))
-        if alive != node_count:
-            raise RuntimeError(f"a node takes {alive} of {node_count} nodes for alive")
-    first = nodes[rows[NodeId("n-0")].ip]
-    hubs = {rows[node_id].ip for node_id in first.membership.hub_ids(clock.now_ms())}
-    for role, ips in (("hub", hubs), ("other", set(nodes) - hubs)):
-        figures = [
-            statistics.fmean(counts[ip] for ip in ips) / span_s
-            for counts in (sent, taken, size, spent)
-        ]
+    hubs = fleet.hub_ips()
+    for role, ips in (("hub", hubs), ("other", set(fleet.nodes) - hubs)):
+        sent, taken, size, spent_s = (
+            statistics.fmean(counts[ip] for ip in ips) / span_s for counts in fleet.counts.values()
+        )
         print(
-            f"{node_count} nodes, {domain_count} domains, {role}: {figures[0]:.1f} datagrams/s sent,"
-            f" {figures[1]:.1f} taken, {figures[2] / 1000:.1f} KB/s both ways,"
-            f" {figures[3] * 1000:.1f} ms/s of processor time"
+            f"{node_count} nodes, {domain_count} domains, {role}: {sent:.1f} datagrams/s sent,"
+            f" {taken:.1f} taken, {size / 1000:.1f} KB/s both ways,"
+            f" {spent_s * 1000:.1f} ms/s of processor time"
         )
 
 
