one fetch of structs from entry VMs, one wait for arrivals; drop dead code

- Copies of tables, copies of maps and the ticket command each fetched and decoded a struct by themselves: peers/fetch.py serves all three.
A copy that is answered with another status than 200 is now refused by its status instead of by the decoding of an empty body; the event is the same, the text of the log line for an unreachable peer is one for both.
- ByteChannel waits for arrivals in one place instead of three.
- ServiceDispatch chose a server in three places and told a full one in two.
- A node asked for its hubs twice to tell whether it follows the store, and a hub listed the nodes that it serves twice a heartbeat.
- active_count, take_body and is_running were not used; process.alive and _count_nodes were the same.
The header of copies.py told what it did before hubs.

--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -1,21 +1,19 @@
-"""Take the store's tables from peers while the store does not serve this node."""
+"""Take the store's tables from hubs, or from any peer while the store does not serve a hub."""
 
 import asyncio
 import logging
 from collections.abc import Callable, Mapping, Sequence
 
-from result import Err
-
 from nutmeglead._generated.peers.ttypes import TableCopy
 from nutmeglead.core.clock import Clock
-from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.codec import encode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.entry.watch import TableWatch
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.exchange import CallerExchange, CallerLimits
-from nutmeglead.http.messages import RequestHead
 from nutmeglead.http.pipeline import PipelineServer
+from nutmeglead.peers.fetch import fetch_from_peer
 from nutmeglead.peers.membership import Membership, Peer
 from nutmeglead.platform.node_settings import NodeSettings
 
@@ -30,7 +28,6 @@
 CHECK_INTERVAL_MS = 100
 # The own feed brings a change within this time while the store serves this node.
 FEED_DELAY_MS = 500
-FETCH_TIMEOUT_MS = 1_000
 
 
 class TableCopies:
@@ -113,23 +110,15 @@
         return newest if now_ms - since_ms >= delay_ms else None
 
     async def _fetch(self, table: str, watch: TableWatch, peer: Peer) -> None:
-        head = RequestHead(b"GET", f"{COPY_PATH}{table}{AFTER}{watch.version}".encode())
-        address = (peer.row.ip, peer.row.peer_port)
-        fetched = await self._fetcher.fetch(*address, head, b"", FETCH_TIMEOUT_MS)
-        if isinstance(fetched, Err):
-            logger.info("no copy of %s from %s: %s", table, peer.node_id, fetched.err_value)
-            return
-        decoded = decode(TableCopy, fetched.ok_value[1])
-        if isinstance(decoded, Err):
-            log_event(
-                logger, Event.MESSAGE_REFUSED, sender=peer.node_id, error=str(decoded.err_value)
-            )
+        path = f"{COPY_PATH}{table}{AFTER}{watch.version}"
+        copy = await fetch_from_peer(self._fetcher, peer, path, TableCopy)
+        if copy is None:
             return
-        watch.take_copy(decoded.ok_value)
+        watch.take_copy(copy)
         log_event(
             logger,
             Event.TABLE_COPIED,
             table=table,
             peer=peer.node_id,
-            version=decoded.ok_value.changed_version,
+            version=copy.changed_version,
         )
--- a/nutmeglead/entry/map_copies.py
+++ b/nutmeglead/entry/map_copies.py
@@ -4,15 +4,13 @@
 import logging
 from collections.abc import Mapping
 
-from result import Err
-
 from nutmeglead._generated.peers.ttypes import MapCopy
 from nutmeglead.core.clock import Clock
-from nutmeglead.core.codec import decode, encode
+from nutmeglead.core.codec import encode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.messages import RequestHead
+from nutmeglead.peers.fetch import fetch_from_peer
 from nutmeglead.peers.membership import Membership, Peer
 from nutmeglead.ranges.controller import RangeController
 from nutmeglead.ranges.model import from_wire, to_wire
@@ -25,7 +23,6 @@
 CHECK_INTERVAL_MS = 100
 # Changes are sent in batches and passed on once; a node that lacks them for longer has lost some.
 DELTA_DELAY_MS = 200
-FETCH_TIMEOUT_MS = 1_000
 
 
 class MapCopies:
@@ -81,18 +78,10 @@
         return newest if now_ms - since_ms >= DELTA_DELAY_MS else None
 
     async def _fetch(self, controller: RangeController, peer: Peer) -> None:
-        head = RequestHead(b"GET", (MAP_PATH + controller.service).encode())
-        address = (peer.row.ip, peer.row.peer_port)
-        fetched = await self._fetcher.fetch(*address, head, b"", FETCH_TIMEOUT_MS)
-        if isinstance(fetched, Err):
-            logger.info("no map from %s: %s", peer.node_id, fetched.err_value)
-            return
-        decoded = decode(MapCopy, fetched.ok_value[1])
-        if isinstance(decoded, Err):
-            error = str(decoded.err_value)
-            log_event(logger, Event.MESSAGE_REFUSED, sender=peer.node_id, error=error)
+        path = MAP_PATH + controller.service
+        copy = await fetch_from_peer(self._fetcher, peer, path, MapCopy)
+        if copy is None:
             return
-        copy = decoded.ok_value
         try:
             ranges = from_wire(copy.ranges)
         except (ValueError, IndexError) as error:
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -93,7 +93,7 @@
             rng,
             settings.failure_domain,
             settings.bounds,
-            self._count_nodes,
+            self.alive,
             self.peers.shares.elsewhere,
         )
         self._loads = LoadReports(
@@ -209,10 +209,10 @@
 
     def _follows_store(self) -> bool:
         """Tell whether this node reads the tables itself, as hubs do for the others."""
-        now_ms = self.clock.now_ms()
-        hubs = self.membership.own_hub_ids(now_ms)
-        is_hub = self.settings.node_id in self.membership.hub_ids(now_ms)
-        return is_hub or not any(self.membership.is_alive(hub, now_ms) for hub in hubs)
+        membership, now_ms = self.membership, self.clock.now_ms()
+        return membership.is_hub(now_ms) or not any(
+            membership.is_alive(hub, now_ms) for hub in membership.own_hub_ids(now_ms)
+        )
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -226,9 +226,6 @@
             self.forwarder.close_idle()
             self._loads.report()
 
-    def _count_nodes(self) -> int:
-        return len(self.membership.alive_ids(self.clock.now_ms()))
-
     def _limits(self) -> CallerLimits:
         manifest = self.forwarder.manifest
         limits = manifest.limits if manifest is not None else ClientLimits()
@@ -333,7 +330,7 @@
 
     def alive(self) -> int:
         """Count the entry VMs that are heard, with this one."""
-        return self._count_nodes()
+        return len(self.membership.alive_ids(self.clock.now_ms()))
 
     def work(self) -> Mapping[int, int]:
         """Return the requests in flight per server tag."""
--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -151,7 +151,7 @@
 
     def _refusal(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Overloaded:
         """Return why a request is not placed, with a time to come back that will be true."""
-        upstream = self._owner(request) if self.spec.has_keys else self._best(request, tried)
+        upstream = self._choose(request, tried)
         if upstream is None:
             return self._without_server()
         return self._overloaded("the servers are too busy to answer in time")
@@ -163,7 +163,7 @@
         another request would use in time; a burst is served late instead.
         """
         now_ms = self._clock.now_ms()
-        upstream = self._owner(request) if self.spec.has_keys else self._best(request, tried)
+        upstream = self._choose(request, tried)
         if upstream is None:
             return min(request.deadline_ms, request.received_ms + self._settings.max_hold_ms)
         limit_ms = request.deadline_ms
@@ -171,7 +171,7 @@
             limit_ms = min(limit_ms, request.received_ms + request.route.target_latency_ms)
         ahead = self._ahead(request)
         expected_ms = upstream.expected_ms(now_ms, ahead)
-        if upstream.total_in_flight >= self._free_places(upstream):
+        if self._is_full(upstream):
             expected_ms += upstream.share_wait_ms(self._node_count(), ahead, now_ms)
         if now_ms + expected_ms > limit_ms:
             return 0
@@ -236,12 +236,15 @@
         self.wake()
 
     def _place(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Upstream | None:
-        chosen = self._owner(request) if self.spec.has_keys else self._best(request, tried)
+        chosen = self._choose(request, tried)
         if chosen is None or not self._has_room(chosen):
             return None
         chosen.in_flight += 1
         return chosen
 
+    def _choose(self, request: CallerRequest, tried: frozenset[ServerLife]) -> Upstream | None:
+        return self._owner(request) if self.spec.has_keys else self._best(request, tried)
+
     def _owner(self, request: CallerRequest) -> Upstream | None:
         if self.ranges is None or request.key is None:
             return None
@@ -283,23 +286,24 @@
     def _has_room(self, upstream: Upstream) -> bool:
         """Tell whether a request may be sent to a server now, and take its share if it is full."""
         upstream.in_flight_elsewhere = self._work_elsewhere(upstream.tag)
-        now_ms, total = self._clock.now_ms(), upstream.total_in_flight
-        limit = upstream.record.slots * self._settings.queue_ratio
-        if total < self._free_places(upstream):
+        now_ms = self._clock.now_ms()
+        if not self._is_full(upstream):
             upstream.full_since_ms = None
             return True
+        limit = upstream.record.slots * self._settings.queue_ratio
         if upstream.full_since_ms is None:
             upstream.full_since_ms = now_ms
         return upstream.in_flight < limit and upstream.take_share(self._node_count(), now_ms)
 
-    def _free_places(self, upstream: Upstream) -> float:
-        """Return how many requests may be at a server before a node needs its share of it.
+    def _is_full(self, upstream: Upstream) -> bool:
+        """Tell whether a node needs its share of a server to send another request.
 
         The more nodes there are, the more of them may take the same place in the queue.
         """
         slots = upstream.record.slots
         limit = slots * self._settings.queue_ratio
-        return slots + (limit - slots) * min(1.0, limit / max(1, self._node_count()))
+        places = slots + (limit - slots) * min(1.0, limit / max(1, self._node_count()))
+        return upstream.total_in_flight >= places
 
     def _overloaded(self, reason: str) -> Overloaded:
         ready = [upstream for upstream in self.upstreams.values() if upstream.is_ready]
--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -74,13 +74,17 @@
         while not self._buffer:
             if self.peer_gone.is_set():
                 return b""
-            self._reader = asyncio.get_running_loop().create_future()
-            try:
-                await self._reader
-            finally:
-                self._reader = None
+            await self._next_arrival()
         return self.take()
 
+    async def _next_arrival(self) -> None:
+        """Wait for bytes or for the end of the stream."""
+        self._reader = asyncio.get_running_loop().create_future()
+        try:
+            await self._reader
+        finally:
+            self._reader = None
+
     def take(self) -> bytes:
         """Return the bytes that have arrived, or b"" if there are none."""
         data = bytes(self._buffer)
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -107,11 +107,6 @@
         if unread:
             self._connection.receive_data(unread)
 
-    def take_body(self) -> bytes | None:
-        """Return what `read_body` would, or None if it would have to wait."""
-        event = self._take_event()
-        return None if event is None else _body_part(event)
-
     def finish_exchange(self) -> bool:
         """End the exchange; close the connection and return False if it cannot be reused."""
         states = (self._connection.our_state, self._connection.their_state)
--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -76,11 +76,6 @@
         self.close_idle()
         await self.wait_closed(0)
 
-    @property
-    def active_count(self) -> int:
-        """Count the connections that wait for an answer."""
-        return sum(connection.is_busy for connection in self.connections)
-
 
 class _CallerConnection(ByteChannel):
     """Read requests, run their handlers and close when the last answer is sent."""
@@ -263,11 +258,7 @@
         while self._reads_on and not self.unread_bytes:
             if self.peer_gone.is_set():
                 return b""
-            self._reader = asyncio.get_running_loop().create_future()
-            try:
-                await self._reader
-            finally:
-                self._reader = None
+            await self._next_arrival()
         return self.take() if self._reads_on else b""
 
     async def _refuse(self, parser: h11.Connection, error: MalformedMessage) -> None:
@@ -289,10 +280,8 @@
         self.transport.write_eof()
         self._set_timer(LINGER_MS)
         while not self.peer_gone.is_set():
-            self._reader = asyncio.get_running_loop().create_future()
             self.take()
-            await self._reader
-            self._reader = None
+            await self._next_arrival()
 
     def _set_timer(self, timeout_ms: int) -> None:
         self._stop_timer()
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -257,6 +257,10 @@
             hubs.extend(islice(ready, HUBS_PER_DOMAIN))
         return sorted(hubs, key=self._order)
 
+    def is_hub(self, now_ms: int) -> bool:
+        """Tell whether this node is a hub."""
+        return self.own_id in self.hub_ids(now_ms)
+
     def own_hub_ids(self, now_ms: int) -> list[NodeId]:
         """List the hubs of the own failure domain, or the first ones of others if it has none."""
         hubs = [node_id for node_id in self.hub_ids(now_ms) if node_id != self.own_id]
--- a/nutmeglead/peers/service.py
+++ b/nutmeglead/peers/service.py
@@ -150,7 +150,7 @@
         self._handler.on_map_delta(delta)
         # The node that places the ranges sends to hubs and witnesses; these pass it on.
         now_ms = self._clock.now_ms()
-        if self.membership.own_id in self.membership.hub_ids(now_ms):
+        if self.membership.is_hub(now_ms):
             self._send_to(data, self._served_ids(now_ms) - {NodeId(delta.node_id)})
 
     def _served_ids(self, now_ms: int) -> set[NodeId]:
@@ -190,7 +190,7 @@
         is_hub = membership.own_id in hubs
         served = self._served_ids(now_ms)
         if is_hub:
-            self._send_group(heartbeat, (hubs | witnesses) - served, own_work, now_ms)
+            self._send_group(heartbeat, (hubs | witnesses) - served, served, own_work, now_ms)
         elif membership.own_id in witnesses:
             others = (hubs | witnesses) - set(membership.own_hub_ids(now_ms))
             self._send_heartbeat(heartbeat, others - {membership.own_id})
@@ -202,9 +202,13 @@
             self._send_own(heartbeat, own_work, now_ms)
 
     def _send_group(
-        self, heartbeat: Heartbeat, to: set[NodeId], own_work: Mapping[int, int], now_ms: int
+        self,
+        heartbeat: Heartbeat,
+        to: set[NodeId],
+        served: set[NodeId],
+        own_work: Mapping[int, int],
+        now_ms: int,
     ) -> None:
-        served = self._served_ids(now_ms)
         heartbeat.scope = Scope.GROUP
         heartbeat.in_flight = encode_work(self.shares.group_sum(own_work, now_ms))
         heartbeat.nodes = encode_states(self.membership.states(served, now_ms))
--- a/nutmeglead/programs/connect.py
+++ b/nutmeglead/programs/connect.py
@@ -9,12 +9,12 @@
 from nutmeglead._generated.settings.ttypes import Settings
 from nutmeglead.core.clock import SystemClock
 from nutmeglead.core.codec import decode
-from nutmeglead.core.errors import CodecError, NutmegleadError
+from nutmeglead.core.errors import NutmegleadError
 from nutmeglead.core.ids import NodeId
 from nutmeglead.entry.copies import TICKET_STATUS_PATH
 from nutmeglead.entry.node_rows import NODES_TABLE
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.messages import RequestHead
+from nutmeglead.peers.fetch import fetch_struct
 from nutmeglead.platform.store import StoreClient
 from nutmeglead.platform.table import StoreTable
 from nutmeglead.tickets.rows import TICKETS_TABLE
@@ -48,14 +48,8 @@
 
     async def status(self, row: NodeRow) -> Result[TicketStatus, NutmegleadError]:
         """Return the ticket that an entry VM follows."""
-        head = RequestHead(b"GET", TICKET_STATUS_PATH.encode())
-        fetched = await self.fetcher.fetch(row.ip, row.peer_port, head, b"", STATUS_TIMEOUT_MS)
-        if isinstance(fetched, Err):
-            return fetched
-        response, body = fetched.ok_value
-        if response.status != 200:
-            return Err(CodecError("a ticket status", f"status {response.status}"))
-        return decode(TicketStatus, body)
+        path, timeout_ms = TICKET_STATUS_PATH, STATUS_TIMEOUT_MS
+        return await fetch_struct(self.fetcher, row, path, TicketStatus, timeout_ms)
 
 
 @dataclass(frozen=True)
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -214,11 +214,9 @@
     def _next_witness_sets(self, ranges: RangeMap, now_ms: int) -> WitnessSets:
         """Replace witnesses that are gone, and drop earlier sets whose rights have ended."""
         membership, own_id = self._context.membership, self._context.node_id
-        sets = (
-            self._rights.live_sets(ranges, now_ms)
-            if len(ranges.witness_sets) > 1
-            else (ranges.witness_sets)
-        )
+        sets = ranges.witness_sets
+        if len(sets) > 1:
+            sets = self._rights.live_sets(ranges, now_ms)
         is_sound = own_id in ranges.witnesses and not any(
             membership.is_gone(node_id, WITNESS_GONE_MS, now_ms) for node_id in ranges.witnesses
         )
--- a/nutmeglead/soak/fleet.py
+++ b/nutmeglead/soak/fleet.py
@@ -76,11 +76,6 @@
         self._log_path = log_path
         self._process: asyncio.subprocess.Process | None = None
 
-    @property
-    def is_running(self) -> bool:
-        """Tell whether the process has not ended."""
-        return self._process is not None and self._process.returncode is None
-
     async def start(self) -> None:
         """Start the program."""
         with self._log_path.open("ab") as log:
