logs, metrics: tell how old a server's change is and which requests went to a leaving server

Change: rows from the store carry since when they can have changed at the earliest; copies carry their age. SERVER_CHANGED has age_ms and may_return. Attempts at a leaving server end with 'leaving for <n> ms', and two metrics count them. No decision uses the new values yet.

--- a/nutmeglead/_generated/peers/ttypes.py
+++ b/nutmeglead/_generated/peers/ttypes.py
@@ -1462,14 +1462,16 @@
      - key
      - version
      - value
+     - age_ms
 
     """
 
 
-    def __init__(self, key=None, version=None, value=None,):
+    def __init__(self, key=None, version=None, value=None, age_ms=None,):
         self.key = key
         self.version = version
         self.value = value
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1495,6 +1497,11 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1517,6 +1524,10 @@
             oprot.writeFieldBegin('value', TType.STRING, 3)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1956,6 +1967,7 @@
     (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
 all_structs.append(TableCopy)
 TableCopy.thrift_spec = (
--- a/nutmeglead/entry/metrics.py
+++ b/nutmeglead/entry/metrics.py
@@ -76,12 +76,23 @@
         waiting = self._gauge("nutmeglead_waiting_requests", "Requests that wait for a server.")
         at_servers = self._gauge("nutmeglead_in_flight", "Requests of this node at servers.")
         servers = self._gauge("nutmeglead_servers", "Servers that take new work.")
+        leaving = self._core.CounterMetricFamily(
+            "nutmeglead_leaving_server_requests",
+            "Requests sent to servers that were leaving.",
+            labels=["service"],
+        )
+        leaving_age = self._gauge(
+            "nutmeglead_leaving_server_request_max_age_seconds",
+            "Longest time for which a server had been leaving when a request was sent to it.",
+        )
         for name, service in self._process.forwarder.services.items():
             upstreams = service.upstreams.values()
             waiting.add_metric([name], service.waiting_count)
             at_servers.add_metric([name], sum(upstream.in_flight for upstream in upstreams))
             servers.add_metric([name], sum(upstream.is_ready for upstream in upstreams))
-        yield from (waiting, at_servers, servers)
+            leaving.add_metric([name], service.leaving_requests.count)
+            leaving_age.add_metric([name], service.leaving_requests.max_age_ms / 1000)
+        yield from (waiting, at_servers, servers, leaving, leaving_age)
 
     def _ranges(self) -> Iterator[Any]:
         acting = self._gauge("nutmeglead_controller_acting", "1 on the node that acts.")
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -212,7 +212,9 @@
         return None if status is None else encode(status)
 
     def _make_watch(self, table: FollowedTable) -> TableWatch:
-        return TableWatch(self.store, table, self.store_contact, self._rng, self._follows_store)
+        return TableWatch(
+            self.store, table, self.store_contact, self.clock, self._rng, self._follows_store
+        )
 
     def _follows_store(self) -> bool:
         """Return whether this node reads the tables from the store, as hubs do.
--- a/nutmeglead/entry/tables.py
+++ b/nutmeglead/entry/tables.py
@@ -12,7 +12,7 @@
 from nutmeglead.platform.manifest import decode_manifest
 from nutmeglead.platform.registry import decode_server
 from nutmeglead.platform.store import StoreRow, StoreRows
-from nutmeglead.platform.wire import MANIFEST_KEY
+from nutmeglead.platform.wire import MANIFEST_KEY, SERVERS_TABLE
 
 __all__ = ["apply_manifest_rows", "apply_server_rows"]
 
@@ -42,6 +42,7 @@
 
     An entry that cannot be decoded is logged; in a snapshot its server counts as removed.
     """
+    now_ms = clock.now_ms()
     changed = []
     removed = set()
     present = set()
@@ -51,6 +52,7 @@
         server_id = ServerId(row.key)
         if row.value is None:
             removed.add(server_id)
+            _log_server_change(row, "removed", now_ms, may_return=after_outage)
             continue
         decoded = decode_server(row.key, row.value)
         if isinstance(decoded, Err):
@@ -58,13 +60,29 @@
             continue
         present.add(server_id)
         changed.append(decoded.ok_value)
-        _log_server_change(row, decoded.ok_value.state.value)
+        _log_server_change(row, decoded.ok_value.state.value, now_ms)
     if is_snapshot:
+        for server_id in registry.ids() - present - removed:
+            missing = StoreRow(SERVERS_TABLE, "", server_id, None, rows.version)
+            _log_server_change(missing, "removed", now_ms, may_return=after_outage)
         removed |= registry.ids() - present
-    for server_id in removed:
-        log_event(logger, Event.SERVER_CHANGED, server=server_id, state="removed")
-    registry.apply(changed, removed, clock.now_ms(), after_outage)
+    registry.apply(changed, removed, now_ms, after_outage)
 
 
-def _log_server_change(row: StoreRow, state: str) -> None:
-    log_event(logger, Event.SERVER_CHANGED, server=row.key, state=state, row=row.version)
+def _log_server_change(
+    row: StoreRow, state: str, now_ms: int, may_return: bool | None = None
+) -> None:
+    """Log a server's new state with the longest time since its row can have changed.
+
+    `may_return` tells of a removed server whether it is kept, because its entry may have lapsed in
+    an outage of the store.
+    """
+    log_event(
+        logger,
+        Event.SERVER_CHANGED,
+        server=row.key,
+        state=state,
+        row=row.version,
+        age_ms=None if row.changed_ms is None else now_ms - row.changed_ms,
+        may_return=may_return,
+    )
--- a/nutmeglead/entry/tests/observability.feature
+++ b/nutmeglead/entry/tests/observability.feature
@@ -27,3 +27,5 @@
       | nutmeglead_peers_alive 5.0                               |
       | nutmeglead_servers{service="stock"} 6.0                  |
       | nutmeglead_store_failures_total 0.0                      |
+      | nutmeglead_leaving_server_requests_total{service="stock"} 0.0 |
+      | nutmeglead_leaving_server_request_max_age_seconds{service="stock"} 0.0 |
--- a/nutmeglead/entry/tests/steps/copies_steps.py
+++ b/nutmeglead/entry/tests/steps/copies_steps.py
@@ -19,7 +19,7 @@
         self.contact = StoreContact(clock)
         self.removed = {}
         table = FollowedTable(TABLE, self.apply, 0)
-        self.watch = TableWatch(None, table, self.contact, None, lambda: True)
+        self.watch = TableWatch(None, table, self.contact, clock, None, lambda: True)
 
     def apply(self, rows, is_snapshot, after_outage):
         for row in rows.rows:
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -4,11 +4,13 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from nutmeglead._generated.peers.ttypes import CopiedRow, TableCopy
+from nutmeglead.core.clock import Clock
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.forwarding.registry import OUTAGE_RECOVERY_GRACE_MS
 from nutmeglead.platform.store import (
@@ -30,6 +32,9 @@
 FOLLOW_CHECK_INTERVAL_MS = 100
 # How many removed rows are kept, to be included in copies of changes.
 MAX_REMOVED_ROWS = 500
+# A feed call that has a change to return is answered within this time.
+PROMPT_ANSWER_MS = 100
+MAX_AGE_MS = 2**31 - 1
 # Refused calls cost money too, but a change must be in force 2 s after it was acknowledged.
 RETRY_MIN_MS = 200
 RETRY_MAX_MS = 800
@@ -56,6 +61,7 @@
         store: StoreClient,
         table: FollowedTable,
         contact: StoreContact,
+        clock: Clock,
         rng: random.Random,
         follows_store: Callable[[], bool],
     ) -> None:
@@ -65,6 +71,7 @@
         self._apply = table.apply
         self._settle_ms = table.settle_ms
         self._contact = contact
+        self._clock = clock
         self._rng = rng
         self.follows_store = follows_store
         self.version = 0
@@ -77,6 +84,8 @@
         # All changes after this version are known; a copy from before it has to be a whole table.
         self._changes_kept_after = 0
         self._last_call_failed = False
+        # Time of the newest answer to a feed call.
+        self._last_feed_ms = clock.now_ms()
 
     @property
     def table(self) -> str:
@@ -86,8 +95,9 @@
     def copy(self, after: int) -> TableCopy:
         """Return the rows changed after a version, or the whole table if changes are missing."""
         is_whole = not after or after < self._changes_kept_after
+        now_ms = self._clock.now_ms()
         rows = [
-            CopiedRow(row.key, row.version, row.value)
+            CopiedRow(row.key, row.version, row.value, _age_ms(row, now_ms))
             for row in self._rows.values()
             if (row.value is not None if is_whole else row.version > after)
         ]
@@ -98,7 +108,18 @@
         """Apply rows that a peer has copied, unless this node's rows are as new or newer."""
         if copy.changed_version <= self.changed_version or copy.store_version < self.version:
             return
-        rows = [StoreRow(self._table, "", row.key, row.value, row.version) for row in copy.rows]
+        now_ms = self._clock.now_ms()
+        rows = [
+            StoreRow(
+                self._table,
+                "",
+                row.key,
+                row.value,
+                row.version,
+                None if row.age_ms is None else now_ms - row.age_ms,
+            )
+            for row in copy.rows
+        ]
         # Only an outage at the node that read the rows matters, not one at this node.
         self._apply_rows(
             StoreRows(tuple(rows), copy.store_version), copy.is_whole, copy.after_outage
@@ -144,11 +165,28 @@
 
     def apply_fed_rows(self, rows: StoreRows, is_snapshot: bool) -> None:
         """Apply rows read from the store, unless a newer copy from a peer was applied meanwhile."""
+        changed_ms = self._earliest_change_ms()
+        self._last_feed_ms = self._clock.now_ms()
         if rows.version >= self.version:
+            dated = tuple(replace(row, changed_ms=changed_ms) for row in rows.rows)
             self._apply_rows(
-                rows, is_snapshot, self._contact.was_unavailable_within(OUTAGE_RECOVERY_GRACE_MS)
+                StoreRows(dated, rows.version),
+                is_snapshot,
+                self._contact.was_unavailable_within(OUTAGE_RECOVERY_GRACE_MS),
             )
 
+    def _earliest_change_ms(self) -> int:
+        """Return since when the rows of a feed's answer can have changed at the earliest.
+
+        A change waits for the next call while this node pauses between two of them, and is answered
+        promptly if a call waits at the store. After failed calls it can be as old as the last
+        answer.
+        """
+        if self._last_call_failed:
+            return self._last_feed_ms
+        oldest_ms = self._clock.now_ms() - self._settle_ms - PROMPT_ANSWER_MS
+        return max(self._last_feed_ms, oldest_ms)
+
     def _apply_rows(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
         if is_snapshot:
             self._rows.clear()
@@ -170,3 +208,8 @@
             for row in removed:
                 del self._rows[row.key]
             self._changes_kept_after = max(row.version for row in removed)
+
+
+def _age_ms(row: StoreRow, now_ms: int) -> int | None:
+    """Return the longest time since a row can have changed in ms, or None if it is not known."""
+    return None if row.changed_ms is None else min(MAX_AGE_MS, max(0, now_ms - row.changed_ms))
--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -58,6 +58,8 @@
     def __init__(self, upstream: Upstream, request: CallerRequest, max_connections: int) -> None:
         self.upstream = upstream
         self.was_sent = False
+        # For how long the server had been leaving when the request was sent, or None.
+        self.leaving_age_ms: int | None = None
         self._request = request
         self._max_connections = max_connections
         self._connection: ClientConnection | None = None
@@ -86,6 +88,7 @@
         headers = request.server_headers(self.upstream.record.server_id, remaining_ms)
         head = RequestHead(request.head.method, request.head.target, headers)
         self.was_sent = True
+        self.leaving_age_ms = self.upstream.leaving_age_ms(self.upstream.clock.now_ms())
         await connection.send_request(head, request.body)
         answer = await self._read_matching_head(connection)
         if isinstance(answer, Err):
--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -58,6 +58,19 @@
     assigned: asyncio.Future[Upstream] = field(compare=False)
 
 
+@dataclass
+class LeavingRequests:
+    """Count the requests sent to servers that were leaving, with the highest age of a leaving."""
+
+    count: int = 0
+    max_age_ms: int = 0
+
+    def add(self, age_ms: int) -> None:
+        """Count a request that was sent to a server which had been leaving for `age_ms`."""
+        self.count += 1
+        self.max_age_ms = max(self.max_age_ms, age_ms)
+
+
 class ServiceDispatch:
     """Assign each request of a service to a server, and queue requests that find no room.
 
@@ -88,6 +101,7 @@
         self._node_count = node_count
         self._waiters: list[_Waiter] = []
         self._sequence = 0
+        self.leaving_requests = LeavingRequests()
         self.refresh()
 
     @property
@@ -117,7 +131,9 @@
             else:
                 known.record = record
                 known.removed_since_ms = None
-            self._update_leaving_since(self.upstreams[incarnation], now_ms)
+            upstream = self.upstreams[incarnation]
+            self._update_leaving_since(upstream, now_ms)
+            upstream.missing_since_ms = self._registry.missing_since_ms(record.server_id)
         for incarnation, upstream in list(self.upstreams.items()):
             if incarnation in records:
                 continue
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -156,13 +156,13 @@
         result = await self._attempt.run()
         now_ms = self._clock.now_ms()
         self._sent_count += self._attempt.was_sent
+        self._count_if_leaving(self._attempt)
         if isinstance(result, Err):
-            self._record_failed_attempt(upstream, result.err_value, now_ms)
+            self._record_failed_attempt(self._attempt, result.err_value, now_ms)
             self._close_attempt()
             return None
         answer = result.ok_value
-        label = f"{upstream.record.server_id}:{answer.status}"
-        self.attempt_results.append(label)
+        self.attempt_results.append(_attempt_label(self._attempt, str(answer.status)))
         if answer.status < 500:
             upstream.record_answer(now_ms - started_ms, now_ms)
         else:
@@ -173,8 +173,13 @@
             self._close_attempt()
         return answer
 
-    def _record_failed_attempt(self, upstream: Upstream, error: AttemptError, now_ms: int) -> None:
-        self.attempt_results.append(f"{upstream.record.server_id}:{error}")
+    def _count_if_leaving(self, attempt: Attempt) -> None:
+        if attempt.leaving_age_ms is not None:
+            self._service.leaving_requests.add(attempt.leaving_age_ms)
+
+    def _record_failed_attempt(self, attempt: Attempt, error: AttemptError, now_ms: int) -> None:
+        upstream = attempt.upstream
+        self.attempt_results.append(_attempt_label(attempt, str(error)))
         self.failure = error
         if error.outcome is Outcome.UNKNOWN:
             self._may_have_run = True
@@ -278,3 +283,11 @@
     def close(self) -> None:
         """Close the current attempt, which cancels an unanswered request at its server."""
         self._close_attempt()
+
+
+def _attempt_label(attempt: Attempt, result: str) -> str:
+    """Return the server, the result and, if the server was leaving, for how long it had been."""
+    label = f"{attempt.upstream.record.server_id}:{result}"
+    if attempt.leaving_age_ms is None:
+        return label
+    return f"{label}, leaving for {attempt.leaving_age_ms} ms"
--- a/nutmeglead/forwarding/registry.py
+++ b/nutmeglead/forwarding/registry.py
@@ -96,6 +96,10 @@
         removed_entry = self._removed.get(incarnation)
         return None if removed_entry is None else removed_entry[1]
 
+    def missing_since_ms(self, server_id: ServerId) -> int | None:
+        """Return when a listed server's entry went missing after a store outage, or None."""
+        return self._missing_after_outage.get(server_id)
+
     def newest_record(self, incarnation: ServerIncarnation) -> ServerRecord | None:
         """Return the listed record of a server in any incarnation, or else what `find` returns."""
         return self._records.get(incarnation.server_id) or self.find(incarnation)
--- a/nutmeglead/forwarding/upstream.py
+++ b/nutmeglead/forwarding/upstream.py
@@ -60,6 +60,8 @@
     removed_since_ms: int | None = None
     # Time since which the server has announced that it is leaving, or None.
     leaving_since_ms: int | None = None
+    # Time since which the server's entry has been missing after a store outage, or None.
+    missing_since_ms: int | None = None
     # Time until which the server counts as unreachable, because a connection to it just failed.
     unreachable_until_ms: int = 0
     # Time since which the server has been full for requests of this node, or None.
@@ -85,6 +87,15 @@
         """Return whether the server takes new work."""
         return self.removed_since_ms is None and self.record.state is ServerState.READY
 
+    def leaving_age_ms(self, now_ms: int) -> int | None:
+        """Return for how long the server has been leaving or without an entry, or None."""
+        since_ms = self.leaving_since_ms
+        if since_ms is None:
+            since_ms = self.missing_since_ms
+        if since_ms is None:
+            since_ms = self.removed_since_ms
+        return None if since_ms is None else now_ms - since_ms
+
     def failure_score(self, now_ms: int) -> float:
         """Return the weighted count of failures, which halves every `FAILURE_HALF_LIFE_MS`."""
         age_ms = now_ms - self._failures_updated_ms
--- a/nutmeglead/platform/store.py
+++ b/nutmeglead/platform/store.py
@@ -43,13 +43,18 @@
 
 @dataclass(frozen=True)
 class StoreRow:
-    """One row of a part of a table; the value of a removed row is None."""
+    """One row of a part of a table; the value of a removed row is None.
+
+    `changed_ms` is the earliest local time at which the row can have changed, as far as the reader
+    knows, or None.
+    """
 
     table: str
     part: str
     key: str
     value: bytes | None
     version: int
+    changed_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -129,11 +129,13 @@
   3: required RangeMap ranges,
 }
 
-// One row of a `TableCopy`. A removed row has no value.
+// One row of a `TableCopy`. A removed row has no value. `age_ms` is the longest time since the row can have changed in the
+// store.
 struct CopiedRow {
   1: required string key,
   2: required i64 version,
   3: optional binary value,
+  4: optional i32 age_ms,
 }
 
 // Rows of a table of the store, for a node that does not follow the store itself. If `is_whole` is false, the copy holds
