entry: take a removal for a real one when other readers had no outage of the store

Cause: a hub whose own calls the store had refused took this for an outage of the store in which entries lapse. For 2 s after it regained the store it kept each removed server for 2 to 2.25 s, and the nodes that it serves did the same. Change: heartbeats carry the version of rows that were read soon after refused calls. Such rows count as read without an outage as soon as more of the nodes that know the version read it without one. A copy's mark ends with the 2 s in which entries return.

--- a/nutmeglead/_generated/peers/ttypes.py
+++ b/nutmeglead/_generated/peers/ttypes.py
@@ -822,11 +822,12 @@
      - scope
      - nodes
      - wants_all
+     - unconfirmed_versions
 
     """
 
 
-    def __init__(self, node_id=None, incarnation=None, sent_ms=None, echo_ms=None, leaving=None, table_versions=None, store_age_ms=None, views=None, in_flight=None, scope=None, nodes=None, wants_all=None,):
+    def __init__(self, node_id=None, incarnation=None, sent_ms=None, echo_ms=None, leaving=None, table_versions=None, store_age_ms=None, views=None, in_flight=None, scope=None, nodes=None, wants_all=None, unconfirmed_versions=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.sent_ms = sent_ms
@@ -839,6 +840,7 @@
         self.scope = scope
         self.nodes = nodes
         self.wants_all = wants_all
+        self.unconfirmed_versions = unconfirmed_versions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -921,6 +923,17 @@
                     self.wants_all = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.MAP:
+                    self.unconfirmed_versions = {}
+                    (_ktype93, _vtype94, _size92) = iprot.readMapBegin()
+                    for _i96 in range(_size92):
+                        _key97 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val98 = iprot.readI64()
+                        self.unconfirmed_versions[_key97] = _val98
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -954,9 +967,9 @@
         if self.table_versions is not None:
             oprot.writeFieldBegin('table_versions', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_versions))
-            for kiter92, viter93 in self.table_versions.items():
-                oprot.writeString(kiter92.encode('utf-8') if sys.version_info[0] == 2 else kiter92)
-                oprot.writeI64(viter93)
+            for kiter99, viter100 in self.table_versions.items():
+                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
+                oprot.writeI64(viter100)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.store_age_ms is not None:
@@ -966,8 +979,8 @@
         if self.views is not None:
             oprot.writeFieldBegin('views', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.views))
-            for iter94 in self.views:
-                iter94.write(oprot)
+            for iter101 in self.views:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
@@ -986,6 +999,14 @@
             oprot.writeFieldBegin('wants_all', TType.BOOL, 12)
             oprot.writeBool(self.wants_all)
             oprot.writeFieldEnd()
+        if self.unconfirmed_versions is not None:
+            oprot.writeFieldBegin('unconfirmed_versions', TType.MAP, 13)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.unconfirmed_versions))
+            for kiter102, viter103 in self.unconfirmed_versions.items():
+                oprot.writeString(kiter102.encode('utf-8') if sys.version_info[0] == 2 else kiter102)
+                oprot.writeI64(viter103)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1184,10 +1205,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.stale = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = iprot.readI32()
-                        self.stale.append(_elem100)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = iprot.readI32()
+                        self.stale.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1224,8 +1245,8 @@
         if self.stale is not None:
             oprot.writeFieldBegin('stale', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.stale))
-            for iter101 in self.stale:
-                oprot.writeI32(iter101)
+            for iter110 in self.stale:
+                oprot.writeI32(iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1591,11 +1612,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = CopiedRow()
-                        _elem107.read(iprot)
-                        self.rows.append(_elem107)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = CopiedRow()
+                        _elem116.read(iprot)
+                        self.rows.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1630,8 +1651,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter108 in self.rows:
-                iter108.write(oprot)
+            for iter117 in self.rows:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_whole is not None:
@@ -1801,10 +1822,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.missing.append(_elem114)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.missing.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1829,8 +1850,8 @@
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.missing))
-            for iter115 in self.missing:
-                oprot.writeString(iter115.encode('utf-8') if sys.version_info[0] == 2 else iter115)
+            for iter124 in self.missing:
+                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1926,6 +1947,7 @@
     (10, TType.I32, 'scope', None, None, ),  # 10
     (11, TType.STRING, 'nodes', 'BINARY', None, ),  # 11
     (12, TType.BOOL, 'wants_all', None, None, ),  # 12
+    (13, TType.MAP, 'unconfirmed_versions', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from nutmeglead._generated.peers.ttypes import TableCopy
 from nutmeglead.core.clock import Clock
@@ -87,10 +87,21 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
             for table, watch in self._watches.items():
+                watch.confirm_by_peers(self._peer_versions(table))
                 peer = self._find_newer_peer(table, watch)
                 if peer is not None:
                     await self._fetch(table, watch, peer)
 
+    def _peer_versions(self, table: str) -> Iterator[tuple[int, int]]:
+        """Yield the newest and the unconfirmed version of a table at each peer that is heard."""
+        now_ms = self._clock.now_ms()
+        for peer in self._membership:
+            heartbeat = peer.heartbeat
+            if heartbeat is None or not self._membership.is_alive(peer.node_id, now_ms):
+                continue
+            unconfirmed = heartbeat.unconfirmed_versions or {}
+            yield heartbeat.table_versions.get(table, 0), unconfirmed.get(table, 0)
+
     def _find_newer_peer(self, table: str, watch: TableWatch) -> Peer | None:
         """Return the peer with the newest rows, once the own feed is late or if there is none."""
         now_ms = self._clock.now_ms()
--- a/nutmeglead/entry/operator_feed.py
+++ b/nutmeglead/entry/operator_feed.py
@@ -49,7 +49,9 @@
         """Return the operator's manifest table and the table of server entries."""
         return [
             FollowedTable(MANIFEST_TABLE, self._on_manifest, MANIFEST_SETTLE_MS),
-            FollowedTable(SERVERS_TABLE, self._on_servers, SERVERS_SETTLE_MS),
+            FollowedTable(
+                SERVERS_TABLE, self._on_servers, SERVERS_SETTLE_MS, self._on_servers_confirmed
+            ),
         ]
 
     def status(self) -> TicketStatus | None:
@@ -63,3 +65,6 @@
     def _on_servers(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
         process = self._process
         apply_server_rows(process.registry, process.clock, rows, is_snapshot, after_outage)
+
+    def _on_servers_confirmed(self) -> None:
+        self._process.registry.confirm_removals(self._process.clock.now_ms())
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -322,6 +322,11 @@
         """Return the version of the newest change that this node has of each followed table."""
         return {watch.table: watch.changed_version for watch in self._table_watches}
 
+    def unconfirmed_versions(self) -> dict[str, int]:
+        """Return by table the version of rows whose missing entries may have lapsed, if any."""
+        versions = {watch.table: watch.unconfirmed_version for watch in self._table_watches}
+        return {table: version for table, version in versions.items() if version}
+
     def store_age_ms(self) -> int:
         """Return for how long the store has not answered this node, or 0 while it does."""
         return max(self.store_contact.age_ms, self.store.unanswered_ms())
--- a/nutmeglead/entry/tests/copies.feature
+++ b/nutmeglead/entry/tests/copies.feature
@@ -30,3 +30,30 @@
     And the node copies it
     Then hub A treats the server as removed
     And the node treats the server as removed
+
+  Scenario: Other readers without an outage confirm a removal that a hub read after a refusal of its own
+    # Guards against a removed server that gets requests for 2 s, because a hub takes the refusal of its own calls for an
+    # outage of the store (DRAIN on trouble-1 of cubosertao-gw, seeds 11 and 14).
+    Given the store has just recovered for hub B
+    When hub B reads that a server was removed and hub A copies it
+    And the node copies it
+    And 5 of 7 other nodes report that version without an outage
+    And the node hears from hub B alone
+    Then hub B treats the server as removed
+    And the node treats the server as removed
+
+  Scenario Outline: A removal that was read after an outage stays unconfirmed while <case>
+    # Guards against keys that move off servers whose entries lapsed in an outage of the store.
+    Given the store has just recovered for hub B
+    When hub B reads that a server was removed and hub A copies it
+    And the node copies it
+    And <reports>
+    And the node hears from hub B alone
+    Then hub B treats the server as lapsed
+    And the node treats the server as lapsed
+
+    Examples: each row names the failure it guards against
+      | case                            | reports                                                   | failure                                    |
+      | most readers had the outage     | 3 of 7 other nodes report that version without an outage  | a few nodes that noticed nothing decide    |
+      | as many readers had it as not   | 1 of 1 other nodes report that version without an outage  | one node that noticed nothing decides      |
+      | no other node has read so far   | 7 other nodes report the version before without an outage | old reports confirm what they do not cover |
--- a/nutmeglead/entry/tests/leaving.feature
+++ b/nutmeglead/entry/tests/leaving.feature
@@ -21,9 +21,9 @@
       | 6    | stock   | the hubs of a domain are killed            | a node whose hubs are gone hears of nothing           |
       | 7    | orders  | the hubs of a domain fall silent           | a node whose hubs are gone hears of nothing           |
       | 8    | orders  | the hubs of a domain fall silent just after | a node waits for a copy from a silent hub             |
+      | 11   | orders  | the store turned its hubs away just before | an own refusal is taken for an outage of the store    |
 
     @known_red
     Examples: each row names the failure it guards against
       | seed | service | trouble                                                         | failure                                            |
-      | 11   | orders  | the store turned its hubs away just before                      | an own refusal is taken for an outage of the store |
       | 12   | stock   | answers are lost and another entry has just changed             | the use of an owner is counted from a late copy    |
--- a/nutmeglead/entry/tests/steps/copies_steps.py
+++ b/nutmeglead/entry/tests/steps/copies_steps.py
@@ -18,7 +18,7 @@
     def __init__(self, clock):
         self.contact = StoreContact(clock)
         self.removed = {}
-        table = FollowedTable(TABLE, self.apply, 0)
+        table = FollowedTable(TABLE, self.apply, 0, self.confirm)
         self.watch = TableWatch(None, table, self.contact, clock, None, lambda: True)
 
     def apply(self, rows, is_snapshot, after_outage):
@@ -26,6 +26,9 @@
             if row.value is None:
                 self.removed[row.key] = "lapsed" if after_outage else "removed"
 
+    def confirm(self):
+        self.removed = dict.fromkeys(self.removed, "removed")
+
     def read(self, rows, version):
         self.watch.apply_fed_rows(StoreRows(tuple(rows), version), version == 1)
 
@@ -77,6 +80,29 @@
     context.clock.advance(duration_ms)
 
 
+@when("{count:d} of {total:d} other nodes report that version without an outage")
+def step_peers_report(context, count, total):
+    version = context.version
+    peers = [(version, 0)] * count + [(version, version)] * (total - count)
+    context.hub_b.watch.confirm_by_peers(peers)
+
+
+@when("{count:d} other nodes report the version before without an outage")
+def step_peers_are_older(context, count):
+    context.hub_b.watch.confirm_by_peers([(context.version - 1, 0)] * count)
+
+
+@when("the node hears from hub B alone")
+def step_hears_hub_b(context):
+    watch = context.hub_b.watch
+    context.node.watch.confirm_by_peers([(watch.changed_version, watch.unconfirmed_version)])
+
+
+@then("hub B treats the server as {how}")
+def step_hub_b_treats(context, how):
+    assert context.hub_b.removed == {**context.hub_b.removed, SERVER: how}, context.hub_b.removed
+
+
 @then("hub A treats the server as {how}")
 def step_hub_treats(context, how):
     assert context.hub_a.removed == {**context.hub_a.removed, SERVER: how}, context.hub_a.removed
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import NamedTuple
 
@@ -41,16 +41,17 @@
 
 
 class FollowedTable(NamedTuple):
-    """Name a table of the store, the function that applies its rows, and the pause after each call.
+    """Name a table of the store, the functions that apply its rows, and the pause after each call.
 
     The further arguments of `apply` tell whether the rows are the whole table, and whether they
     were read soon after a store outage. The pause of `settle_ms` lets one call return several
-    changes.
+    changes. `confirm` is called when such rows are known not to come from an outage.
     """
 
     name: str
     apply: Callable[[StoreRows, bool, bool], None]
     settle_ms: int
+    confirm: Callable[[], None] = lambda: None
 
 
 class TableWatch:
@@ -70,6 +71,7 @@
         self._table = table.name
         self._apply = table.apply
         self._settle_ms = table.settle_ms
+        self._confirm = table.confirm
         self._contact = contact
         self._clock = clock
         self._rng = rng
@@ -77,8 +79,11 @@
         self.version = 0
         # Version of the newest change of this table; `version` grows with changes of any table.
         self.changed_version = 0
-        # Version of the newest rows that were read soon after a store outage.
+        # Version of the newest rows that were read soon after the store had refused the reader's
+        # calls, when this node applied them, and whether this node is the reader.
         self._outage_version = 0
+        self._outage_ms = 0
+        self._is_outage_own = False
         # Present rows, and removed ones without a value.
         self._rows: dict[str, StoreRow] = {}
         # All changes after this version are known; a copy from before it has to be a whole table.
@@ -92,6 +97,28 @@
         """Return the table's name."""
         return self._table
 
+    @property
+    def unconfirmed_version(self) -> int:
+        """Return the version of the newest rows whose missing entries may have lapsed, or 0."""
+        is_over = self._clock.now_ms() - self._outage_ms >= OUTAGE_RECOVERY_GRACE_MS
+        return 0 if is_over else self._outage_version
+
+    def confirm_by_peers(self, versions: Iterable[tuple[int, int]]) -> None:
+        """Treat unconfirmed rows as read without an outage if most other readers say so.
+
+        `versions` holds the newest version and the unconfirmed version of each peer that is heard.
+        A node cannot tell a refusal of its own calls from an outage of the store, in which its
+        peers would have been refused too.
+        """
+        version = self.unconfirmed_version
+        if not version:
+            return
+        unconfirmed = [peer_unconfirmed for known, peer_unconfirmed in versions if known >= version]
+        doubting = sum(peer_unconfirmed >= version for peer_unconfirmed in unconfirmed)
+        if len(unconfirmed) - doubting > doubting + self._is_outage_own:
+            self._outage_version = 0
+            self._confirm()
+
     def copy(self, after: int) -> TableCopy:
         """Return the rows changed after a version, or the whole table if changes are missing."""
         is_whole = not after or after < self._changes_kept_after
@@ -101,7 +128,7 @@
             for row in self._rows.values()
             if (row.value is not None if is_whole else row.version > after)
         ]
-        after_outage = after < self._outage_version
+        after_outage = after < self.unconfirmed_version
         return TableCopy(self.version, self.changed_version, rows, is_whole, after_outage)
 
     def apply_copy(self, copy: TableCopy) -> None:
@@ -121,6 +148,7 @@
             for row in copy.rows
         ]
         # Only an outage at the node that read the rows matters, not one at this node.
+        self._is_outage_own = False
         self._apply_rows(
             StoreRows(tuple(rows), copy.store_version), copy.is_whole, copy.after_outage
         )
@@ -168,6 +196,7 @@
         changed_ms = self._earliest_change_ms()
         self._last_feed_ms = self._clock.now_ms()
         if rows.version >= self.version:
+            self._is_outage_own = True
             dated = tuple(replace(row, changed_ms=changed_ms) for row in rows.rows)
             self._apply_rows(
                 StoreRows(dated, rows.version),
@@ -200,6 +229,7 @@
         if rows.rows or is_snapshot:
             if after_outage:
                 self._outage_version = rows.version
+                self._outage_ms = self._clock.now_ms()
             self._apply(rows, is_snapshot, after_outage)
 
     def _discard_removed_rows(self) -> None:
--- a/nutmeglead/forwarding/registry.py
+++ b/nutmeglead/forwarding/registry.py
@@ -54,6 +54,14 @@
                 self._remove_record(server_id, now_ms)
         self._notify()
 
+    def confirm_removals(self, now_ms: int) -> None:
+        """Remove the servers whose entries went missing, since the store had no outage."""
+        missing, self._missing_after_outage = self._missing_after_outage, {}
+        for server_id in missing:
+            self._remove_record(server_id, now_ms)
+        if missing:
+            self._notify()
+
     def expire(self, now_ms: int) -> None:
         """Remove servers that were not listed again after an outage, and old removed records."""
         expired = [
--- a/nutmeglead/peers/service.py
+++ b/nutmeglead/peers/service.py
@@ -62,6 +62,10 @@
         """Return the version of the newest change that this node has of each followed table."""
         return {}
 
+    def unconfirmed_versions(self) -> dict[str, int]:
+        """Return by table the version of rows whose missing entries may have lapsed, if any."""
+        return {}
+
     def store_age_ms(self) -> int:
         """Return for how long the store has not answered this node, or 0 while it does."""
         return 0
@@ -197,6 +201,7 @@
             Scope.NODE,
             b"",
             False,
+            handler.unconfirmed_versions() or None,
         )
         own_in_flight = handler.in_flight_by_tag()
         hubs = set(membership.hub_ids(now_ms))
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -74,7 +74,9 @@
 // the receiver. `table_versions` is the version of the newest change that the sender has of each table. `in_flight`
 // holds, for each server with work in flight, a 2-byte tag of its id and a 2-byte count, summed over the nodes of the
 // scope. `nodes` holds the states of the nodes of the scope, 6 bytes each. With `wants_all`, a node asks one hub for
-// heartbeats that report on all nodes.
+// heartbeats that report on all nodes. `unconfirmed_versions` holds, for each table of which the sender has rows that were
+// read soon after the store had refused the reader's calls, the version of the newest such rows: entries that are missing there
+// may have lapsed.
 struct Heartbeat {
   1: required string node_id,
   2: required i64 incarnation,
@@ -88,6 +90,7 @@
   10: required Scope scope,
   11: required binary nodes,
   12: required bool wants_all,
+  13: optional map<string, i64> unconfirmed_versions,
 }
 
 // Load of a service at a node since its last report. `keys` holds the keys of the requests, 2 bytes each. `samples`
