forwarding: count the use of a leaving server from its announcement

Cause: the use of a leaving owner was counted from the time at which the node learned of it, which a hub's pause, its heartbeat and the copy delay by more than the margin of 500 ms. A server whose entry may have lapsed was used for up to 2.25 s, longer than the bound that a node has from its own reading. Change: the registry keeps since when each server can have announced its leaving, from the age of the row; the use ends 800 ms before the drain bound, for missing entries too. The margin covers a hub that stands still unnoticed (550 ms) and the request's way.

--- a/nutmeglead/entry/tables.py
+++ b/nutmeglead/entry/tables.py
@@ -44,6 +44,7 @@
     """
     now_ms = clock.now_ms()
     changed = []
+    changed_ms = {}
     removed = set()
     present = set()
     for row in rows.rows:
@@ -60,13 +61,15 @@
             continue
         present.add(server_id)
         changed.append(decoded.ok_value)
+        if row.changed_ms is not None:
+            changed_ms[server_id] = row.changed_ms
         _log_server_change(row, decoded.ok_value.state.value, now_ms)
     if is_snapshot:
         for server_id in registry.ids() - present - removed:
             missing = StoreRow(SERVERS_TABLE, "", server_id, None, rows.version)
             _log_server_change(missing, "removed", now_ms, may_return=after_outage)
         removed |= registry.ids() - present
-    registry.apply(changed, removed, now_ms, after_outage)
+    registry.apply(changed, removed, now_ms, after_outage, changed_ms)
 
 
 def _log_server_change(
--- a/nutmeglead/entry/tests/leaving.feature
+++ b/nutmeglead/entry/tests/leaving.feature
@@ -22,8 +22,6 @@
       | 7    | orders  | the hubs of a domain fall silent           | a node whose hubs are gone hears of nothing           |
       | 8    | orders  | the hubs of a domain fall silent just after | a node waits for a copy from a silent hub             |
       | 11   | orders  | the store turned its hubs away just before | an own refusal is taken for an outage of the store    |
-
-    @known_red
-    Examples: each row names the failure it guards against
-      | seed | service | trouble                                                         | failure                                            |
-      | 12   | stock   | answers are lost and another entry has just changed             | the use of an owner is counted from a late copy    |
+      | 12   | stock   | answers are lost and another entry has just changed | the use of an owner is counted from a late copy |
+      | 13   | stock   | answers are lost and the hubs of a domain are killed | the use of an owner is counted from a late copy |
+      | 14   | orders  | the store turned its hubs away just before and answers are lost | an own refusal is taken for an outage |
--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -41,8 +41,9 @@
     # key without an owner for longer has lost its server.
     max_hold_ms: int = 300
     no_server_retry_after_ms: int = 450
-    # A key's owner still receives requests for this long after it announced that it is leaving.
-    leaving_owner_use_ms: int = 1_500
+    # A server still receives requests for this long after its leaving began, if it owns the key or
+    # its entry may have lapsed in an outage of the store.
+    leaving_use_ms: int = 1_200
 
 
 @dataclass(order=True)
@@ -132,7 +133,7 @@
                 known.record = record
                 known.removed_since_ms = None
             upstream = self.upstreams[incarnation]
-            self._update_leaving_since(upstream, now_ms)
+            upstream.leaving_since_ms = self._registry.leaving_since_ms(incarnation)
             upstream.missing_since_ms = self._registry.missing_since_ms(record.server_id)
         for incarnation, upstream in list(self.upstreams.items()):
             if incarnation in records:
@@ -144,13 +145,6 @@
                 del self.upstreams[incarnation]
         self.dispatch_waiting()
 
-    @staticmethod
-    def _update_leaving_since(upstream: Upstream, now_ms: int) -> None:
-        if upstream.record.state is not ServerState.LEAVING:
-            upstream.leaving_since_ms = None
-        elif upstream.leaving_since_ms is None:
-            upstream.leaving_since_ms = now_ms
-
     def _new_upstream(self, record: ServerRecord, now_ms: int) -> Upstream:
         cold_until_ms = now_ms + record.warmup_left_ms
         return Upstream(record, server_tag(record.server_id), self._clock, cold_until_ms)
@@ -314,7 +308,7 @@
         """Return the owner of the request's key, or None if it cannot take requests now.
 
         It cannot while the key is moving, when the server was removed, has been leaving for
-        `leaving_owner_use_ms` or has just been unreachable.
+        `leaving_use_ms` or has just been unreachable.
         """
         if self.ranges is None or request.key is None:
             return None
@@ -322,13 +316,21 @@
         if entry.owner is None or entry.is_pending:
             return None
         upstream = self.upstreams.get(entry.owner)
-        if upstream is None or upstream.removed_since_ms is not None:
-            return None
-        now_ms = self._clock.now_ms()
-        since_ms = upstream.leaving_since_ms
-        if since_ms is not None and now_ms - since_ms >= self._settings.leaving_owner_use_ms:
+        if upstream is None or not self.may_send_to(upstream):
             return None
-        return None if upstream.is_unreachable(now_ms) else upstream
+        return None if upstream.is_unreachable(self._clock.now_ms()) else upstream
+
+    def may_send_to(self, upstream: Upstream) -> bool:
+        """Return whether a server is present, or leaving for so short a time that it is used.
+
+        Of the servers that have announced their leaving, only the owners of keys are used.
+        """
+        if upstream.removed_since_ms is not None:
+            return False
+        if upstream.record.state is ServerState.LEAVING and not self.spec.has_keys:
+            return False
+        age_ms = upstream.leaving_age_ms(self._clock.now_ms())
+        return age_ms is None or age_ms < self._settings.leaving_use_ms
 
     def _cheapest_server(
         self, request: CallerRequest, tried_servers: frozenset[ServerIncarnation]
@@ -338,7 +340,7 @@
         ready = [
             upstream
             for incarnation, upstream in self.upstreams.items()
-            if upstream.is_ready and incarnation not in tried_servers
+            if incarnation not in tried_servers and self.may_send_to(upstream)
         ]
         if not ready:
             return None
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -34,10 +34,9 @@
 
 # Retry-After time of a node that has no manifest yet.
 NO_MANIFEST_RETRY_MS = 500
-# Taken off the time in which a leaving server is still used: this node may learn up to this long
-# after the store's acknowledgement that the server is leaving, and the last request must still
-# reach it.
-LEAVE_MARGIN_MS = 500
+# Taken off the drain bound for the use of a leaving server: a hub that stands still delays a copy
+# by up to 550 ms without being noticed, and the last request needs up to 250 ms to arrive.
+LEAVE_MARGIN_MS = 800
 
 
 class KeyCounter(Protocol):
@@ -80,7 +79,7 @@
         self._bounds = bounds
         self._in_flight_elsewhere = in_flight_elsewhere
         self._settings = replace(
-            settings or DispatchSettings(), leaving_owner_use_ms=bounds.leave_ms - LEAVE_MARGIN_MS
+            settings or DispatchSettings(), leaving_use_ms=bounds.leave_ms - LEAVE_MARGIN_MS
         )
         self._route_table: RouteTable | None = None
         self._service_choice = WeightedChoice()
--- a/nutmeglead/forwarding/registry.py
+++ b/nutmeglead/forwarding/registry.py
@@ -1,6 +1,7 @@
 """Keep the records of the servers that the store lists."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
 from nutmeglead.core.ids import ServerId, ServiceName
 from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord, ServerState
@@ -23,6 +24,8 @@
     def __init__(self) -> None:
         self._records: dict[ServerId, ServerRecord] = {}
         self._removed: dict[ServerIncarnation, tuple[int, ServerRecord]] = {}
+        # Since when each listed server that is leaving can have announced it at the earliest.
+        self._leaving_since_ms: dict[ServerIncarnation, int] = {}
         # Servers missing since a store outage, with the time of the update that left them out.
         self._missing_after_outage: dict[ServerId, int] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -38,15 +41,19 @@
         removed: Iterable[ServerId],
         now_ms: int,
         after_outage: bool = False,
+        changed_ms: Mapping[ServerId, int] = MappingProxyType({}),
     ) -> None:
         """Enter changed records and remove others.
 
+        `changed_ms` holds since when a record can have changed at the earliest; others change now.
+
         After a store outage, removal waits until `expire` finds that the entry has not been listed
         again within `OUTAGE_RECOVERY_GRACE_MS`.
         """
         for record in changed:
             self._missing_after_outage.pop(record.server_id, None)
             self._put_record(record, now_ms)
+            self._update_leaving_since(record, changed_ms.get(record.server_id, now_ms))
         for server_id in removed:
             if after_outage and server_id in self._records:
                 self._missing_after_outage.setdefault(server_id, now_ms)
@@ -54,6 +61,12 @@
                 self._remove_record(server_id, now_ms)
         self._notify()
 
+    def _update_leaving_since(self, record: ServerRecord, changed_ms: int) -> None:
+        if record.state is ServerState.LEAVING:
+            self._leaving_since_ms.setdefault(record.incarnation, changed_ms)
+        else:
+            self._leaving_since_ms.pop(record.incarnation, None)
+
     def confirm_removals(self, now_ms: int) -> None:
         """Remove the servers whose entries went missing, since the store had no outage."""
         missing, self._missing_after_outage = self._missing_after_outage, {}
@@ -104,6 +117,10 @@
         removed_entry = self._removed.get(incarnation)
         return None if removed_entry is None else removed_entry[1]
 
+    def leaving_since_ms(self, incarnation: ServerIncarnation) -> int | None:
+        """Return since when a listed server can have announced its leaving, or None."""
+        return self._leaving_since_ms.get(incarnation)
+
     def missing_since_ms(self, server_id: ServerId) -> int | None:
         """Return when a listed server's entry went missing after a store outage, or None."""
         return self._missing_after_outage.get(server_id)
@@ -124,6 +141,7 @@
             if known.incarnation.started_ms > record.incarnation.started_ms:
                 return
             self._removed[known.incarnation] = (now_ms, known)
+            self._leaving_since_ms.pop(known.incarnation, None)
         self.first_seen_ms.setdefault(record.incarnation, now_ms)
         self._removed.pop(record.incarnation, None)
         self._records[record.server_id] = record
@@ -133,6 +151,7 @@
         if record is not None:
             self._removed[record.incarnation] = (now_ms, record)
             self.first_seen_ms.pop(record.incarnation, None)
+            self._leaving_since_ms.pop(record.incarnation, None)
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/nutmeglead/forwarding/tests/waiting.feature
+++ b/nutmeglead/forwarding/tests/waiting.feature
@@ -51,7 +51,7 @@
   Scenario: A leaving owner of a key gets no requests after the leave time
     # Guards against requests to a leaving server beyond the drain bound
     # (26 of them in one bench run).
-    Given the server announced 1500 ms ago that it is leaving
+    Given the server announced 1200 ms ago that it is leaving
     When a request waits and nothing changes
     Then the request is refused after 300 ms with a Retry-After time of 450 ms
 
--- a/nutmeglead/forwarding/upstream.py
+++ b/nutmeglead/forwarding/upstream.py
@@ -58,7 +58,7 @@
     connection_count: int = 0
     # Time since which the server is missing from the registry and must not be used, or None.
     removed_since_ms: int | None = None
-    # Time since which the server has announced that it is leaving, or None.
+    # Time since which the server can have announced at the earliest that it is leaving, or None.
     leaving_since_ms: int | None = None
     # Time since which the server's entry has been missing after a store outage, or None.
     missing_since_ms: int | None = None
@@ -89,12 +89,9 @@
 
     def leaving_age_ms(self, now_ms: int) -> int | None:
         """Return for how long the server has been leaving or without an entry, or None."""
-        since_ms = self.leaving_since_ms
-        if since_ms is None:
-            since_ms = self.missing_since_ms
-        if since_ms is None:
-            since_ms = self.removed_since_ms
-        return None if since_ms is None else now_ms - since_ms
+        times = (self.leaving_since_ms, self.missing_since_ms, self.removed_since_ms)
+        starts = [since_ms for since_ms in times if since_ms is not None]
+        return now_ms - min(starts) if starts else None
 
     def failure_score(self, now_ms: int) -> float:
         """Return the weighted count of failures, which halves every `FAILURE_HALF_LIFE_MS`."""
