forwarding: check again right before sending that the server may get the request

Cause: between the assignment of a request and its sending lie up to 300 ms for a new connection, in which the server may begin to leave or its time of use may end, and nothing checked it again. Change: the attempt asks right before the first byte whether the server may still get requests. If not, nothing is sent, so the request goes elsewhere without a retry from the budget.

--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -55,8 +56,16 @@
     whole cancels the request at the server.
     """
 
-    def __init__(self, upstream: Upstream, request: CallerRequest, max_connections: int) -> None:
+    def __init__(
+        self,
+        upstream: Upstream,
+        request: CallerRequest,
+        max_connections: int,
+        may_send_to: Callable[[Upstream], bool],
+    ) -> None:
+        """`may_send_to` returns whether a server may get a request now."""
         self.upstream = upstream
+        self._may_send_to = may_send_to
         self.was_sent = False
         # For how long the server had been leaving when the request was sent, or None.
         self.leaving_age_ms: int | None = None
@@ -84,6 +93,9 @@
         remaining_ms = self._remaining_ms()
         if remaining_ms <= 0:
             return Err(NoConnection("no time is left"))
+        # The server may have begun to leave while the connection was opened.
+        if not self._may_send_to(self.upstream):
+            return Err(NoConnection("the server is leaving"))
         request = self._request
         headers = request.server_headers(self.upstream.record.server_id, remaining_ms)
         head = RequestHead(request.head.method, request.head.target, headers)
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -151,7 +151,9 @@
         """
         max_connections = self._service.spec.max_connections // self._forwarder.node_count()
         self._upstream = upstream
-        self._attempt = Attempt(upstream, self._request, max(2, max_connections))
+        self._attempt = Attempt(
+            upstream, self._request, max(2, max_connections), self._service.may_send_to
+        )
         started_ms = self._clock.now_ms()
         result = await self._attempt.run()
         now_ms = self._clock.now_ms()
