--- a/nutmeglead/forwarding/tests/steps/attempts_steps.py
+++ b/nutmeglead/forwarding/tests/steps/attempts_steps.py
@@ -11,6 +11,7 @@
 from nutmeglead.forwarding.attempt import Attempt
 from nutmeglead.forwarding.model import Backend, RequestKind, Route
 from nutmeglead.forwarding.request import CallerRequest
+from nutmeglead.http.errors import PeerClosed
 from nutmeglead.http.messages import RequestHead
 
 
@@ -22,6 +23,7 @@
 
     async def send_request(self, head, body):
         self.sent.append(head)
+        raise PeerClosed("after the request")
 
 
 class LeavingUpstream:
@@ -33,6 +35,9 @@
         self.is_leaving = False
         self.connection = RecordingConnection()
 
+    def leaving_age_ms(self, now_ms):
+        return 0 if self.is_leaving else None
+
     async def acquire_connection(self, may_repeat, timeout_ms):
         self.is_leaving = True
         return Ok((self.connection, False))
