--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -23,6 +23,11 @@
         "the changed settings are invalid; the previous ones stay in force",
     )
     LISTEN_FAILED = (1005, logging.ERROR, "a port of the settings could not be bound")
+    EVENT_LOOP_STALLED = (
+        1008,
+        logging.WARNING,
+        "the event loop ran no timer for longer than the limit",
+    )
 
     ROLE_TAKEN = (2001, logging.INFO, "this node became the acting controller of a service")
     ROLE_LOST = (
@@ -82,6 +87,7 @@
     )
     MAP_COPIED = (4006, logging.INFO, "a range map was copied from a peer")
     TABLE_COPIED = (4005, logging.INFO, "a table of the store was copied from a peer")
+    PEER_FETCH_FAILED = (4007, logging.WARNING, "a copy could not be fetched from a peer")
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -122,9 +122,11 @@
 
     async def _fetch(self, table: str, watch: TableWatch, peer: Peer) -> None:
         path = f"{COPY_PATH}{table}{AFTER_QUERY}{watch.version}"
-        copy = await fetch_from_peer(self._fetcher, peer, path, TableCopy)
-        if copy is None:
+        started_ms = self._clock.now_ms()
+        fetched = await fetch_from_peer(self._fetcher, peer, path, TableCopy, self._clock)
+        if fetched is None:
             return
+        copy, duration_ms = fetched.message, self._clock.now_ms() - started_ms
         watch.apply_copy(copy)
         log_event(
             logger,
@@ -132,4 +134,6 @@
             table=table,
             peer=peer.node_id,
             version=copy.changed_version,
+            size_bytes=fetched.size_bytes,
+            duration_ms=duration_ms,
         )
--- a/nutmeglead/entry/map_copies.py
+++ b/nutmeglead/entry/map_copies.py
@@ -82,9 +82,11 @@
 
     async def _fetch(self, controller: RangeController, peer: Peer) -> None:
         path = MAP_PATH + controller.service
-        copy = await fetch_from_peer(self._fetcher, peer, path, MapCopy)
-        if copy is None:
+        started_ms = self._clock.now_ms()
+        fetched = await fetch_from_peer(self._fetcher, peer, path, MapCopy, self._clock)
+        if fetched is None:
             return
+        copy = fetched.message
         try:
             ranges = from_wire(copy.ranges)
         except (ValueError, IndexError) as error:
@@ -99,4 +101,6 @@
             peer=peer.node_id,
             map=ranges.version,
             step=copy.step,
+            size_bytes=fetched.size_bytes,
+            duration_ms=self._clock.now_ms() - started_ms,
         )
--- a/nutmeglead/entry/metrics.py
+++ b/nutmeglead/entry/metrics.py
@@ -131,6 +131,11 @@
         for name, help_text, value in (
             ("nutmeglead_store_silent_seconds", "Time without the store.", process.store_age_s),
             ("nutmeglead_manifest_version", "Manifest in force.", process.manifest_version),
+            (
+                "nutmeglead_event_loop_max_stall_seconds",
+                "Longest delay of a timer since the start.",
+                process.max_stall_s,
+            ),
             (
                 "nutmeglead_peers_alive",
                 "Entry VMs that are heard, with this one.",
--- a/nutmeglead/entry/operator_feed.py
+++ b/nutmeglead/entry/operator_feed.py
@@ -59,7 +59,7 @@
         return None
 
     def _on_manifest(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
-        apply_manifest_rows(self._process.forwarder, rows)
+        apply_manifest_rows(self._process.forwarder, self._process.clock, rows)
         self._process.start_controllers()
 
     def _on_servers(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -20,6 +20,7 @@
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.entry.copies import TICKET_STATUS_PATH, TableCopies
 from nutmeglead.entry.load_reports import LoadReports
+from nutmeglead.entry.loop_monitor import LoopMonitor
 from nutmeglead.entry.map_copies import MAP_PATH, MapCopies
 from nutmeglead.entry.metrics import MetricsServer
 from nutmeglead.entry.node_rows import NODES_TABLE, NodeRows
@@ -101,6 +102,7 @@
             settings.node_id, self.controllers, self.forwarder, self.peers, clock
         )
         self._metrics = MetricsServer(self, clock)
+        self._loop_monitor = LoopMonitor(clock)
         self.front_server = PipelineServer(self.forwarder.handle, self._caller_limits, clock)
         self.readiness_server = PipelineServer(self._answer_readiness, self._caller_limits, clock)
         self._node_rows = NodeRows(
@@ -161,6 +163,7 @@
         self._spawn(self._map_copies.run())
         self._spawn(self._node_rows.run())
         self._spawn(self.peers.run())
+        self._spawn(self._loop_monitor.run())
         self._spawn(self._run_housekeeping())
 
     async def stop(self) -> int:
@@ -335,6 +338,10 @@
         """Return `store_age_ms` in seconds."""
         return self.store_age_ms() / 1000
 
+    def max_stall_s(self) -> float:
+        """Return the longest delay of a timer since the start, in seconds."""
+        return self._loop_monitor.max_late_ms / 1000
+
     def manifest_version(self) -> int:
         """Return the version of the manifest in force, or 0 if there is none."""
         manifest = self.forwarder.manifest
--- a/nutmeglead/entry/tables.py
+++ b/nutmeglead/entry/tables.py
@@ -19,16 +19,24 @@
 logger = logging.getLogger(__name__)
 
 
-def apply_manifest_rows(forwarder: Forwarder, rows: StoreRows) -> None:
+def apply_manifest_rows(forwarder: Forwarder, clock: Clock, rows: StoreRows) -> None:
     """Apply the manifests among the rows; one that cannot be decoded is logged and ignored."""
     for row in rows.rows:
         if row.key != MANIFEST_KEY or row.part or row.value is None:
             continue
+        started_ms = clock.now_ms()
         decoded = decode_manifest(row.value)
+        now_ms = clock.now_ms()
         if isinstance(decoded, Err):
             log_event(logger, Event.MANIFEST_REFUSED, row=row.version, error=str(decoded.err_value))
         else:
-            forwarder.apply_manifest(decoded.ok_value)
+            forwarder.apply_manifest(
+                decoded.ok_value,
+                row=row.version,
+                size_bytes=len(row.value),
+                age_ms=_age_ms(row, now_ms),
+                decode_ms=now_ms - started_ms,
+            )
 
 
 def apply_server_rows(
@@ -86,6 +94,11 @@
         server=row.key,
         state=state,
         row=row.version,
-        age_ms=None if row.changed_ms is None else now_ms - row.changed_ms,
+        age_ms=_age_ms(row, now_ms),
         may_return=may_return,
     )
+
+
+def _age_ms(row: StoreRow, now_ms: int) -> int | None:
+    """Return the longest time since a row can have changed in ms, or None if it is not known."""
+    return None if row.changed_ms is None else now_ms - row.changed_ms
--- a/nutmeglead/entry/tests/observability.feature
+++ b/nutmeglead/entry/tests/observability.feature
@@ -29,3 +29,22 @@
       | nutmeglead_store_failures_total 0.0                      |
       | nutmeglead_leaving_server_requests_total{service="stock"} 0.0 |
       | nutmeglead_leaving_server_request_max_age_seconds{service="stock"} 0.0 |
+      | nutmeglead_event_loop_max_stall_seconds 0.0              |
+
+  Scenario: Logs distinguish why a manifest took effect late
+    # Guards against an incident in which a slow transfer, slow decoding and a stalled event loop look the same.
+    Given a settled cluster whose manifest changes, one node of which takes copies
+    Then that node has logged MANIFEST_APPLIED with row size_bytes age_ms decode_ms
+    And that node has logged TABLE_COPIED with size_bytes duration_ms
+
+  Scenario: A copy whose transfer is too slow tells how much of it had arrived
+    # Guards against taking a transfer that is too slow for a peer that does not answer.
+    Given a peer that sends 1000 bytes of a copy and then nothing more
+    When the copy is fetched
+    Then PEER_FETCH_FAILED is logged with more than 1000 received bytes
+
+  Scenario: A timer that runs late is logged
+    # Guards against taking a stalled event loop for silent peers.
+    Given an event loop monitor
+    When timers are 20, 149 and 150 ms late
+    Then EVENT_LOOP_STALLED is logged once, with 150 ms
--- a/nutmeglead/entry/tests/steps/observability_steps.py
+++ b/nutmeglead/entry/tests/steps/observability_steps.py
@@ -3,23 +3,40 @@
 import asyncio
 import logging
 import os
+from dataclasses import replace
 
 import prometheus_client.core
 from behave import given, then, when
 from prometheus_client import CollectorRegistry, generate_latest
 
+from nutmeglead._generated.peers.ttypes import NodeRow, TableCopy
+from nutmeglead.core.clock import ManualClock
 from nutmeglead.core.events import Event
 from nutmeglead.core.ids import ServiceName
 from nutmeglead.core.log_stream import NonBlockingStream
+from nutmeglead.emulator.network import HOST, EmulatedLoop
+from nutmeglead.emulator.virtual_time import run_virtual
+from nutmeglead.entry.loop_monitor import LoopMonitor
 from nutmeglead.entry.metrics import NodeCollector
-from nutmeglead.entry.tests.deployment import SERVICE, run_cluster
+from nutmeglead.entry.tests.deployment import MANIFEST, OPTIONS, SERVICE, run_cluster
 from nutmeglead.forwarding.model import Backend, RequestKind, Route
 from nutmeglead.forwarding.request import CallerRequest
 from nutmeglead.forwarding.request_log import RequestLog, RequestSummary
+from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.messages import RequestHead
+from nutmeglead.http.pipeline import PipelineServer
+from nutmeglead.peers.fetch import fetch_from_peer
+from nutmeglead.peers.membership import Peer
 
 STOCK = ServiceName("stock")
 SETTLE_S = 6
+# Until then, a node that takes copies may still have a feed call at the store from its start.
+FIRST_FEED_CALLS_S = 20
+# The third node of the only failure domain takes copies from the first two.
+ONE_COPYING_NODE = replace(OPTIONS, nodes=3, failure_domains=1)
+PEER_IP = "10.1.0.1"
+PEER_LIMITS = CallerLimits(16_384, 0, 3_000, 60_000)
 
 
 @given("a log pipe that nobody reads")
@@ -49,15 +66,31 @@
 
 
 class CollectingHandler(logging.Handler):
+    """Collect the events that are logged, with the address of the emulated host."""
+
     def __init__(self):
         super().__init__()
         self.lines = []
 
     def emit(self, record):
-        self.lines.append((record.event, record.fields))
+        if hasattr(record, "event"):
+            self.lines.append((HOST.get(), record.event, record.fields))
+
+    def fields_of(self, event, ip=None):
+        return [
+            fields for host, found, fields in self.lines if found is event and ip in (None, host)
+        ]
 
-    def fields_of(self, event):
-        return [fields for found, fields in self.lines if found is event]
+
+def collect(context, name):
+    """Return a handler that collects the events of a logger until the scenario ends."""
+    collected = CollectingHandler()
+    logger = logging.getLogger(name)
+    context.add_cleanup(logger.setLevel, logger.level)
+    context.add_cleanup(logger.removeHandler, collected)
+    logger.setLevel("INFO")
+    logger.addHandler(collected)
+    return collected
 
 
 def caller_request():
@@ -74,11 +107,7 @@
 @given("a request log on a clock that stands still")
 def step_log(context):
     context.log = RequestLog()
-    context.collected = CollectingHandler()
-    logger = logging.getLogger("nutmeglead.forwarding.request_log")
-    logger.setLevel("INFO")
-    logger.addHandler(context.collected)
-    context.add_cleanup(logger.removeHandler, context.collected)
+    context.collected = collect(context, "nutmeglead.forwarding.request_log")
 
 
 @when("{failed:d} requests fail and {answered:d} are answered")
@@ -130,3 +159,77 @@
     lines = context.metrics.splitlines()
     for row in context.table:
         assert row["line"] in lines, (row["line"], context.metrics)
+
+
+@given("a settled cluster whose manifest changes, one node of which takes copies")
+def step_manifest_changes(context):
+    context.collected = collect(context, "nutmeglead")
+
+    async def run(cluster):
+        await asyncio.sleep(FIRST_FEED_CALLS_S)
+        copying = next(
+            node_id
+            for node_id, process in cluster.nodes.items()
+            if not process.membership.is_hub(cluster.clock.now_ms())
+        )
+        cluster.put_manifest(replace(MANIFEST, version=2))
+        await asyncio.sleep(2)
+        return cluster.node_ip(copying)
+
+    context.copying_ip = run_cluster(42, run, ONE_COPYING_NODE)
+
+
+@then("that node has logged {event} with {names}")
+def step_logged_fields(context, event, names):
+
+    fields = context.collected.fields_of(Event[event], context.copying_ip)[-1]
+    assert all(isinstance(fields[name], int) for name in names.split()), fields
+
+
+@given("a peer that sends {size:d} bytes of a copy and then nothing more")
+def step_stuck_peer(context, size):
+    async def send_part(exchange):
+        await exchange.start_response(200, [(b"content-length", b"%d" % (2 * size))])
+        await exchange.send_body(b"x" * size)
+        await asyncio.sleep(60)
+
+    context.stuck_handler = send_part
+
+
+@when("the copy is fetched")
+def step_fetch_copy(context):
+    context.collected = collect(context, "nutmeglead.peers.fetch")
+
+    async def run(clock):
+        HOST.set(PEER_IP)
+        server = PipelineServer(context.stuck_handler, lambda: PEER_LIMITS, clock)
+        await server.start(PEER_IP, 80)
+        HOST.set("10.1.0.2")
+        peer = Peer("peer", NodeRow(PEER_IP, 80, 1, "zone-0", 1.0), 0)
+        return await fetch_from_peer(HttpFetcher(), peer, "/copies/op", TableCopy, clock)
+
+    assert run_virtual(run, EmulatedLoop(1)) is None
+
+
+@then("PEER_FETCH_FAILED is logged with more than {size:d} received bytes")
+def step_fetch_failed(context, size):
+    (fields,) = context.collected.fields_of(Event.PEER_FETCH_FAILED)
+    assert fields["received_bytes"] > size, fields
+
+
+@given("an event loop monitor")
+def step_monitor(context):
+    context.collected = collect(context, "nutmeglead.entry.loop_monitor")
+    context.monitor = LoopMonitor(ManualClock())
+
+
+@when("timers are {first_ms:d}, {second_ms:d} and {third_ms:d} ms late")
+def step_late(context, first_ms, second_ms, third_ms):
+    for late_ms in (first_ms, second_ms, third_ms):
+        context.monitor.record(late_ms)
+
+
+@then("EVENT_LOOP_STALLED is logged once, with {late_ms:d} ms")
+def step_stalled(context, late_ms):
+    assert context.collected.fields_of(Event.EVENT_LOOP_STALLED) == [{"late_ms": late_ms}]
+    assert context.monitor.max_late_ms == late_ms
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -90,9 +90,11 @@
         """Return the manifest in force, or None before the first one."""
         return None if self._route_table is None else self._route_table.manifest
 
-    def apply_manifest(self, manifest: Manifest) -> bool:
+    def apply_manifest(self, manifest: Manifest, **log_fields: object) -> bool:
         """Put a manifest in force and return True, or return False if it is not newer.
 
+        `log_fields` are further fields of the log line that says so.
+
         Requests already in progress keep the manifest under which they began.
         """
         if self._route_table is not None and manifest.version <= self._route_table.manifest.version:
@@ -109,6 +111,7 @@
             version=manifest.version,
             routes=len(manifest.routes),
             services=len(manifest.services),
+            **log_fields,
         )
         return True
 
--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.bytes_written = 0
+        self.bytes_received = 0
         # Set once the peer has ended its stream or the connection is lost.
         self.peer_closed = asyncio.Event()
         # Called once when `peer_closed` is set; costs less per request than a task that waits.
@@ -41,6 +42,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes; pause reading while more than `MAX_UNREAD_BYTES` are unread."""
+        self.bytes_received += len(data)
         self._buffer += data
         if len(self._buffer) > MAX_UNREAD_BYTES and self.transport and not self._reading_paused:
             self.transport.pause_reading()
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -223,12 +223,14 @@
                 return opened
             connection = opened.ok_value
         finished = False
+        received_before = connection.channel.bytes_received
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 response = await self._exchange(connection, ip, head, body)
             finished = True
         except TimeoutError:
-            return Err(TimedOut("waiting for the response", timeout_ms))
+            received_bytes = connection.channel.bytes_received - received_before
+            return Err(TimedOut("waiting for the response", timeout_ms, received_bytes))
         except HttpError as error:
             return Err(error)
         finally:
--- a/nutmeglead/http/errors.py
+++ b/nutmeglead/http/errors.py
@@ -49,6 +49,10 @@
 
     stage: str
     timeout_ms: int
+    received_bytes: int = 0
 
     def __str__(self) -> str:
-        return f"no progress {self.stage} within {self.timeout_ms} ms"
+        return (
+            f"not complete {self.stage} within {self.timeout_ms} ms,"
+            f" {self.received_bytes} bytes received"
+        )
--- a/nutmeglead/peers/fetch.py
+++ b/nutmeglead/peers/fetch.py
@@ -1,20 +1,21 @@
 """Fetch Thrift structs from entry VMs over HTTP."""
 
 import logging
-from typing import TypeVar
+from typing import Generic, NamedTuple, TypeVar
 
 from result import Err, Result
 
 from nutmeglead._generated.peers.ttypes import NodeRow
+from nutmeglead.core.clock import Clock
 from nutmeglead.core.codec import decode
 from nutmeglead.core.errors import CodecError
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.errors import HttpError
+from nutmeglead.http.errors import HttpError, TimedOut
 from nutmeglead.http.messages import RequestHead
 from nutmeglead.peers.membership import Peer
 
-__all__ = ["fetch_from_peer", "fetch_struct"]
+__all__ = ["Fetched", "fetch_from_peer", "fetch_struct"]
 
 logger = logging.getLogger(__name__)
 
@@ -23,9 +24,16 @@
 PEER_TIMEOUT_MS = 1_000
 
 
+class Fetched(NamedTuple, Generic[T]):
+    """A struct that a peer has sent, with the size of the response body."""
+
+    message: T
+    size_bytes: int
+
+
 async def fetch_struct(
     fetcher: HttpFetcher, row: NodeRow, path: str, struct: type[T], timeout_ms: int
-) -> Result[T, HttpError | CodecError]:
+) -> Result[Fetched[T], HttpError | CodecError]:
     """Return the struct that an entry VM serves at a path, or why the fetch failed."""
     head = RequestHead(b"GET", path.encode())
     fetched = await fetcher.fetch(row.ip, row.peer_port, head, b"", timeout_ms)
@@ -36,17 +44,28 @@
         return Err(
             CodecError(struct.__name__, f"GET {path} was answered with status {response.status}")
         )
-    return decode(struct, body)
+    return decode(struct, body).map(lambda message: Fetched(message, len(body)))
 
 
-async def fetch_from_peer(fetcher: HttpFetcher, peer: Peer, path: str, struct: type[T]) -> T | None:
+async def fetch_from_peer(
+    fetcher: HttpFetcher, peer: Peer, path: str, struct: type[T], clock: Clock
+) -> Fetched[T] | None:
     """Return the struct that a peer serves at a path, or None after logging the error."""
+    started_ms = clock.now_ms()
     fetched = await fetch_struct(fetcher, peer.row, path, struct, PEER_TIMEOUT_MS)
     if not isinstance(fetched, Err):
         return fetched.ok_value
     error = fetched.err_value
     if isinstance(error, CodecError):
         log_event(logger, Event.MESSAGE_REFUSED, sender=peer.node_id, error=str(error))
-    else:
-        logger.info("could not fetch %s from peer %s: %s", path, peer.node_id, error)
+        return None
+    log_event(
+        logger,
+        Event.PEER_FETCH_FAILED,
+        path=path,
+        peer=peer.node_id,
+        duration_ms=clock.now_ms() - started_ms,
+        received_bytes=error.received_bytes if isinstance(error, TimedOut) else None,
+        error=str(error),
+    )
     return None
--- a/nutmeglead/peers/service.py
+++ b/nutmeglead/peers/service.py
@@ -172,10 +172,13 @@
 
     async def run(self) -> None:
         """Send heartbeats and log changes of liveness at each interval, until cancelled."""
+        late_ms = 0
         while True:
             self.send_heartbeats()
-            self._log_liveness_changes()
+            self._log_liveness_changes(late_ms)
+            due_ms = self._clock.now_ms() + HEARTBEAT_INTERVAL_MS
             await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
+            late_ms = self._clock.now_ms() - due_ms
 
     def send_heartbeats(self) -> None:
         """Send this interval's heartbeats, whose scope depends on the receiver.
@@ -323,12 +326,14 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, (row.ip, row.peer_port))
 
-    def _log_liveness_changes(self) -> None:
+    def _log_liveness_changes(self, late_ms: int) -> None:
+        # A peer may seem silent because this node did not run; `late_ms` tells by how much this
+        # interval was late.
         alive = set(self.membership.alive_ids(self._clock.now_ms()))
         for node_id in alive - self._alive_ids - {self.membership.own_id}:
             log_event(logger, Event.PEER_SEEN, peer=node_id)
         for node_id in self._alive_ids - alive:
-            log_event(logger, Event.PEER_SILENT, peer=node_id)
+            log_event(logger, Event.PEER_SILENT, peer=node_id, late_ms=late_ms)
         self._alive_ids = alive
 
     def close(self) -> None:
--- a/nutmeglead/programs/connect.py
+++ b/nutmeglead/programs/connect.py
@@ -49,7 +49,8 @@
     async def status(self, row: NodeRow) -> Result[TicketStatus, NutmegleadError]:
         """Return the number of the ticket that an entry VM follows, and what is still missing."""
         path, timeout_ms = TICKET_STATUS_PATH, STATUS_TIMEOUT_MS
-        return await fetch_struct(self.fetcher, row, path, TicketStatus, timeout_ms)
+        fetched = await fetch_struct(self.fetcher, row, path, TicketStatus, timeout_ms)
+        return fetched.map(lambda found: found.message)
 
 
 @dataclass(frozen=True)
