--- a/nutmeglead/emulator/network.py
+++ b/nutmeglead/emulator/network.py
@@ -12,8 +12,10 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
+from nutmeglead.emulator.links import SEGMENT_BYTES, Links
 from nutmeglead.emulator.virtual_time import VirtualLoop
 
 __all__ = ["HOST", "EmulatedLoop", "Network"]
@@ -25,6 +27,8 @@
 WINDOW_BYTES = 262_144
 # A connect that a fault blocks sleeps for this time, so that the caller's own timeout ends it.
 FOREVER_S = 86_400.0
+# Least time between two arrivals on a stream.
+ORDER_STEP_S = 1e-6
 
 Address = tuple[str, int]
 
@@ -37,6 +41,7 @@
         self.listeners: dict[Address, _Listener] = {}
         self.endpoints: dict[Address, _Endpoint] = {}
         self.streams: set[_Stream] = set()
+        self.links = Links()
         self.one_way_ms: Callable[[str, str], float] = lambda sender, receiver: 0.25
         # Hosts whose traffic is blocked, and blocked (sender, receiver) pairs.
         self.isolated: set[str] = set()
@@ -62,7 +67,7 @@
         """Transmit held-back data after a fault has ended; what is still blocked is held again."""
         held, self._held_back = self._held_back, []
         for stream, deliver in held:
-            stream.transmit(deliver)
+            stream.deliver_at(self.loop.time(), deliver)
 
     def hold_back(self, stream: _Stream, deliver: Callable[[], None]) -> None:
         """Hold a delivery of a stream back until `deliver_held` is called."""
@@ -85,8 +90,11 @@
         """Deliver a datagram after the delay, or drop it if it is blocked or drawn as lost."""
         if self.is_blocked(sender[0], receiver[0]) or self._rng.random() < self.datagram_loss:
             return
-        delay_s = self.delay_s(sender[0], receiver[0])
-        self.loop.call_later(delay_s, self._deliver_datagram, data, sender, receiver)
+        hosts, now_s = (sender[0], receiver[0]), self.loop.time()
+        if self.links.is_full(*hosts, now_s):
+            return
+        at_s = self.links.reserve(*hosts, len(data), now_s) + self.delay_s(*hosts)
+        self.loop.call_at(at_s, self._deliver_datagram, data, sender, receiver)
 
     def _deliver_datagram(self, data: bytes, sender: Address, receiver: Address) -> None:
         endpoint = self.endpoints.get(receiver)
@@ -109,6 +117,8 @@
         self._is_closing = False
         self._is_disconnected = False
         self._is_paused = False
+        # Data that waits for a link of limited rate, with its size.
+        self._unsent: deque[tuple[int, Callable[[], None]]] = deque()
         self._unread: deque[bytes] = deque()
         self._unread_bytes = 0
         # Bytes that the peer has written and that have not arrived here.
@@ -141,7 +151,11 @@
             return
         peer, chunk = self._connected_peer(), bytes(data)
         peer._in_flight_bytes += len(chunk)
-        self.transmit(lambda: peer._receive(chunk))
+        is_limited = self._network.links.is_limited(self.ip, self.peer_ip)
+        step_bytes = SEGMENT_BYTES if is_limited else len(chunk)
+        for start in range(0, len(chunk), step_bytes):
+            segment = chunk[start : start + step_bytes]
+            self.transmit(partial(peer._receive, segment), len(segment))
         if peer._in_flight_bytes + peer._unread_bytes > WINDOW_BYTES and not peer._is_peer_paused:
             peer._is_peer_paused = True
             self.protocol.pause_writing()
@@ -163,17 +177,42 @@
         if self._is_disconnected:
             return
         self._is_closing = True
+        self._discard_unsent()
         self.transmit(self._connected_peer()._receive_reset)
         self._network.loop.call_soon(self._disconnect, None, context=self.context)
 
     # ---- transmission to the peer ----
 
-    def transmit(self, deliver: Callable[[], None]) -> None:
-        """Call `deliver` in order of transmission, after the delay and once no fault blocks it."""
-        loop = self._network.loop
-        at_s = loop.time() + self._network.delay_s(self.ip, self.peer_ip)
-        self._last_arrival_s = max(self._last_arrival_s, at_s)
-        loop.call_at(
+    def transmit(self, deliver: Callable[[], None], size_bytes: int = 0) -> None:
+        """Call `deliver` in order of transmission, after the delay and once no fault blocks it.
+
+        Over a link of limited rate, data is sent once what this stream sent before has arrived.
+        """
+        if not self._network.links.is_limited(self.ip, self.peer_ip):
+            self.deliver_at(self._network.loop.time(), deliver)
+            return
+        self._unsent.append((size_bytes, deliver))
+        if len(self._unsent) == 1:
+            self._send_next()
+
+    def _send_next(self) -> None:
+        size_bytes, deliver = self._unsent[0]
+        now_s = self._network.loop.time()
+        sent_s = self._network.links.reserve(self.ip, self.peer_ip, size_bytes, now_s)
+        self.deliver_at(sent_s, partial(self._deliver_and_send_next, deliver))
+
+    def _deliver_and_send_next(self, deliver: Callable[[], None]) -> None:
+        deliver()
+        self._unsent.popleft()
+        if self._unsent:
+            self._send_next()
+
+    def deliver_at(self, sent_s: float, deliver: Callable[[], None]) -> None:
+        """Call `deliver` when what was sent at a time arrives, once no fault blocks it."""
+        at_s = sent_s + self._network.delay_s(self.ip, self.peer_ip)
+        # The loop does not keep the order of timers with the same time.
+        self._last_arrival_s = max(self._last_arrival_s + ORDER_STEP_S, at_s)
+        self._network.loop.call_at(
             self._last_arrival_s, self._deliver, deliver, context=self._connected_peer().context
         )
 
@@ -220,8 +259,14 @@
         if not self._is_closing:
             self._receive_eof()
 
+    def _discard_unsent(self) -> None:
+        # The first segment is on its way already.
+        while len(self._unsent) > 1:
+            self._unsent.pop()
+
     def _receive_reset(self) -> None:
         self._is_closing = True
+        self._discard_unsent()
         self._disconnect(ConnectionResetError("Connection reset by peer"))
 
     def _disconnect(self, error: Exception | None) -> None:
--- /dev/null
+++ b/nutmeglead/entry/tests/steps/manifests_steps.py
@@ -0,0 +1,57 @@
+"""Steps that check when each node has a large manifest in force."""
+
+import logging
+
+from behave import given, then, when
+
+from nutmeglead.entry.tests import manifests
+from nutmeglead.entry.tests.manifests import LogCollector, ManifestRun, copy_sizes, silent_peers
+
+TROUBLES = {
+    "one route changes": manifests.one_route_changes,
+    "1400 routes are added": manifests.routes_are_added,
+    "one route changes each 330 ms for 4 s": manifests.one_route_changes_often,
+    "one route changes and a node starts again": manifests.one_route_changes_as_a_node_starts,
+    "one route changes as a hub of each domain is killed": (
+        manifests.one_route_changes_as_hubs_are_killed
+    ),
+    "one route changes as a hub of each domain is cut off": (
+        manifests.one_route_changes_as_hubs_are_cut_off
+    ),
+    "one route changes as copies of other tables hang": (
+        manifests.one_route_changes_as_other_copies_hang
+    ),
+}
+
+
+@given("a settled cluster of eight nodes with a large manifest and seed {seed:d}")
+def step_cluster(context, seed):
+    collector = LogCollector()
+    logger = logging.getLogger("nutmeglead")
+    context.add_cleanup(logger.setLevel, logger.level)
+    context.add_cleanup(logger.removeHandler, collector)
+    logger.setLevel("INFO")
+    logger.addHandler(collector)
+    context.run = ManifestRun(seed, collector)
+
+
+@when("it happens that {trouble}")
+def step_trouble(context, trouble):
+    context.run.run(TROUBLES[trouble])
+
+
+@then("every calm node has each version in force within {bound_ms:d} ms")
+def step_in_force(context, bound_ms):
+    late = {v: at_ms for v, at_ms in context.run.latest_ms.items() if at_ms > bound_ms}
+    assert context.run.acknowledged_ms and not late, late
+
+
+@then("no calm node takes another one for silent")
+def step_not_silent(context):
+    assert not silent_peers(context.run), silent_peers(context.run)
+
+
+@then("no copy of the manifest to a calm node is larger than {limit_bytes:d} bytes")
+def step_copy_sizes(context, limit_bytes):
+    sizes = copy_sizes(context.run)
+    assert sizes and max(sizes) <= limit_bytes, sizes
--- a/nutmeglead/peers/service.py
+++ b/nutmeglead/peers/service.py
@@ -160,10 +160,10 @@
         # nodes that they serve.
         now_ms = self._clock.now_ms()
         if self.membership.is_hub(now_ms):
-            self._send_datagram_to(data, self._served_ids(now_ms) - {NodeId(delta.node_id)})
+            self._send_datagram_to(data, self.served_ids(now_ms) - {NodeId(delta.node_id)})
 
-    def _served_ids(self, now_ms: int) -> set[NodeId]:
-        # Nodes whose newest heartbeat asked this hub for heartbeats of all nodes.
+    def served_ids(self, now_ms: int) -> set[NodeId]:
+        """Return the nodes whose newest heartbeat asked this hub for heartbeats of all nodes."""
         return {
             n for n, at_ms in self._served_heard_ms.items() if now_ms - at_ms <= SILENT_AFTER_MS
         }
@@ -210,7 +210,7 @@
         hubs = set(membership.hub_ids(now_ms))
         witnesses = handler.witnesses()
         is_hub = membership.own_id in hubs
-        served = self._served_ids(now_ms)
+        served = self.served_ids(now_ms)
         if is_hub:
             self._send_group_heartbeat(
                 heartbeat, (hubs | witnesses) - served, served, own_in_flight, now_ms
@@ -307,7 +307,7 @@
             return
         now_ms = self._clock.now_ms()
         hubs = set(self.membership.hub_ids(now_ms))
-        self._send_datagram_to(data, hubs | self._handler.witnesses() | self._served_ids(now_ms))
+        self._send_datagram_to(data, hubs | self._handler.witnesses() | self.served_ids(now_ms))
 
     def send_report(self, report: LoadReport | OrderReport, to: NodeId) -> None:
         """Send a load or order report to a peer; without a row of the peer it is dropped."""
