--- a/nutmeglead/emulator/network.py
+++ b/nutmeglead/emulator/network.py
@@ -2,7 +2,7 @@
 
 A task belongs to the host whose address is in `HOST` when the task is created; its child tasks
 inherit the address. Bytes that a fault holds back are delivered when the fault ends, as TCP
-retransmissions are; datagrams are lost.
+retransmissions are, unless their sender has reset the connection; datagrams are lost.
 """
 
 from __future__ import annotations
@@ -73,6 +73,10 @@
         """Hold a delivery of a stream back until `deliver_held` is called."""
         self._held_back.append((stream, deliver))
 
+    def drop_held(self, stream: _Stream) -> None:
+        """Drop the held-back data of a stream, as a reset by its sender does."""
+        self._held_back = [held for held in self._held_back if held[0] is not stream]
+
     def close_host(self, ip: str) -> None:
         """Close the ports of a host whose process ended, and reset its connections."""
         for address in [address for address in self.listeners if address[0] == ip]:
@@ -178,6 +182,7 @@
             return
         self._is_closing = True
         self._discard_unsent()
+        self._network.drop_held(self)
         self.transmit(self._connected_peer()._receive_reset)
         self._network.loop.call_soon(self._disconnect, None, context=self.context)
 
