--- a/nutmeglead/emulator/rows.py
+++ b/nutmeglead/emulator/rows.py
@@ -188,7 +188,13 @@
         self._rows = rows
 
     async def fetch(
-        self, ip: str, port: int, head: RequestHead, body: bytes, timeout_ms: int
+        self,
+        ip: str,
+        port: int,
+        head: RequestHead,
+        body: bytes,
+        timeout_ms: int,
+        total_timeout_ms: int | None = None,
     ) -> Result[tuple[ResponseHead, bytes], HttpError]:
         """Return the store's response, a 503, or a timeout error, depending on the fault."""
         fault = self.fault
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client: single connections and a fetcher that keeps idle ones for reuse."""
 
 import asyncio
+from collections.abc import Callable
 
 import h11
 from result import Err, Ok, Result
@@ -196,6 +197,17 @@
     return Ok(ClientConnection(channel))
 
 
+def _extension(
+    limit: asyncio.Timeout, timeout_ms: int, total_timeout_ms: int | None
+) -> Callable[[], None]:
+    """Return a function that restarts a timeout, up to a total; without a total it does nothing."""
+    if total_timeout_ms is None:
+        return lambda: None
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + total_timeout_ms / 1000
+    return lambda: limit.reschedule(min(end_s, loop.time() + timeout_ms / 1000))
+
+
 class HttpFetcher:
     """Client that reads whole responses into memory and reuses a few idle connections per address.
 
@@ -209,12 +221,20 @@
         self._max_body_bytes = max_body_bytes
 
     async def fetch(
-        self, ip: str, port: int, head: RequestHead, body: bytes, timeout_ms: int
+        self,
+        ip: str,
+        port: int,
+        head: RequestHead,
+        body: bytes,
+        timeout_ms: int,
+        total_timeout_ms: int | None = None,
     ) -> Result[tuple[ResponseHead, bytes], HttpError]:
         """Send a request and return the head and the whole body of its response, or the error.
 
         Adds the `host` and `content-length` headers. `timeout_ms` limits connecting and the
-        exchange separately, and connecting takes at most `CONNECT_TIMEOUT_MS`.
+        exchange separately, and connecting takes at most `CONNECT_TIMEOUT_MS`. With
+        `total_timeout_ms`, this limits the exchange, and `timeout_ms` each wait for more of the
+        response.
         """
         connection = self._pop_idle(ip, port)
         if connection is None:
@@ -225,8 +245,9 @@
         finished = False
         received_before = connection.channel.bytes_received
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                response = await self._exchange(connection, ip, head, body)
+            async with asyncio.timeout(timeout_ms / 1000) as limit:
+                on_progress = _extension(limit, timeout_ms, total_timeout_ms)
+                response = await self._exchange(connection, ip, head, body, on_progress)
             finished = True
         except TimeoutError:
             received_bytes = connection.channel.bytes_received - received_before
@@ -267,9 +288,17 @@
             connection.abort()
 
     async def _exchange(
-        self, connection: ClientConnection, ip: str, head: RequestHead, body: bytes
+        self,
+        connection: ClientConnection,
+        ip: str,
+        head: RequestHead,
+        body: bytes,
+        on_progress: Callable[[], None],
     ) -> tuple[ResponseHead, bytes]:
-        """Send the request and read the response, of at most `max_body_bytes`."""
+        """Send the request and read the response, of at most `max_body_bytes`.
+
+        `on_progress` is called for each part of the response that arrives.
+        """
         framing = [(b"host", ip.encode()), (b"content-length", str(len(body)).encode())]
         full_head = RequestHead(head.method, head.target, framing + head.headers)
         await connection.send_request(full_head, body)
@@ -277,6 +306,7 @@
         received = bytearray()
         while data := await connection.read_body():
             received += data
+            on_progress()
             if len(received) > self._max_body_bytes:
                 raise MalformedMessage(f"the body exceeds {self._max_body_bytes} bytes", 502)
         return response_head, bytes(received)
--- a/nutmeglead/peers/fetch.py
+++ b/nutmeglead/peers/fetch.py
@@ -22,7 +22,10 @@
 
 T = TypeVar("T")
 
+# A peer that sends nothing for this time is lost or cut off.
 PEER_TIMEOUT_MS = 1_000
+# Limit for a peer that goes on sending.
+PEER_TOTAL_TIMEOUT_MS = 10_000
 # Value of the accept-encoding and content-encoding headers between entry VMs.
 COMPRESSED_ENCODING = b"zstd"
 
@@ -37,9 +40,14 @@
 async def fetch_struct(
     fetcher: HttpFetcher, row: NodeRow, path: str, struct: type[T], timeout_ms: int
 ) -> Result[Fetched[T], HttpError | CodecError]:
-    """Return the struct that an entry VM serves at a path, or why the fetch failed."""
+    """Return the struct that an entry VM serves at a path, or why the fetch failed.
+
+    `timeout_ms` limits the time for which nothing arrives.
+    """
     head = RequestHead(b"GET", path.encode(), [(b"accept-encoding", COMPRESSED_ENCODING)])
-    fetched = await fetcher.fetch(row.ip, row.peer_port, head, b"", timeout_ms)
+    fetched = await fetcher.fetch(
+        row.ip, row.peer_port, head, b"", timeout_ms, PEER_TOTAL_TIMEOUT_MS
+    )
     if isinstance(fetched, Err):
         return fetched
     response, body = fetched.ok_value
