--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -9,6 +9,7 @@
 from nutmeglead.core.codec import encode
 from nutmeglead.core.compression import compress
 from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.ids import NodeId
 from nutmeglead.entry.watch import TableWatch
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.http.client import HttpFetcher
@@ -32,6 +33,8 @@
 CHECK_INTERVAL_MS = 100
 # While the store answers this node, its own feed delivers a change within this time.
 MAX_FEED_DELAY_MS = 500
+# After a failed fetch, other peers are preferred; a lost one is noticed within this time.
+FAILED_PEER_PENALTY_MS = 1_000
 
 
 class TableCopies:
@@ -54,6 +57,8 @@
         self._settings = settings
         self._other_paths = other_paths
         self._behind_since_ms: dict[str, int] = {}
+        # When the last fetch from a peer failed.
+        self._failed_ms: dict[NodeId, int] = {}
         limits = ClientLimits()
         caller_limits = CallerLimits(
             limits.head_size_bytes, 0, limits.head_timeout_ms, limits.idle_timeout_ms
@@ -94,13 +99,17 @@
 
     async def run(self) -> None:
         """Check for newer tables at each interval and fetch them, until cancelled."""
+        await asyncio.gather(*(self._run_table(watch) for watch in self._watches.values()))
+
+    async def _run_table(self, watch: TableWatch) -> None:
+        # Each table has a loop of its own, so that none waits for the copy of another one.
+        table = watch.table
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
-            for table, watch in self._watches.items():
-                watch.confirm_by_peers(self._peer_versions(table))
-                peer = self._find_newer_peer(table, watch)
-                if peer is not None:
-                    await self._fetch(table, watch, peer)
+            watch.confirm_by_peers(self._peer_versions(table))
+            peer = self._find_newer_peer(table, watch)
+            if peer is not None:
+                await self._fetch(table, watch, peer)
 
     def _peer_versions(self, table: str) -> Iterator[tuple[int, int]]:
         """Yield the newest and the unconfirmed version of a table at each peer that is heard."""
@@ -113,31 +122,55 @@
             yield heartbeat.table_versions.get(table, 0), unconfirmed.get(table, 0)
 
     def _find_newer_peer(self, table: str, watch: TableWatch) -> Peer | None:
-        """Return the peer with the newest rows, once the own feed is late or if there is none."""
+        """Return the peer to copy newer rows from, once the own feed is late or if there is none.
+
+        The newest rows count first, and then the own failure domain.
+        """
         now_ms = self._clock.now_ms()
-        newest: Peer | None = None
-        version = watch.changed_version
-        for peer in self._membership:
-            if peer.heartbeat is None or not self._membership.is_alive(peer.node_id, now_ms):
-                continue
-            reported = peer.heartbeat.table_versions.get(table, 0)
-            if reported > version:
-                newest, version = peer, reported
-        if newest is None:
+        newer = [
+            (-reported, peer.row.failure_domain != self._settings.failure_domain, peer.node_id)
+            for peer in self._membership
+            if peer.heartbeat is not None
+            and self._membership.is_alive(peer.node_id, now_ms)
+            and (reported := peer.heartbeat.table_versions.get(table, 0)) > watch.changed_version
+        ]
+        if not newer:
             self._behind_since_ms.pop(table, None)
             return None
         since_ms = self._behind_since_ms.setdefault(table, now_ms)
         delay_ms = MAX_FEED_DELAY_MS if watch.follows_store() else 0
-        return newest if now_ms - since_ms >= delay_ms else None
+        if now_ms - since_ms < delay_ms:
+            return None
+        return self._membership.get(self._choose([entry[-1] for entry in sorted(newer)], now_ms))
+
+    def _choose(self, newer: list[NodeId], now_ms: int) -> NodeId:
+        """Return the first peer that has not failed lately, or the first of those with newer rows.
+
+        A node hears one hub. The other hubs of its failure domain, whose versions it does not know,
+        are asked after that one has failed.
+        """
+        hubs = [
+            hub
+            for hub in self._membership.own_hub_ids(now_ms)
+            if self._membership.is_alive(hub, now_ms)
+        ]
+        for node_id in [*newer, *hubs]:
+            failed_ms = self._failed_ms.get(node_id)
+            if failed_ms is None or now_ms - failed_ms > FAILED_PEER_PENALTY_MS:
+                return node_id
+        return newer[0]
 
     async def _fetch(self, table: str, watch: TableWatch, peer: Peer) -> None:
         path = f"{COPY_PATH}{table}{AFTER_QUERY}{watch.copy_after}"
         started_ms = self._clock.now_ms()
         fetched = await fetch_from_peer(self._fetcher, peer, path, TableCopy, self._clock)
         if fetched is None:
+            self._failed_ms[peer.node_id] = self._clock.now_ms()
             return
+        self._failed_ms.pop(peer.node_id, None)
         copy, duration_ms = fetched.message, self._clock.now_ms() - started_ms
-        watch.apply_copy(copy)
+        if not watch.apply_copy(copy):
+            return
         log_event(
             logger,
             Event.TABLE_COPIED,
--- a/nutmeglead/entry/tests/manifests.feature
+++ b/nutmeglead/entry/tests/manifests.feature
@@ -18,6 +18,7 @@
       | 2    | 1400 routes are added                              | a transfer that takes longer than its time limit begins again    |
       | 3    | one route changes each 330 ms for 4 s              | copies fill the links, and nodes stay several versions behind    |
       | 7    | one route changes as copies of other tables hang   | the copy of another table goes first and takes its time limit    |
+      | 8    | one route changes as a hub of each domain sends no copies | a node asks the same failing peer again and again         |
 
   # Without a hub, the nodes that it served are not reported until they have found another one.
   Scenario Outline: A large manifest changes while nodes are lost: <trouble>
--- a/nutmeglead/entry/tests/manifests.py
+++ b/nutmeglead/entry/tests/manifests.py
@@ -8,7 +8,9 @@
 from nutmeglead.core.events import Event
 from nutmeglead.core.ids import NodeId
 from nutmeglead.emulator.network import HOST
+from nutmeglead.entry.node_rows import NODES_TABLE
 from nutmeglead.entry.tests.deployment import MANIFEST, OPTIONS, ROUTE, run_cluster
+from nutmeglead.platform.wire import MANIFEST_TABLE, SERVERS_TABLE
 
 # Until then, nodes that take copies may still have a feed call at the store from their start.
 SETTLE_S = 20
@@ -17,7 +19,6 @@
 FREE_LINK_BYTES_PER_S = 500_000
 OBSERVED_S = 6
 SAMPLE_S = 0.02
-OPERATOR_TABLE = "op"
 # After this time each hub has read a change and named it in a heartbeat.
 NAMED_S = 0.2
 # A node counts as calm again this long after its start.
@@ -169,19 +170,29 @@
 
 async def one_route_changes_as_other_copies_hang(run):
     for hub in HUBS:
-        hang_copies_of(run.cluster.nodes[hub], "servers")
+        for table in (SERVERS_TABLE, NODES_TABLE):
+            hang_copies_of(run.cluster.nodes[hub], table)
     run.cluster.write_entry(next(iter(run.cluster.servers)))
+    row = run.cluster.rows.get(NODES_TABLE, HUBS[0])
+    run.cluster.rows.put(NODES_TABLE, HUBS[0], row.value)
     await asyncio.sleep(NAMED_S)
     run.change_a_route()
 
 
+async def one_route_changes_as_hubs_send_no_copies(run):
+    # The nodes of a domain hear both hubs, and ask the first one for copies.
+    for hub in HUBS[:2]:
+        hang_copies_of(run.cluster.nodes[hub], MANIFEST_TABLE)
+    run.change_a_route()
+
+
 def hang_copies_of(process, table):
     """Let an entry VM leave requests for copies of a table unanswered."""
     server = process._table_copies._server
     answer = server.handler
 
     async def answer_or_hang(exchange):
-        if table in exchange.head.target.decode():
+        if f"/{table}?" in exchange.head.target.decode():
             await asyncio.sleep(OBSERVED_S)
         await answer(exchange)
 
@@ -190,7 +201,7 @@
 
 def copy_sizes(run):
     copies = run.collector.fields_of(Event.TABLE_COPIED, run.calm_ips)
-    return [fields["size_bytes"] for fields in copies if fields["table"] == OPERATOR_TABLE]
+    return [fields["size_bytes"] for fields in copies if fields["table"] == MANIFEST_TABLE]
 
 
 def silent_peers(run):
--- a/nutmeglead/entry/tests/steps/manifests_steps.py
+++ b/nutmeglead/entry/tests/steps/manifests_steps.py
@@ -18,6 +18,9 @@
     "one route changes as a hub of each domain is cut off": (
         manifests.one_route_changes_as_hubs_are_cut_off
     ),
+    "one route changes as a hub of each domain sends no copies": (
+        manifests.one_route_changes_as_hubs_send_no_copies
+    ),
     "one route changes as copies of other tables hang": (
         manifests.one_route_changes_as_other_copies_hang
     ),
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -148,20 +148,20 @@
         value = None if patches else row.value
         return CopiedRow(row.key, row.version, value, _age_ms(row, self._clock.now_ms()), patches)
 
-    def apply_copy(self, copy: TableCopy) -> None:
-        """Apply rows that a peer has copied, unless this node's rows are as new or newer.
+    def apply_copy(self, copy: TableCopy) -> bool:
+        """Apply rows that a peer has copied, and return whether they were newer than this node's.
 
         If patches do not fit this node's rows, nothing is applied and the next copy is a whole one.
         """
         if copy.changed_version <= self.changed_version or copy.store_version < self.version:
-            return
+            return False
         rows = [self._row_of_copy(row) for row in copy.rows]
         self._needs_whole_copy = None in rows
         if self._needs_whole_copy:
             logger.info(
                 "the patches in a copy of table %s do not fit; a whole copy follows", self._table
             )
-            return
+            return False
         # Only an outage at the node that read the rows matters, not one at this node.
         self._is_outage_own = False
         self._apply_rows(
@@ -170,6 +170,7 @@
             copy.after_outage,
         )
         self.changed_version = copy.changed_version
+        return True
 
     def _row_of_copy(self, copied: CopiedRow) -> StoreRow | None:
         """Return a row of a copy with its value, or None if its patches do not fit."""
