--- a/nutmeglead/forwarding/routes.py
+++ b/nutmeglead/forwarding/routes.py
@@ -16,9 +16,9 @@
 
     def __init__(self, manifest: Manifest) -> None:
         self.manifest = manifest
-        self._by_host: dict[str, list[Route]] = {}
-        for route in sorted(manifest.routes, key=lambda entry: -len(entry.prefix)):
-            self._by_host.setdefault(route.host, []).append(route)
+        self._by_host: dict[str, _PrefixIndex] = {}
+        for route in manifest.routes:
+            self._by_host.setdefault(route.host, _PrefixIndex()).add(route)
 
     def match(self, host: str, target: str, method: bytes = b"GET") -> Route | None:
         """Return the route with the longest matching prefix for a request, or None.
@@ -26,11 +26,34 @@
         `host` is the Host header, whose port is ignored; `target` may have a query.
         """
         name = host.rpartition(":")[0] if ":" in host else host
-        path = target.partition("?")[0]
-        routes = self._by_host.get(name.lower()) or self._by_host.get(ANY_HOST, [])
-        for route in routes:
-            if path.startswith(route.prefix) and (not route.methods or method in route.methods):
-                return route
+        index = self._by_host.get(name.lower()) or self._by_host.get(ANY_HOST)
+        return None if index is None else index.match(target.partition("?")[0], method)
+
+
+class _PrefixIndex:
+    """Find the routes of a host by prefix.
+
+    A look-up costs one hash per distinct prefix length, however many routes there are.
+    """
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, list[Route]] = {}
+        # Descending.
+        self._lengths: list[int] = []
+
+    def add(self, route: Route) -> None:
+        """Add a route; of those with the same prefix, the first that was added is preferred."""
+        self._by_prefix.setdefault(route.prefix, []).append(route)
+        if len(route.prefix) not in self._lengths:
+            self._lengths = sorted([*self._lengths, len(route.prefix)], reverse=True)
+
+    def match(self, path: str, method: bytes) -> Route | None:
+        """Return the route with the longest prefix of a path that allows the method, or None."""
+        for length in self._lengths:
+            # For a path that is shorter than `length`, the slice is the path itself.
+            for route in self._by_prefix.get(path[:length], ()):
+                if not route.methods or method in route.methods:
+                    return route
         return None
 
 
