--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -169,7 +169,7 @@
             return
         self._failed_ms.pop(peer.node_id, None)
         copy, duration_ms = fetched.message, self._clock.now_ms() - started_ms
-        if not watch.apply_copy(copy):
+        if not watch.apply_copy(copy, duration_ms):
             return
         log_event(
             logger,
--- a/nutmeglead/entry/tests/copies.feature
+++ b/nutmeglead/entry/tests/copies.feature
@@ -57,3 +57,11 @@
       | most readers had the outage     | 3 of 7 other nodes report that version without an outage  | a few nodes that noticed nothing decide    |
       | as many readers had it as not   | 1 of 1 other nodes report that version without an outage  | one node that noticed nothing decides      |
       | no other node has read so far   | 7 other nodes report the version before without an outage | old reports confirm what they do not cover |
+
+  Scenario: The age of a copied change includes the time of the transfer
+    # Guards against a leaving server that is used beyond the drain bound, because its announcement counts from the arrival
+    # of a copy that took seconds over a full link.
+    When hub B reads that a server was removed and hub A copies it
+    And 300 ms pass
+    And the node copies it in 900 ms
+    Then the node counts the change from the same time as hub B
--- a/nutmeglead/entry/tests/steps/copies_steps.py
+++ b/nutmeglead/entry/tests/steps/copies_steps.py
@@ -18,11 +18,14 @@
     def __init__(self, clock):
         self.contact = StoreContact(clock)
         self.removed = {}
+        self.changed_ms = {}
+        self._clock = clock
         table = FollowedTable(TABLE, self.apply, 0, self.confirm)
         self.watch = TableWatch(None, table, self.contact, clock, None, lambda: True)
 
     def apply(self, rows, is_snapshot, after_outage):
         for row in rows.rows:
+            self.changed_ms[row.key] = row.changed_ms
             if row.value is None:
                 self.removed[row.key] = "lapsed" if after_outage else "removed"
 
@@ -32,8 +35,10 @@
     def read(self, rows, version):
         self.watch.apply_fed_rows(StoreRows(tuple(rows), version), version == 1)
 
-    def copy_from(self, other):
-        self.watch.apply_copy(other.watch.copy(self.watch.version))
+    def copy_from(self, other, transfer_ms=0):
+        copy = other.watch.copy(self.watch.version)
+        self._clock.advance(transfer_ms)
+        self.watch.apply_copy(copy, transfer_ms)
 
 
 def row(key, value, version):
@@ -75,6 +80,11 @@
     context.node.copy_from(context.hub_a)
 
 
+@when("the node copies it in {transfer_ms:d} ms")
+def step_copy_slowly(context, transfer_ms):
+    context.node.copy_from(context.hub_a, transfer_ms)
+
+
 @when("{duration_ms:d} ms pass")
 def step_pass(context, duration_ms):
     context.clock.advance(duration_ms)
@@ -111,3 +121,8 @@
 @then("the node treats the server as {how}")
 def step_node_treats(context, how):
     assert context.node.removed == {**context.node.removed, SERVER: how}, context.node.removed
+
+
+@then("the node counts the change from the same time as hub B")
+def step_same_time(context):
+    assert context.node.changed_ms[SERVER] == context.hub_b.changed_ms[SERVER]
--- a/nutmeglead/entry/tests/steps/patches_steps.py
+++ b/nutmeglead/entry/tests/steps/patches_steps.py
@@ -39,7 +39,7 @@
     context.hub, context.node = (PatchNode(ManualClock()) for _ in range(2))
     context.version = version
     context.hub.read(context.rng.randbytes(size), version)
-    context.node.watch.apply_copy(context.hub.watch.copy(0, True))
+    context.node.watch.apply_copy(context.hub.watch.copy(0, True), 0)
 
 
 @given("the node has read another value of the row in version {version:d}")
@@ -71,7 +71,7 @@
 def step_copy(context):
     copy = context.hub.watch.copy(context.node.watch.copy_after, True)
     context.copy_size = len(encode(copy))
-    context.node.watch.apply_copy(copy)
+    context.node.watch.apply_copy(copy, 0)
 
 
 @then("the node has the newest value")
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -148,14 +148,15 @@
         value = None if patches else row.value
         return CopiedRow(row.key, row.version, value, _age_ms(row, self._clock.now_ms()), patches)
 
-    def apply_copy(self, copy: TableCopy) -> bool:
+    def apply_copy(self, copy: TableCopy, transfer_ms: int) -> bool:
         """Apply rows that a peer has copied, and return whether they were newer than this node's.
 
+        `transfer_ms` is the longest time since the peer has stated the age of the rows.
         If patches do not fit this node's rows, nothing is applied and the next copy is a whole one.
         """
         if copy.changed_version <= self.changed_version or copy.store_version < self.version:
             return False
-        rows = [self._row_of_copy(row) for row in copy.rows]
+        rows = [self._row_of_copy(row, transfer_ms) for row in copy.rows]
         self._needs_whole_copy = None in rows
         if self._needs_whole_copy:
             logger.info(
@@ -172,14 +173,14 @@
         self.changed_version = copy.changed_version
         return True
 
-    def _row_of_copy(self, copied: CopiedRow) -> StoreRow | None:
+    def _row_of_copy(self, copied: CopiedRow, transfer_ms: int) -> StoreRow | None:
         """Return a row of a copy with its value, or None if its patches do not fit."""
         value, age_ms = copied.value, copied.age_ms
         if copied.patches:
             value = apply_patches(self._rows.get(copied.key), copied.patches)
             if value is None:
                 return None
-        changed_ms = None if age_ms is None else self._clock.now_ms() - age_ms
+        changed_ms = None if age_ms is None else self._clock.now_ms() - transfer_ms - age_ms
         return StoreRow(self._table, "", copied.key, value, copied.version, changed_ms)
 
     async def run(self) -> None:
