--- a/nutmeglead/emulator/rows.py
+++ b/nutmeglead/emulator/rows.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from nutmeglead.core.clock import Clock
-from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.client import HttpFetcher, ProgressLimits
 from nutmeglead.http.errors import HttpError, TimedOut
 from nutmeglead.http.messages import RequestHead, ResponseHead
 from nutmeglead.platform.wire import (
@@ -194,7 +194,7 @@
         head: RequestHead,
         body: bytes,
         timeout_ms: int,
-        total_timeout_ms: int | None = None,
+        progress: ProgressLimits | None = None,
     ) -> Result[tuple[ResponseHead, bytes], HttpError]:
         """Return the store's response, a 503, or a timeout error, depending on the fault."""
         fault = self.fault
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import h11
 from result import Err, Ok, Result
@@ -17,7 +18,7 @@
 from nutmeglead.http.messages import RequestHead, ResponseHead
 from nutmeglead.http.sockets import enable_dead_peer_detection
 
-__all__ = ["ClientConnection", "HttpFetcher", "connect"]
+__all__ = ["ClientConnection", "HttpFetcher", "ProgressLimits", "connect"]
 
 # A longer response head is rejected as malformed.
 MAX_HEAD_BYTES = 32_768
@@ -197,15 +198,24 @@
     return Ok(ClientConnection(channel))
 
 
-def _extension(
-    limit: asyncio.Timeout, timeout_ms: int, total_timeout_ms: int | None
-) -> Callable[[], None]:
-    """Return a function that restarts a timeout, up to a total; without a total it does nothing."""
-    if total_timeout_ms is None:
+@dataclass(frozen=True)
+class ProgressLimits:
+    """Limits of a response that goes on arriving after the timeout of its fetch.
+
+    `silence_ms` limits the time for which nothing arrives, and `total_ms` the whole exchange.
+    """
+
+    silence_ms: int
+    total_ms: int
+
+
+def _extension(limit: asyncio.Timeout, progress: ProgressLimits | None) -> Callable[[], None]:
+    """Return a function that postpones a timeout when more of a response has arrived."""
+    if progress is None:
         return lambda: None
     loop = asyncio.get_running_loop()
-    end_s = loop.time() + total_timeout_ms / 1000
-    return lambda: limit.reschedule(min(end_s, loop.time() + timeout_ms / 1000))
+    end_s = loop.time() + progress.total_ms / 1000
+    return lambda: limit.reschedule(min(end_s, loop.time() + progress.silence_ms / 1000))
 
 
 class HttpFetcher:
@@ -227,14 +237,13 @@
         head: RequestHead,
         body: bytes,
         timeout_ms: int,
-        total_timeout_ms: int | None = None,
+        progress: ProgressLimits | None = None,
     ) -> Result[tuple[ResponseHead, bytes], HttpError]:
         """Send a request and return the head and the whole body of its response, or the error.
 
         Adds the `host` and `content-length` headers. `timeout_ms` limits connecting and the
-        exchange separately, and connecting takes at most `CONNECT_TIMEOUT_MS`. With
-        `total_timeout_ms`, this limits the exchange, and `timeout_ms` each wait for more of the
-        response.
+        exchange separately, and connecting takes at most `CONNECT_TIMEOUT_MS`. With `progress`,
+        its limits replace `timeout_ms` as soon as a part of the response's body has arrived.
         """
         connection = self._pop_idle(ip, port)
         if connection is None:
@@ -246,7 +255,7 @@
         received_before = connection.channel.bytes_received
         try:
             async with asyncio.timeout(timeout_ms / 1000) as limit:
-                on_progress = _extension(limit, timeout_ms, total_timeout_ms)
+                on_progress = _extension(limit, progress)
                 response = await self._exchange(connection, ip, head, body, on_progress)
             finished = True
         except TimeoutError:
@@ -297,7 +306,7 @@
     ) -> tuple[ResponseHead, bytes]:
         """Send the request and read the response, of at most `max_body_bytes`.
 
-        `on_progress` is called for each part of the response that arrives.
+        `on_progress` is called for each part of the body that arrives.
         """
         framing = [(b"host", ip.encode()), (b"content-length", str(len(body)).encode())]
         full_head = RequestHead(head.method, head.target, framing + head.headers)
--- a/nutmeglead/peers/fetch.py
+++ b/nutmeglead/peers/fetch.py
@@ -11,7 +11,7 @@
 from nutmeglead.core.compression import decompress
 from nutmeglead.core.errors import CodecError
 from nutmeglead.core.events import Event, log_event
-from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.client import HttpFetcher, ProgressLimits
 from nutmeglead.http.errors import HttpError, TimedOut
 from nutmeglead.http.messages import RequestHead, header_value
 from nutmeglead.peers.membership import Peer
@@ -24,8 +24,7 @@
 
 # A peer that sends nothing for this time is lost or cut off.
 PEER_TIMEOUT_MS = 1_000
-# Limit for a peer that goes on sending.
-PEER_TOTAL_TIMEOUT_MS = 10_000
+PEER_PROGRESS = ProgressLimits(silence_ms=PEER_TIMEOUT_MS, total_ms=10_000)
 # Value of the accept-encoding and content-encoding headers between entry VMs.
 COMPRESSED_ENCODING = b"zstd"
 
@@ -42,12 +41,10 @@
 ) -> Result[Fetched[T], HttpError | CodecError]:
     """Return the struct that an entry VM serves at a path, or why the fetch failed.
 
-    `timeout_ms` limits the time for which nothing arrives.
+    `timeout_ms` limits the time until a part of it arrives.
     """
     head = RequestHead(b"GET", path.encode(), [(b"accept-encoding", COMPRESSED_ENCODING)])
-    fetched = await fetcher.fetch(
-        row.ip, row.peer_port, head, b"", timeout_ms, PEER_TOTAL_TIMEOUT_MS
-    )
+    fetched = await fetcher.fetch(row.ip, row.peer_port, head, b"", timeout_ms, PEER_PROGRESS)
     if isinstance(fetched, Err):
         return fetched
     response, body = fetched.ok_value
--- a/nutmeglead/platform/store.py
+++ b/nutmeglead/platform/store.py
@@ -17,7 +17,7 @@
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.errors import PlatformError
-from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.client import HttpFetcher, ProgressLimits
 from nutmeglead.http.errors import ConnectFailed, HttpError
 from nutmeglead.http.messages import RequestHead, ResponseHead
 from nutmeglead.platform.wire import STORE_FEED_PATH, STORE_READ_PATH, STORE_TRANSACT_PATH
@@ -37,6 +37,9 @@
 _JSON_TYPE = (b"content-type", b"application/json")
 # A feed call times out this long after its own wait, so that a silent store is noticed.
 FEED_MARGIN_MS = 1_500
+# An answer with rows can take seconds over a link that the answers of servers fill.
+ROWS_SILENCE_MS = 1_500
+ROWS_TRANSFER_MS = 10_000
 # A call that the store answers with one of these had no effect.
 _REFUSED_STATUSES = frozenset((429, 503))
 
@@ -208,8 +211,8 @@
         all rows that exist.
         """
         query = urlencode({"table": table, "after": after, "wait_ms": wait_ms})
-        timeout_ms = wait_ms + FEED_MARGIN_MS
-        fetched = await self._call(b"GET", f"{STORE_FEED_PATH}?{query}", None, timeout_ms)
+        target = f"{STORE_FEED_PATH}?{query}"
+        fetched = await self._call_for_rows(target, wait_ms + FEED_MARGIN_MS)
         if isinstance(fetched, Err):
             return Err(StoreUnavailable(str(fetched.err_value)))
         status, answer = fetched.ok_value
@@ -221,7 +224,7 @@
 
     async def _read_page(self, target: str) -> Result[tuple[StoreRows, bool], StoreUnavailable]:
         """Return the rows of one page, and whether more pages follow."""
-        fetched = await self._call(b"GET", target, None, self._timeout_ms)
+        fetched = await self._call_for_rows(target, self._timeout_ms)
         if isinstance(fetched, Err):
             return Err(StoreUnavailable(str(fetched.err_value)))
         status, answer = fetched.ok_value
@@ -231,8 +234,20 @@
             answer, lambda fields: (_parse_rows(fields), bool(fields.get("has_more")))
         )
 
+    async def _call_for_rows(
+        self, target: str, timeout_ms: int
+    ) -> Result[tuple[int, bytes], HttpError]:
+        """Make a call whose answer holds rows; `timeout_ms` limits the time until it begins."""
+        progress = ProgressLimits(ROWS_SILENCE_MS, timeout_ms + ROWS_TRANSFER_MS)
+        return await self._call(b"GET", target, None, timeout_ms, progress)
+
     async def _call(
-        self, method: bytes, target: str, body: Any, timeout_ms: int
+        self,
+        method: bytes,
+        target: str,
+        body: Any,
+        timeout_ms: int,
+        progress: ProgressLimits | None = None,
     ) -> Result[tuple[int, bytes], HttpError]:
         """Make and count a call; return the status and the body of the answer."""
         self.call_count += 1
@@ -240,18 +255,23 @@
         if not target.startswith(STORE_FEED_PATH):
             self._started_ms[call_number] = started_ms
         try:
-            fetched = await self._fetch(method, target, body, timeout_ms)
+            fetched = await self._fetch(method, target, body, timeout_ms, progress)
         finally:
             self._started_ms.pop(call_number, None)
         self._record_result(fetched, started_ms)
         return fetched.map(lambda answer: (answer[0].status, answer[1]))
 
     async def _fetch(
-        self, method: bytes, target: str, body: Any, timeout_ms: int
+        self,
+        method: bytes,
+        target: str,
+        body: Any,
+        timeout_ms: int,
+        progress: ProgressLimits | None,
     ) -> Result[tuple[ResponseHead, bytes], HttpError]:
         data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
         head = RequestHead(method, target.encode(), [_JSON_TYPE] if data else [])
-        return await self._fetcher.fetch(self._ip, self._port, head, data, timeout_ms)
+        return await self._fetcher.fetch(self._ip, self._port, head, data, timeout_ms, progress)
 
     def _record_result(
         self, fetched: Result[tuple[ResponseHead, bytes], HttpError], started_ms: int
--- /dev/null
+++ b/nutmeglead/platform/tests/store_calls.feature
@@ -0,0 +1,16 @@
+Feature: A node reads rows from the store for as long as the store goes on sending them
+
+  Scenario Outline: The store <sends> to a node that calls the <call>
+    # Guards against a large row over a full link that is given up with most of it received, again and again.
+    Given a store that <sends>
+    When a node calls the <call>
+    Then <result>
+
+    Examples: each row names the failure it guards against
+      | call | sends                                      | result                            | failure                                          |
+      | feed | sends its answer in 10 parts, each 600 ms  | the rows have arrived after 6000 ms | a node that follows the store never gets a large row |
+      | read | sends its answer in 10 parts, each 600 ms  | the rows have arrived after 6000 ms | a node cannot recover from a lost history        |
+      | feed | sends one part and then nothing            | the call has failed after 2100 ms | a silent store is noticed late                   |
+      | read | sends one part and then nothing            | the call has failed after 2100 ms | a silent store is noticed late                   |
+      | feed | sends parts without an end, each 600 ms    | the call has failed after 12500 ms | a call that never ends keeps the rows of a table back |
+      | read | sends parts without an end, each 600 ms    | the call has failed after 12000 ms | a call that never ends keeps the rows of a table back |
