--- a/nutmeglead/entry/tests/patches.feature
+++ b/nutmeglead/entry/tests/patches.feature
@@ -16,6 +16,14 @@
       | 5       | 1500        | a node that is several changes behind gets a whole row  |
       | 200     | 60000       | the patches grow without a limit                        |
 
+  Scenario: A node that asks for changes from before the hub's own reading gets them as patches
+    # Guards against a change that costs the whole row at nodes whose hub has read the table later than they have.
+    Given the hub has read the whole table again in version 5
+    When the row changes 1 times by 4 bytes
+    And the node copies from the hub
+    Then the node has the newest value
+    And the copy was smaller than 300 bytes
+
   Scenario: A node whose own value is another one gets the whole row
     # Guards against a node that never gets a version because the patches do not fit what it has.
     Given the node has read another value of the row in version 1
--- /dev/null
+++ b/nutmeglead/entry/tests/steps/following_steps.py
@@ -0,0 +1,119 @@
+"""Steps for a node that changes between the store's feed and copies from a hub."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+from result import Ok
+
+from nutmeglead.core.clock import ManualClock
+from nutmeglead.emulator.network import EmulatedLoop
+from nutmeglead.emulator.virtual_time import run_virtual
+from nutmeglead.entry.contact import StoreContact
+from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.platform.store import StoreRow, StoreRows
+
+TABLE, KEY = "op", "config"
+
+
+class FeedStore:
+    """Answer feed calls with the row's newest version, once it is newer than the caller's."""
+
+    def __init__(self):
+        self.version = 1
+        self.changed = asyncio.Event()
+        self.waiting_count = 0
+        self.asked_after = []
+
+    async def feed(self, table, after, wait_ms):
+        self.asked_after.append(after)
+        self.waiting_count += 1
+        try:
+            while self.version <= after:
+                await self.changed.wait()
+        finally:
+            self.waiting_count -= 1
+        row = StoreRow(TABLE, "", KEY, b"value", self.version)
+        return Ok(StoreRows((row,), self.version))
+
+    def change(self):
+        self.version += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class FollowingNode:
+    """Run a watch through the steps of a scenario on virtual time, and keep its state at the end."""
+
+    def __init__(self):
+        self.steps = []
+        self.hears_hub = False
+
+    def run(self):
+        run_virtual(self._run, EmulatedLoop(1))
+
+    async def _run(self, clock):
+        self.store = FeedStore()
+        table = FollowedTable(TABLE, lambda rows, is_snapshot, after_outage: None, 0)
+        contact = StoreContact(ManualClock())
+        self.watch = TableWatch(
+            self.store, table, contact, clock, random.Random(1), lambda: not self.hears_hub
+        )
+        self.task = asyncio.ensure_future(self.watch.run())
+        await asyncio.sleep(1)
+        assert self.store.waiting_count == 1
+        for step in self.steps:
+            await step()
+        self.waiting_count = self.store.waiting_count
+        self.task.cancel()
+
+    async def hear(self, hears_hub, duration_ms):
+        self.hears_hub = hears_hub
+        await asyncio.sleep(duration_ms / 1000)
+
+    async def change_row(self):
+        self.store.change()
+        await asyncio.sleep(0)
+
+    async def stop(self):
+        self.task.cancel()
+        await asyncio.sleep(0.01)
+
+
+@given("a node whose feed call waits at the store")
+def step_node(context):
+    context.node = FollowingNode()
+
+
+@when("the node hears a hub for {duration_ms:d} ms")
+def step_hears(context, duration_ms):
+    context.node.steps.append(lambda: context.node.hear(True, duration_ms))
+
+
+@when("the node hears no hub for {duration_ms:d} ms")
+def step_hears_none(context, duration_ms):
+    context.node.steps.append(lambda: context.node.hear(False, duration_ms))
+
+
+@when("the row changes in the store")
+def step_changes(context):
+    context.node.steps.append(context.node.change_row)
+
+
+@when("the node is stopped")
+def step_stopped(context):
+    context.node.steps.append(context.node.stop)
+
+
+@then("no call of the node waits at the store")
+def step_none_waits(context):
+    context.node.run()
+    assert context.node.waiting_count == 0
+
+
+@then("the node has applied the change, after a call for the changes since version 1")
+def step_applied(context):
+    context.node.steps.append(lambda: context.node.hear(False, 200))
+    context.node.run()
+    assert context.node.watch.changed_version == 2
+    assert 0 not in context.node.store.asked_after[1:], context.node.store.asked_after
--- a/nutmeglead/entry/tests/steps/patches_steps.py
+++ b/nutmeglead/entry/tests/steps/patches_steps.py
@@ -48,6 +48,13 @@
     context.node.read(context.rng.randbytes(len(context.hub.value)), version)
 
 
+@given("the hub has read the whole table again in version {version:d}")
+def step_read_again(context, version):
+    row = StoreRow(TABLE, "", KEY, context.hub.value, context.version)
+    context.hub.watch.apply_fed_rows(StoreRows((row,), version), True)
+    context.version = version
+
+
 @when("the row changes {count:d} times by {size:d} bytes")
 def step_changes(context, count, size):
     for _ in range(count):
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -135,7 +135,7 @@
         """
         is_whole = not after or after < self._changes_kept_after
         rows = [
-            self._copied_row(row, after if with_patches and not is_whole else 0)
+            self._copied_row(row, after if with_patches else 0)
             for row in self._rows.values()
             if (row.value is not None if is_whole else row.version > after)
         ]
@@ -190,7 +190,9 @@
             if not self.follows_store():
                 await asyncio.sleep(FOLLOW_CHECK_INTERVAL_MS / 1000)
                 continue
-            fed = await self._next_rows()
+            fed = await self._next_rows_while_followed()
+            if fed is None:
+                continue
             if isinstance(fed, Err):
                 self._last_call_failed = True
                 self._contact.on_failure(self._table, str(fed.err_value))
@@ -202,6 +204,24 @@
             self._contact.on_answer()
             await asyncio.sleep(self._settle_ms / 1000)
 
+    async def _next_rows_while_followed(
+        self,
+    ) -> Result[None, StoreHistoryLost | StoreUnavailable] | None:
+        """Fetch and apply the next changes, or return None once this node takes copies instead.
+
+        Otherwise the next change of a large row arrives both as a copy of the change and as the
+        whole row, which delays the copy.
+        """
+        call = asyncio.ensure_future(self._next_rows())
+        try:
+            while self.follows_store():
+                await asyncio.wait({call}, timeout=FOLLOW_CHECK_INTERVAL_MS / 1000)
+                if call.done():
+                    return call.result()
+            return None
+        finally:
+            call.cancel()
+
     async def _next_rows(self) -> Result[None, StoreHistoryLost | StoreUnavailable]:
         """Fetch and apply the next changes, or all rows if the store has lost its history.
 
