--- a/nutmeglead/entry/tests/manifests.feature
+++ b/nutmeglead/entry/tests/manifests.feature
@@ -13,12 +13,12 @@
     And no calm node takes another one for silent
 
     Examples: each row names the failure it guards against
-      | seed | trouble                                            | failure                                                          |
-      | 1    | one route changes                                  | each change costs the transfer of the whole document             |
-      | 2    | 1400 routes are added                              | a transfer that takes longer than its time limit begins again    |
-      | 3    | one route changes each 330 ms for 4 s              | copies fill the links, and nodes stay several versions behind    |
-      | 7    | one route changes as copies of other tables hang   | the copy of another table goes first and takes its time limit    |
-      | 8    | one route changes as a hub of each domain sends no copies | a node asks the same failing peer again and again         |
+      | seed | trouble                                                   | failure                                                       |
+      | 1    | one route changes                                         | each change costs the transfer of the whole document          |
+      | 2    | 1400 routes are added                                     | a transfer that takes longer than its time limit begins again |
+      | 3    | one route changes each 330 ms for 4 s                     | copies fill the links, and nodes stay several versions behind |
+      | 7    | one route changes as copies of other tables hang          | the copy of another table goes first and takes its time limit |
+      | 8    | one route changes as a hub of each domain sends no copies | a node asks the same failing peer again and again             |
 
   # Without a hub, the nodes that it served are not reported until they have found another one.
   Scenario Outline: A large manifest changes while nodes are lost: <trouble>
@@ -27,10 +27,10 @@
     Then every calm node has each version in force within 2000 ms
 
     Examples: each row names the failure it guards against
-      | seed | trouble                                            | failure                                                          |
-      | 4    | one route changes and a node starts again          | a node that starts waits for a document that never arrives whole |
-      | 5    | one route changes as a hub of each domain is killed  | a node asks the same lost peer again and again                  |
-      | 6    | one route changes as a hub of each domain is cut off | a node asks the same silent peer again and again               |
+      | seed | trouble                                              | failure                                                          |
+      | 4    | one route changes and a node starts again            | a node that starts waits for a document that never arrives whole |
+      | 5    | one route changes as a hub of each domain is killed  | a node asks the same lost peer again and again                   |
+      | 6    | one route changes as a hub of each domain is cut off | a node asks the same silent peer again and again                 |
 
   Scenario: A change of one route sends few bytes to each node
     # Guards against copies whose size is that of the document instead of that of the change.
--- a/nutmeglead/entry/tests/manifests.py
+++ b/nutmeglead/entry/tests/manifests.py
@@ -1,13 +1,11 @@
 """Measure when entry VMs apply the versions of a large manifest over links of limited rate."""
 
 import asyncio
-import logging
 import random
 from dataclasses import replace
 
 from nutmeglead.core.events import Event
 from nutmeglead.core.ids import NodeId
-from nutmeglead.emulator.network import HOST
 from nutmeglead.entry.node_rows import NODES_TABLE
 from nutmeglead.entry.tests.deployment import MANIFEST, OPTIONS, ROUTE, run_cluster
 from nutmeglead.platform.wire import MANIFEST_TABLE, SERVERS_TABLE
@@ -35,21 +33,6 @@
     return replace(MANIFEST, routes=routes)
 
 
-class LogCollector(logging.Handler):
-    """Collect the events of the entry VMs, with the address of the node."""
-
-    def __init__(self):
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        if hasattr(record, "event"):
-            self.lines.append((HOST.get(), record.event, record.fields))
-
-    def fields_of(self, event, ips):
-        return [fields for ip, found, fields in self.lines if found is event and ip in ips]
-
-
 class ManifestRun:
     """Change the manifest during a trouble, and sample which version each calm node has in force.
 
@@ -57,10 +40,10 @@
     newer one. A trouble adds the nodes that it disturbs to `disturbed`.
     """
 
-    def __init__(self, seed, collector):
+    def __init__(self, seed, events):
         self.rng = random.Random(seed)
         self.seed = seed
-        self.collector = collector
+        self.events = events
         self.manifest = large_manifest(self.rng)
         self.disturbed = set()
         self.acknowledged_ms = {}
@@ -77,7 +60,7 @@
         for node_id in cluster.node_ids:
             if node_id not in HUBS:
                 cluster.network.links.set_rate(cluster.node_ip(node_id), FREE_LINK_BYTES_PER_S)
-        self.collector.lines.clear()
+        self.events.lines.clear()
         task = asyncio.get_running_loop().create_task(trouble(self))
         end_ms = cluster.clock.now_ms() + OBSERVED_S * 1000
         while cluster.clock.now_ms() < end_ms or not task.done():
@@ -200,7 +183,7 @@
 
 
 def copy_sizes(run):
-    copies = run.collector.fields_of(Event.TABLE_COPIED, run.calm_ips)
+    copies = run.events.fields_of(Event.TABLE_COPIED, run.calm_ips)
     return [fields["size_bytes"] for fields in copies if fields["table"] == MANIFEST_TABLE]
 
 
@@ -208,6 +191,6 @@
     disturbed = set(run.disturbed)
     return [
         fields
-        for fields in run.collector.fields_of(Event.PEER_SILENT, run.calm_ips)
+        for fields in run.events.fields_of(Event.PEER_SILENT, run.calm_ips)
         if fields["peer"] not in disturbed
     ]
--- a/nutmeglead/entry/tests/steps/manifests_steps.py
+++ b/nutmeglead/entry/tests/steps/manifests_steps.py
@@ -1,11 +1,10 @@
 """Steps that check when each node has a large manifest in force."""
 
-import logging
-
 from behave import given, then, when
 
 from nutmeglead.entry.tests import manifests
-from nutmeglead.entry.tests.manifests import LogCollector, ManifestRun, copy_sizes, silent_peers
+from nutmeglead.entry.tests.collected_events import collect
+from nutmeglead.entry.tests.manifests import ManifestRun, copy_sizes, silent_peers
 
 TROUBLES = {
     "one route changes": manifests.one_route_changes,
@@ -29,13 +28,7 @@
 
 @given("a settled cluster of eight nodes with a large manifest and seed {seed:d}")
 def step_cluster(context, seed):
-    collector = LogCollector()
-    logger = logging.getLogger("nutmeglead")
-    context.add_cleanup(logger.setLevel, logger.level)
-    context.add_cleanup(logger.removeHandler, collector)
-    logger.setLevel("INFO")
-    logger.addHandler(collector)
-    context.run = ManifestRun(seed, collector)
+    context.run = ManifestRun(seed, collect(context, "nutmeglead"))
 
 
 @when("it happens that {trouble}")
--- a/nutmeglead/entry/tests/steps/observability_steps.py
+++ b/nutmeglead/entry/tests/steps/observability_steps.py
@@ -1,7 +1,6 @@
 """Steps for logs and metrics."""
 
 import asyncio
-import logging
 import os
 from dataclasses import replace
 
@@ -18,6 +17,7 @@
 from nutmeglead.emulator.virtual_time import run_virtual
 from nutmeglead.entry.loop_monitor import LoopMonitor
 from nutmeglead.entry.metrics import NodeCollector
+from nutmeglead.entry.tests.collected_events import collect
 from nutmeglead.entry.tests.deployment import MANIFEST, OPTIONS, SERVICE, run_cluster
 from nutmeglead.forwarding.model import Backend, RequestKind, Route
 from nutmeglead.forwarding.request import CallerRequest
@@ -65,34 +65,6 @@
     assert f'{{"dropped_lines": {context.dropped}}}\nafter\n' in data, data[-200:]
 
 
-class CollectingHandler(logging.Handler):
-    """Collect the events that are logged, with the address of the emulated host."""
-
-    def __init__(self):
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        if hasattr(record, "event"):
-            self.lines.append((HOST.get(), record.event, record.fields))
-
-    def fields_of(self, event, ip=None):
-        return [
-            fields for host, found, fields in self.lines if found is event and ip in (None, host)
-        ]
-
-
-def collect(context, name):
-    """Return a handler that collects the events of a logger until the scenario ends."""
-    collected = CollectingHandler()
-    logger = logging.getLogger(name)
-    context.add_cleanup(logger.setLevel, logger.level)
-    context.add_cleanup(logger.removeHandler, collected)
-    logger.setLevel("INFO")
-    logger.addHandler(collected)
-    return collected
-
-
 def caller_request():
     backends = (Backend(STOCK, 1.0),)
     route = Route("r", "h", "/s/", RequestKind.IDEMPOTENT, 800, 300, 1, 2, backends)
@@ -181,8 +153,7 @@
 
 @then("that node has logged {event} with {names}")
 def step_logged_fields(context, event, names):
-
-    fields = context.collected.fields_of(Event[event], context.copying_ip)[-1]
+    fields = context.collected.fields_of(Event[event], {context.copying_ip})[-1]
     assert all(isinstance(fields[name], int) for name in names.split()), fields
 
 
--- a/nutmeglead/peers/tests/steps/fetch_steps.py
+++ b/nutmeglead/peers/tests/steps/fetch_steps.py
@@ -1,7 +1,5 @@
 """Steps for fetches from a peer that sends slowly."""
 
-import asyncio
-
 from behave import given, then, when
 
 from nutmeglead._generated.peers.ttypes import CopiedRow, NodeRow, TableCopy
@@ -11,62 +9,27 @@
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.pipeline import PipelineServer
+from nutmeglead.http.tests.slow_sender import Sending, SlowSender
 from nutmeglead.peers.fetch import fetch_from_peer
 from nutmeglead.peers.membership import Peer
 
 OWN_IP, PEER_IP = "10.1.0.2", "10.1.0.1"
 LIMITS = CallerLimits(16_384, 0, 3_000, 60_000)
 COPY = TableCopy(1, 1, [CopiedRow("config", 1, b"x" * 10_000, 0)], True, False)
-PART_COUNT = 10
-PART_INTERVAL_S = 0.6
 # The delays of the emulated network are added to the times in the table.
 TOLERANCE_MS = 20
 
 
-def parts():
-    body = encode(COPY)
-    size = -(-len(body) // PART_COUNT)
-    return [body[start : start + size] for start in range(0, len(body), size)]
-
-
-async def send_parts(exchange):
-    await exchange.start_response(200, [])
-    for part in parts():
-        await asyncio.sleep(PART_INTERVAL_S)
-        await exchange.send_body(part)
-    await exchange.finish_response()
-
-
-async def send_one_part(exchange):
-    await exchange.start_response(200, [])
-    await exchange.send_body(parts()[0])
-    await asyncio.sleep(60)
-
-
-async def send_without_end(exchange):
-    await exchange.start_response(200, [])
-    while True:
-        await asyncio.sleep(PART_INTERVAL_S)
-        await exchange.send_body(b"x")
-
-
-HANDLERS = {
-    "sends the copy in 10 parts, one each 600 ms": send_parts,
-    "sends one part of the copy and then nothing": send_one_part,
-    "sends one part each 600 ms without an end": send_without_end,
-}
-
-
 @given("a peer that {sends}")
 def step_peer(context, sends):
-    context.handler = HANDLERS[sends]
+    context.sender = SlowSender(Sending(sends), encode(COPY))
 
 
-@when("the copy is fetched from it")
+@when("a copy is fetched from it")
 def step_fetch(context):
     async def run(clock):
         HOST.set(PEER_IP)
-        server = PipelineServer(context.handler, lambda: LIMITS, clock)
+        server = PipelineServer(context.sender.answer, lambda: LIMITS, clock)
         await server.start(PEER_IP, 80)
         HOST.set(OWN_IP)
         peer = Peer("peer", NodeRow(PEER_IP, 80, 1, "zone-0", 1.0), 0)
--- a/nutmeglead/platform/tests/steps/store_calls_steps.py
+++ b/nutmeglead/platform/tests/steps/store_calls_steps.py
@@ -1,6 +1,5 @@
 """Steps for calls to a store that answers slowly."""
 
-import asyncio
 import json
 
 from behave import given, then, when
@@ -11,52 +10,19 @@
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.pipeline import PipelineServer
+from nutmeglead.http.tests.slow_sender import Sending, SlowSender
 from nutmeglead.platform.store import StoreClient
 
 OWN_IP, STORE_IP, STORE_PORT = "10.1.0.2", "10.200.1.7", 80
 LIMITS = CallerLimits(16_384, 0, 3_000, 60_000)
 ROW = {"table": "op", "part": "", "key": "config", "ver": 1, "value": "eA==" * 2_500}
 ANSWER = json.dumps({"rows": [ROW], "has_more": False, "ver": 1}).encode()
-PART_COUNT = 10
-PART_INTERVAL_S = 0.6
 TIMEOUT_MS = 2_000
 FEED_WAIT_MS = 1_000
 # The delays of the emulated network are added to the times in the table.
 TOLERANCE_MS = 20
 
 
-def parts():
-    size = -(-len(ANSWER) // PART_COUNT)
-    return [ANSWER[start : start + size] for start in range(0, len(ANSWER), size)]
-
-
-async def send_parts(exchange):
-    await exchange.start_response(200, [])
-    for part in parts():
-        await asyncio.sleep(PART_INTERVAL_S)
-        await exchange.send_body(part)
-    await exchange.finish_response()
-
-
-async def send_one_part(exchange):
-    await exchange.start_response(200, [])
-    await asyncio.sleep(PART_INTERVAL_S)
-    await exchange.send_body(parts()[0])
-    await asyncio.sleep(60)
-
-
-async def send_without_end(exchange):
-    await exchange.start_response(200, [])
-    while True:
-        await asyncio.sleep(PART_INTERVAL_S)
-        await exchange.send_body(b" ")
-
-
-HANDLERS = {
-    "sends its answer in 10 parts, each 600 ms": send_parts,
-    "sends one part and then nothing": send_one_part,
-    "sends parts without an end, each 600 ms": send_without_end,
-}
 CALLS = {
     "feed": lambda store: store.feed("op", 0, FEED_WAIT_MS),
     "read": lambda store: store.read("op", ""),
@@ -65,14 +31,14 @@
 
 @given("a store that {sends}")
 def step_store(context, sends):
-    context.handler = HANDLERS[sends]
+    context.sender = SlowSender(Sending(sends), ANSWER)
 
 
 @when("a node calls the {call}")
 def step_call(context, call):
     async def run(clock):
         HOST.set(STORE_IP)
-        server = PipelineServer(context.handler, lambda: LIMITS, clock)
+        server = PipelineServer(context.sender.answer, lambda: LIMITS, clock)
         await server.start(STORE_IP, STORE_PORT)
         HOST.set(OWN_IP)
         store = StoreClient(STORE_IP, STORE_PORT, HttpFetcher(), TIMEOUT_MS, clock)
--- a/nutmeglead/platform/tests/store_calls.feature
+++ b/nutmeglead/platform/tests/store_calls.feature
@@ -7,10 +7,10 @@
     Then <result>
 
     Examples: each row names the failure it guards against
-      | call | sends                                      | result                            | failure                                          |
-      | feed | sends its answer in 10 parts, each 600 ms  | the rows have arrived after 6000 ms | a node that follows the store never gets a large row |
-      | read | sends its answer in 10 parts, each 600 ms  | the rows have arrived after 6000 ms | a node cannot recover from a lost history        |
-      | feed | sends one part and then nothing            | the call has failed after 2100 ms | a silent store is noticed late                   |
-      | read | sends one part and then nothing            | the call has failed after 2100 ms | a silent store is noticed late                   |
-      | feed | sends parts without an end, each 600 ms    | the call has failed after 12500 ms | a call that never ends keeps the rows of a table back |
-      | read | sends parts without an end, each 600 ms    | the call has failed after 12000 ms | a call that never ends keeps the rows of a table back |
+      | call | sends                                         | result                              | failure                                               |
+      | feed | sends its answer in 10 parts, one each 600 ms | the rows have arrived after 6000 ms | a node that follows the store never gets a large row  |
+      | read | sends its answer in 10 parts, one each 600 ms | the rows have arrived after 6000 ms | a node cannot recover from a lost history             |
+      | feed | sends one part of its answer and then nothing | the call has failed after 2100 ms   | a silent store is noticed late                        |
+      | read | sends one part of its answer and then nothing | the call has failed after 2100 ms   | a silent store is noticed late                        |
+      | feed | sends one part each 600 ms without an end     | the call has failed after 12500 ms  | a call that never ends keeps back the rows of a table |
+      | read | sends one part each 600 ms without an end     | the call has failed after 12000 ms  | a call that never ends keeps back the rows of a table |
