--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -34,7 +34,7 @@
 # While the store answers this node, its own feed delivers a change within this time.
 MAX_FEED_DELAY_MS = 500
 # After a failed fetch, other peers are preferred; a lost one is noticed within this time.
-FAILED_PEER_PENALTY_MS = 1_000
+FAILED_PEER_AVOIDED_MS = 1_000
 
 
 class TableCopies:
@@ -57,7 +57,7 @@
         self._settings = settings
         self._other_paths = other_paths
         self._behind_since_ms: dict[str, int] = {}
-        # When the last fetch from a peer failed.
+        # When the last fetch failed, by the peer; without peers that have answered since.
         self._failed_ms: dict[NodeId, int] = {}
         limits = ClientLimits()
         caller_limits = CallerLimits(
@@ -76,11 +76,11 @@
     async def _answer(self, exchange: CallerExchange) -> None:
         headers = exchange.head.headers
         # A node of an earlier version accepts neither compressed bodies nor patches.
-        is_compressed = header_value(headers, b"accept-encoding") == COMPRESSED_ENCODING
-        body = self.encoded_body(exchange.head.target.decode("latin-1"), is_compressed)
+        accepts_compressed = header_value(headers, b"accept-encoding") == COMPRESSED_ENCODING
+        body = self.encoded_body(exchange.head.target.decode("latin-1"), accepts_compressed)
         if body is None:
             await exchange.respond(404, [], b"")
-        elif is_compressed and len(body) >= MIN_COMPRESSED_BYTES:
+        elif accepts_compressed and len(body) >= MIN_COMPRESSED_BYTES:
             encoding = (b"content-encoding", COMPRESSED_ENCODING)
             await exchange.respond(200, [encoding], compress(body))
         else:
@@ -144,7 +144,7 @@
         return self._membership.get(self._choose([entry[-1] for entry in sorted(newer)], now_ms))
 
     def _choose(self, newer: list[NodeId], now_ms: int) -> NodeId:
-        """Return the first peer that has not failed lately, or the first of those with newer rows.
+        """Return the first of `newer` that has not failed lately, or another hub, or the first.
 
         A node hears one hub. The other hubs of its failure domain, whose versions it does not know,
         are asked after that one has failed.
@@ -156,7 +156,7 @@
         ]
         for node_id in [*newer, *hubs]:
             failed_ms = self._failed_ms.get(node_id)
-            if failed_ms is None or now_ms - failed_ms > FAILED_PEER_PENALTY_MS:
+            if failed_ms is None or now_ms - failed_ms > FAILED_PEER_AVOIDED_MS:
                 return node_id
         return newer[0]
 
