--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -88,6 +88,11 @@
     MAP_COPIED = (4006, logging.INFO, "a range map was copied from a peer")
     TABLE_COPIED = (4005, logging.INFO, "a table of the store was copied from a peer")
     PEER_FETCH_FAILED = (4007, logging.WARNING, "a copy could not be fetched from a peer")
+    TABLE_SOURCE_CHANGED = (
+        4008,
+        logging.INFO,
+        "this node reads the store's tables from another source than before",
+    )
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -25,6 +25,7 @@
 from nutmeglead.entry.metrics import MetricsServer
 from nutmeglead.entry.node_rows import NODES_TABLE, NodeRows
 from nutmeglead.entry.operator_feed import OperatorFeed, PlatformFeed
+from nutmeglead.entry.table_source import TableSource
 from nutmeglead.entry.watch import FollowedTable, TableWatch
 from nutmeglead.forwarding.forwarder import Forwarder
 from nutmeglead.forwarding.model import ClientLimits
@@ -84,6 +85,7 @@
         self.membership = Membership(
             settings.node_id, settings.failure_domain, settings.cpu_cores, clock.now_ms()
         )
+        self._table_source = TableSource(self.membership, clock)
         self.registry = ServerRegistry()
         self.peers = PeerService(self.membership, self.incarnation, self, clock)
         self.controllers: dict[ServiceName, RangeController] = {}
@@ -215,18 +217,9 @@
         return None if status is None else encode(status)
 
     def _make_watch(self, table: FollowedTable) -> TableWatch:
+        follows_store = self._table_source.follows_store
         return TableWatch(
-            self.store, table, self.store_contact, self.clock, self._rng, self._follows_store
-        )
-
-    def _follows_store(self) -> bool:
-        """Return whether this node reads the tables from the store, as hubs do.
-
-        Another node does so only while none of its hubs is alive.
-        """
-        membership, now_ms = self.membership, self.clock.now_ms()
-        return membership.is_hub(now_ms) or not any(
-            membership.is_alive(hub, now_ms) for hub in membership.own_hub_ids(now_ms)
+            self.store, table, self.store_contact, self.clock, self._rng, follows_store
         )
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
--- /dev/null
+++ b/nutmeglead/entry/table_source.py
@@ -0,0 +1,45 @@
+"""Decide whether this node reads the store's tables itself or takes copies from its hubs."""
+
+import logging
+
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.peers.membership import Membership
+
+__all__ = ["TableSource"]
+
+logger = logging.getLogger(__name__)
+
+
+class TableSource:
+    """Choose where this node's tables come from, and log each change of the choice."""
+
+    def __init__(self, membership: Membership, clock: Clock) -> None:
+        self._membership = membership
+        self._clock = clock
+        # None before the first choice, which every node makes before it knows any hub.
+        self._is_store: bool | None = None
+
+    def follows_store(self) -> bool:
+        """Return whether this node reads the tables from the store, as hubs do.
+
+        Another node does so only while none of its hubs is alive.
+        """
+        membership, now_ms = self._membership, self._clock.now_ms()
+        is_store = membership.is_hub(now_ms) or not any(
+            membership.is_alive(hub, now_ms) for hub in membership.own_hub_ids(now_ms)
+        )
+        if self._is_store is not None and is_store != self._is_store:
+            source = "store" if is_store else "copies"
+            log_event(
+                logger, Event.TABLE_SOURCE_CHANGED, source=source, silent_ms=self._silent_ms()
+            )
+        self._is_store = is_store
+        return is_store
+
+    def _silent_ms(self) -> int | None:
+        """Return the time since the newest heartbeat of a regular hub, or None before the first."""
+        peers = map(self._membership.get, self._membership.regular_hub_ids())
+        received = [peer.heartbeat_received_ms for peer in peers if peer is not None]
+        times = [at_ms for at_ms in received if at_ms is not None]
+        return self._clock.now_ms() - max(times) if times else None
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -280,6 +280,10 @@
             hubs.extend(islice(candidates, HUBS_PER_DOMAIN))
         return sorted(hubs, key=self._hub_sort_key)
 
+    def regular_hub_ids(self) -> list[NodeId]:
+        """Return the nodes that are the hubs of the own failure domain while they are alive."""
+        return self._sorted_ids_by_domain()[self._domain][:HUBS_PER_DOMAIN]
+
     def is_hub(self, now_ms: int) -> bool:
         """Return whether this node is a hub."""
         return self.own_id in self.hub_ids(now_ms)
