--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -10,6 +10,7 @@
 from nutmeglead.core.compression import compress
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId
+from nutmeglead.entry.table_source import TableSource
 from nutmeglead.entry.watch import TableWatch
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.http.client import HttpFetcher
@@ -44,6 +45,7 @@
         self,
         watches: Sequence[TableWatch],
         membership: Membership,
+        source: TableSource,
         fetcher: HttpFetcher,
         clock: Clock,
         settings: NodeSettings,
@@ -52,6 +54,7 @@
         """`other_paths` maps prefixes of further paths to functions that return a response body."""
         self._watches = {watch.table: watch for watch in watches}
         self._membership = membership
+        self._source = source
         self._fetcher = fetcher
         self._clock = clock
         self._settings = settings
@@ -99,10 +102,14 @@
 
     async def run(self) -> None:
         """Check for newer tables at each interval and fetch them, until cancelled."""
-        await asyncio.gather(*(self._run_table(watch) for watch in self._watches.values()))
+        # Each table has loops of its own, so that none waits for the copy of another one.
+        watches = self._watches.values()
+        await asyncio.gather(
+            *(self._run_table(watch) for watch in watches),
+            *(self._run_without_heartbeats(watch) for watch in watches),
+        )
 
     async def _run_table(self, watch: TableWatch) -> None:
-        # Each table has a loop of its own, so that none waits for the copy of another one.
         table = watch.table
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
@@ -111,6 +118,18 @@
             if peer is not None:
                 await self._fetch(table, watch, peer)
 
+    async def _run_without_heartbeats(self, watch: TableWatch) -> None:
+        # A node that hears no hub does not know whether there are changes, and asks all the same:
+        # the store would send it large rows whole.
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+            hubs = self._source.unheard_hubs()
+            if not hubs:
+                continue
+            peer = self._membership.get(self._choose(hubs, self._clock.now_ms()))
+            if peer is not None and await self._fetch(watch.table, watch, peer):
+                self._source.record_answer()
+
     def _peer_versions(self, table: str) -> Iterator[tuple[int, int]]:
         """Yield the newest and the unconfirmed version of a table at each peer that is heard."""
         now_ms = self._clock.now_ms()
@@ -160,17 +179,18 @@
                 return node_id
         return newer[0]
 
-    async def _fetch(self, table: str, watch: TableWatch, peer: Peer) -> None:
+    async def _fetch(self, table: str, watch: TableWatch, peer: Peer) -> bool:
+        """Apply a copy from a peer; return whether the peer has sent rows that are not outdated."""
         path = f"{COPY_PATH}{table}{AFTER_QUERY}{watch.copy_after}"
         started_ms = self._clock.now_ms()
         fetched = await fetch_from_peer(self._fetcher, peer, path, TableCopy, self._clock)
         if fetched is None:
             self._failed_ms[peer.node_id] = self._clock.now_ms()
-            return
+            return False
         self._failed_ms.pop(peer.node_id, None)
         copy, duration_ms = fetched.message, self._clock.now_ms() - started_ms
         if not watch.apply_copy(copy, duration_ms):
-            return
+            return copy.changed_version >= watch.changed_version
         log_event(
             logger,
             Event.TABLE_COPIED,
@@ -180,3 +200,4 @@
             size_bytes=fetched.size_bytes,
             duration_ms=duration_ms,
         )
+        return True
--- a/nutmeglead/entry/patches.py
+++ b/nutmeglead/entry/patches.py
@@ -44,11 +44,16 @@
 
 
 def apply_patches(row: StoreRow | None, patches: list[RowPatch]) -> bytes | None:
-    """Return the value of a row after the patches, or None if they do not fit the row."""
-    if row is None or row.value is None or row.version != patches[0].from_version:
+    """Return the value of a row after the patches, or None if they do not fit the row.
+
+    Patches that another copy has brought while this one was fetched are passed over.
+    """
+    if row is None or row.value is None:
+        return None
+    value, missing = row.value, [patch for patch in patches if patch.to_version > row.version]
+    if missing and missing[0].from_version != row.version:
         return None
-    value = row.value
-    for patch in patches:
+    for patch in missing:
         patched = decompress(patch.data, value)
         if patched.is_err():
             return None
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -129,6 +129,7 @@
         self._table_copies = TableCopies(
             self._table_watches,
             self.membership,
+            self._table_source,
             self._order_fetcher,
             clock,
             settings,
--- a/nutmeglead/entry/tests/manifests.feature
+++ b/nutmeglead/entry/tests/manifests.feature
@@ -32,6 +32,18 @@
       | 5    | one route changes as a hub of each domain is killed  | a node asks the same lost peer again and again                   |
       | 6    | one route changes as a hub of each domain is cut off | a node asks the same silent peer again and again                 |
 
+  # On a full link all datagrams are lost, and each stream gets one segment of 8 KB per 100 ms.
+  Scenario Outline: A large manifest changes while links are full: <trouble>
+    Given a settled cluster of eight nodes with a large manifest and seed <seed>
+    When it happens that <trouble>
+    Then every calm node has each version in force within 2000 ms
+
+    Examples: each row names the failure it guards against
+      | seed | trouble                                                           | failure                                                         |
+      | 9    | one route changes on full links                                   | a node that hears no hub reads the whole document at the store  |
+      | 10   | 1400 routes are added on full links                               | a node that hears no hub reads the whole document at the store  |
+      | 12   | one route changes on full links as a hub of each domain is killed | a node that hears no hub asks the same lost peer again and again |
+
   Scenario: A change of one route sends few bytes to each node
     # Guards against copies whose size is that of the document instead of that of the change.
     Given a settled cluster of eight nodes with a large manifest and seed 11
--- a/nutmeglead/entry/tests/manifests.py
+++ b/nutmeglead/entry/tests/manifests.py
@@ -6,6 +6,7 @@
 
 from nutmeglead.core.events import Event
 from nutmeglead.core.ids import NodeId
+from nutmeglead.emulator.links import SEGMENT_BYTES
 from nutmeglead.entry.node_rows import NODES_TABLE
 from nutmeglead.entry.tests.deployment import MANIFEST, OPTIONS, ROUTE, run_cluster
 from nutmeglead.platform.wire import MANIFEST_TABLE, SERVERS_TABLE
@@ -19,6 +20,11 @@
 SAMPLE_S = 0.02
 # After this time each hub has read a change and named it in a heartbeat.
 NAMED_S = 0.2
+# An address of servers or callers, whose data fills a link.
+ELSEWHERE = "10.9.0.1"
+FILL_INTERVAL_S = 0.01
+# After this time on a full link, a node has no recent heartbeat of a hub.
+UNHEARD_S = 2
 # A node counts as calm again this long after its start.
 STABLE_WINDOW_S = 3
 # The first two nodes of both failure domains; each node is in the domain of its number modulo 2.
@@ -96,6 +102,21 @@
         routes[number] = replace(routes[number], timeout_ms=routes[number].timeout_ms + 10)
         self.put(routes)
 
+    async def fill_links(self):
+        """Keep the links of one node of each domain full of other data in both directions."""
+        ips = [self.cluster.node_ip(node_id) for node_id in self.cluster.node_ids[-2:]]
+        self.fill_task = asyncio.get_running_loop().create_task(self._fill_links(ips))
+        await asyncio.sleep(UNHEARD_S)
+
+    async def _fill_links(self, ips):
+        links, clock = self.cluster.network.links, asyncio.get_running_loop().time
+        while True:
+            for ip in ips:
+                for hosts in ((ip, ELSEWHERE), (ELSEWHERE, ip)):
+                    while not links.is_full(*hosts, clock()):
+                        links.reserve(*hosts, SEGMENT_BYTES, clock())
+            await asyncio.sleep(FILL_INTERVAL_S)
+
     def disturb_hubs(self):
         """Return the hub that serves most nodes of each domain, and count it as disturbed."""
         now_ms = self.cluster.clock.now_ms()
@@ -151,6 +172,21 @@
         run.cluster.disconnect_host(run.cluster.node_ip(hub))
 
 
+async def one_route_changes_on_full_links(run):
+    await run.fill_links()
+    run.change_a_route()
+
+
+async def routes_are_added_on_full_links(run):
+    await run.fill_links()
+    await routes_are_added(run)
+
+
+async def one_route_changes_on_full_links_as_hubs_are_killed(run):
+    await run.fill_links()
+    await one_route_changes_as_hubs_are_killed(run)
+
+
 async def one_route_changes_as_other_copies_hang(run):
     for hub in HUBS:
         for table in (SERVERS_TABLE, NODES_TABLE):
--- a/nutmeglead/entry/tests/patches.feature
+++ b/nutmeglead/entry/tests/patches.feature
@@ -32,6 +32,12 @@
     And the node copies from the hub
     Then the node has the newest value
 
+  Scenario: A node applies the rest of a copy after another copy has brought a part of its patches
+    # Guards against a whole row for a node that fetches two copies at once.
+    When the row changes 1 times by 4 bytes
+    And the row changes 1 times by 4 bytes while the node is sent a copy from before
+    Then the node has the newest value
+
   Scenario: A node that does not accept patches gets the whole row
     # Guards against a node of an earlier version that takes a row with patches for a removed one.
     When the row changes 1 times by 4 bytes
--- a/nutmeglead/entry/tests/steps/manifests_steps.py
+++ b/nutmeglead/entry/tests/steps/manifests_steps.py
@@ -17,6 +17,11 @@
     "one route changes as a hub of each domain is cut off": (
         manifests.one_route_changes_as_hubs_are_cut_off
     ),
+    "one route changes on full links": manifests.one_route_changes_on_full_links,
+    "1400 routes are added on full links": manifests.routes_are_added_on_full_links,
+    "one route changes on full links as a hub of each domain is killed": (
+        manifests.one_route_changes_on_full_links_as_hubs_are_killed
+    ),
     "one route changes as a hub of each domain sends no copies": (
         manifests.one_route_changes_as_hubs_send_no_copies
     ),
--- a/nutmeglead/entry/tests/steps/patches_steps.py
+++ b/nutmeglead/entry/tests/steps/patches_steps.py
@@ -66,6 +66,16 @@
         )
 
 
+@when("the row changes {count:d} times by {size:d} bytes while the node is sent a copy from before")
+def step_changes_meanwhile(context, count, size):
+    after = context.node.watch.copy_after
+    earlier = context.hub.watch.copy(after, True)
+    step_changes(context, count, size)
+    later = context.hub.watch.copy(after, True)
+    for copy in (earlier, later):
+        assert context.node.watch.apply_copy(copy, 0)
+
+
 @when("the row is removed and returns with other bytes")
 def step_removed(context):
     size = len(context.hub.value)
--- a/nutmeglead/entry/tests/steps/table_source_steps.py
+++ b/nutmeglead/entry/tests/steps/table_source_steps.py
@@ -19,9 +19,9 @@
 class SourceNode:
     """Hold the choice of a node with two hubs, and let it hear them."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, cpu_cores=1.0):
         self.clock = clock
-        self.membership = Membership(OWN, ZONE, 1.0, clock.now_ms())
+        self.membership = Membership(OWN, ZONE, cpu_cores, clock.now_ms())
         for hub in HUBS:
             self.membership.set_node(hub, NodeRow(*ADDRESS, 1, ZONE, 1.0), clock.now_ms())
         self.source = TableSource(self.membership, clock)
@@ -43,11 +43,37 @@
     assert not context.source_node.source.follows_store()
 
 
+@given("the node has more processor cores than its hubs")
+def step_more_cores(context):
+    context.source_node = SourceNode(ManualClock(), cpu_cores=2.0)
+
+
 @when("it hears no hub for {silent_ms:d} ms")
 def step_silence(context, silent_ms):
     context.source_node.clock.advance(silent_ms)
 
 
+@when("nothing else happens")
+def step_nothing(context):
+    pass
+
+
+@when("one hub is heard")
+def step_heard(context):
+    context.source_node.hear(HUBS[:1])
+
+
+@when("a hub that it does not hear has answered")
+def step_answered(context):
+    context.source_node.source.record_answer()
+
+
+@then("it asks {hubs} for copies without a heartbeat")
+def step_asks(context, hubs):
+    found = tuple(context.source_node.source.unheard_hubs())
+    assert found == {"both": HUBS, "none": ()}[hubs], found
+
+
 @then("its tables come from {source}")
 def step_source(context, source):
     found = "the store" if context.source_node.source.follows_store() else "copies"
