--- a/nutmeglead/entry/tests/copies.feature
+++ b/nutmeglead/entry/tests/copies.feature
@@ -58,6 +58,18 @@
       | as many readers had it as not   | 1 of 1 other nodes report that version without an outage  | one node that noticed nothing decides      |
       | no other node has read so far   | 7 other nodes report the version before without an outage | old reports confirm what they do not cover |
 
+  Scenario Outline: The age of a change that was read at the store counts from when <case>
+    # Guards against a leaving server that is used beyond the drain bound, because its announcement counts from its arrival.
+    When hub B reads a removal 1000 ms after another answer, <delay_ms> ms after the store has sent it with <history>
+    Then hub B counts the change as up to <age_ms> ms old
+
+    Examples: each row names the failure it guards against
+      | case                          | delay_ms | history     | age_ms | failure                                          |
+      | a call was answered at once   | 0        | all changes | 100    | a change seems older than it can be              |
+      | an answer waited on the link  | 700      | all changes | 800    | the transfer over a full link is left out        |
+      | the store has lost changes    | 0        | no history  | 1000   | a change from before the loss counts as new      |
+      | both happened                 | 700      | no history  | 1000   | a change from before the loss counts as new      |
+
   Scenario: The age of a copied change includes the time of the transfer
     # Guards against a leaving server that is used beyond the drain bound, because its announcement counts from the arrival
     # of a copy that took seconds over a full link.
--- a/nutmeglead/entry/tests/steps/copies_steps.py
+++ b/nutmeglead/entry/tests/steps/copies_steps.py
@@ -75,6 +75,25 @@
     context.hub_a.copy_from(context.hub_b)
 
 
+@when(
+    "hub B reads a removal {pause_ms:d} ms after another answer, {delay_ms:d} ms after the store has "
+    "sent it with {history}"
+)
+def step_delayed_removal(context, pause_ms, delay_ms, history):
+    watch = context.hub_b.watch
+    watch.apply_fed_rows(StoreRows((), context.version), False)
+    context.clock.advance(pause_ms)
+    rows = (row(SERVER, None, context.version + 1),)
+    fed = StoreRows(rows, context.version + 1, delay_ms)
+    watch.apply_fed_rows(fed, False, is_history_lost=history == "no history")
+
+
+@then("hub B counts the change as up to {age_ms:d} ms old")
+def step_age(context, age_ms):
+    found_ms = context.clock.now_ms() - context.hub_b.changed_ms[SERVER]
+    assert found_ms == age_ms, found_ms
+
+
 @when("the node copies it")
 def step_copy(context):
     context.node.copy_from(context.hub_a)
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -93,7 +93,7 @@
         # All changes after this version are known; a copy from before it has to be a whole table.
         self._changes_kept_after = 0
         self._last_call_failed = False
-        # Time of the newest answer to a feed call.
+        # When the store sent the newest answer to a feed call.
         self._last_feed_ms = clock.now_ms()
 
     @property
@@ -230,20 +230,23 @@
         """
         wait_ms = PROBE_WAIT_MS if self._last_call_failed or not self.version else FEED_WAIT_MS
         fed = await self._store.feed(self._table, self.version, wait_ms)
-        is_snapshot = self.version == 0
+        is_snapshot, is_history_lost = self.version == 0, False
         if isinstance(fed, Err) and isinstance(fed.err_value, StoreHistoryLost):
             logger.info("reading all rows of store table %s again: %s", self._table, fed.err_value)
             fed = await self._store.read(self._table, "")
-            is_snapshot = True
+            is_snapshot = is_history_lost = True
         if isinstance(fed, Err):
             return fed
-        self.apply_fed_rows(fed.ok_value, is_snapshot)
+        self.apply_fed_rows(fed.ok_value, is_snapshot, is_history_lost)
         return Ok(None)
 
-    def apply_fed_rows(self, rows: StoreRows, is_snapshot: bool) -> None:
+    def apply_fed_rows(
+        self, rows: StoreRows, is_snapshot: bool, is_history_lost: bool = False
+    ) -> None:
         """Apply rows read from the store, unless a newer copy from a peer was applied meanwhile."""
-        changed_ms = self._earliest_change_ms()
-        self._last_feed_ms = self._clock.now_ms()
+        sent_ms = self._clock.now_ms() - rows.delay_ms
+        changed_ms = self._earliest_change_ms(sent_ms, is_history_lost)
+        self._last_feed_ms = sent_ms
         if rows.version >= self.version:
             self._is_outage_own = True
             dated = tuple(replace(row, changed_ms=changed_ms) for row in rows.rows)
@@ -253,17 +256,16 @@
                 self._contact.was_unavailable_within(OUTAGE_RECOVERY_GRACE_MS),
             )
 
-    def _earliest_change_ms(self) -> int:
-        """Return since when the rows of a feed's answer can have changed at the earliest.
+    def _earliest_change_ms(self, sent_ms: int, is_history_lost: bool) -> int:
+        """Return since when rows that the store sent at a time can have changed at the earliest.
 
         A change waits for the next call while this node pauses between two of them, and is answered
-        promptly if a call waits at the store. After failed calls it can be as old as the last
-        answer.
+        promptly if a call waits at the store. After failed calls, or if the store has lost changes,
+        it can be as old as the last answer.
         """
-        if self._last_call_failed:
+        if self._last_call_failed or is_history_lost:
             return self._last_feed_ms
-        oldest_ms = self._clock.now_ms() - self._settle_ms - PROMPT_ANSWER_MS
-        return max(self._last_feed_ms, oldest_ms)
+        return max(self._last_feed_ms, sent_ms - self._settle_ms - PROMPT_ANSWER_MS)
 
     def _apply_rows(self, rows: StoreRows, is_snapshot: bool, after_outage: bool) -> None:
         previous = self._rows
--- a/nutmeglead/platform/store.py
+++ b/nutmeglead/platform/store.py
@@ -9,7 +9,7 @@
 import json
 import logging
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import urlencode
 
@@ -20,6 +20,7 @@
 from nutmeglead.http.client import HttpFetcher, ProgressLimits
 from nutmeglead.http.errors import ConnectFailed, HttpError
 from nutmeglead.http.messages import RequestHead, ResponseHead
+from nutmeglead.platform.answer_delays import AnswerDelays
 from nutmeglead.platform.wire import STORE_FEED_PATH, STORE_READ_PATH, STORE_TRANSACT_PATH
 
 __all__ = [
@@ -62,10 +63,14 @@
 
 @dataclass(frozen=True)
 class StoreRows:
-    """Rows, and the version of the store when it read them."""
+    """Rows, and the version of the store when it read them.
+
+    `delay_ms` tells how much longer the answer was under way than the fastest ones.
+    """
 
     rows: tuple[StoreRow, ...]
     version: int
+    delay_ms: int = 0
 
 
 @dataclass
@@ -125,6 +130,7 @@
         self._fetcher = fetcher
         self._timeout_ms = timeout_ms
         self._clock = clock
+        self._answer_delays = AnswerDelays()
         self.call_count = 0
         self.failure_count = 0
         # Start times of the calls in flight by call number. Feeds are left out, as they wait for a
@@ -220,7 +226,15 @@
             return Err(StoreHistoryLost(after))
         if status != 200:
             return Err(StoreUnavailable(f"status {status}"))
-        return _parse_answer(answer, _parse_rows)
+        return _parse_answer(answer, self._parse_delayed_rows)
+
+    def _parse_delayed_rows(self, fields: dict[str, Any]) -> StoreRows:
+        """Return the rows of an answer that has just arrived, with its delay."""
+        rows, sent_s = _parse_rows(fields), fields.get("now_s")
+        if sent_s is None:
+            return rows
+        delay_ms = self._answer_delays.delay_ms(round(sent_s * 1000), self._clock.now_ms())
+        return replace(rows, delay_ms=delay_ms)
 
     async def _read_page(self, target: str) -> Result[tuple[StoreRows, bool], StoreUnavailable]:
         """Return the rows of one page, and whether more pages follow."""
--- a/nutmeglead/platform/tests/steps/store_calls_steps.py
+++ b/nutmeglead/platform/tests/steps/store_calls_steps.py
@@ -1,5 +1,6 @@
 """Steps for calls to a store that answers slowly."""
 
+import asyncio
 import json
 
 from behave import given, then, when
@@ -23,7 +24,13 @@
 TOLERANCE_MS = 20
 
 
+async def call_feed_twice(store):
+    await store.feed("op", 0, FEED_WAIT_MS)
+    return await store.feed("op", 1, FEED_WAIT_MS)
+
+
 CALLS = {
+    "feed twice": call_feed_twice,
     "feed": lambda store: store.feed("op", 0, FEED_WAIT_MS),
     "read": lambda store: store.read("op", ""),
 }
@@ -34,6 +41,51 @@
     context.sender = SlowSender(Sending(sends), ANSWER)
 
 
+class PageSender:
+    """Answer with a page of rows at each call, after its delay; `now_s` is when it was made."""
+
+    def __init__(self, pages):
+        self._pages = list(pages)
+
+    async def answer(self, exchange):
+        version, has_more, delay_s = self._pages.pop(0)
+        row = {**ROW, "key": f"config-{version}"}
+        page = {
+            "rows": [row],
+            "has_more": has_more,
+            "ver": version,
+            "now_s": asyncio.get_running_loop().time(),
+        }
+        await asyncio.sleep(delay_s)
+        await exchange.respond(200, [], json.dumps(page).encode())
+
+
+@given("two pages of a table, which the store reads at versions 7 and 9")
+def step_pages(context):
+    context.sender = PageSender([(7, True, 0), (9, False, 0)])
+
+
+@given("an answer of the store that arrives at once, and one that arrives 900 ms after it was sent")
+def step_delayed(context):
+    context.sender = PageSender([(1, False, 0), (2, False, 0.9)])
+
+
+@then(
+    "the rows of both pages have arrived, and the next feed call asks for changes after version "
+    "{version:d}"
+)
+def step_both_pages(context, version):
+    rows = context.result.unwrap()
+    assert [row.key for row in rows.rows] == ["config-7", "config-9"]
+    assert rows.version == version, rows.version
+
+
+@then("the second answer has a delay of {delay_ms:d} ms")
+def step_second_delay(context, delay_ms):
+    found_ms = context.result.unwrap().delay_ms
+    assert abs(found_ms - delay_ms) <= TOLERANCE_MS, found_ms
+
+
 @when("a node calls the {call}")
 def step_call(context, call):
     async def run(clock):
--- a/nutmeglead/platform/tests/store_calls.feature
+++ b/nutmeglead/platform/tests/store_calls.feature
@@ -14,3 +14,9 @@
       | read | sends one part of its answer and then nothing | the call has failed after 2100 ms   | a silent store is noticed late                        |
       | feed | sends one part each 600 ms without an end     | the call has failed after 12500 ms  | a call that never ends keeps back the rows of a table |
       | read | sends one part each 600 ms without an end     | the call has failed after 12000 ms  | a call that never ends keeps back the rows of a table |
+
+  Scenario: The rows of a feed's answer tell for how long it waited on the link
+    # Guards against ages of changes that leave out the time on a full link.
+    Given an answer of the store that arrives at once, and one that arrives 900 ms after it was sent
+    When a node calls the feed twice
+    Then the second answer has a delay of 900 ms
