--- a/nutmeglead/platform/store.py
+++ b/nutmeglead/platform/store.py
@@ -192,9 +192,10 @@
         """Return the rows of a part of a table with keys from `first` up to, but without, `end`.
 
         The store answers in pages. Each page is read at its own time, so the result is no snapshot;
-        its version is that of the last page.
+        its version is that of the first page, after which rows of any page may have changed.
         """
         rows: list[StoreRow] = []
+        version: int | None = None
         while True:
             query = {"table": table, "part": part, "from": first}
             if end:
@@ -204,8 +205,9 @@
                 return page
             found, has_more = page.ok_value
             rows += found.rows
+            version = found.version if version is None else version
             if not has_more or not found.rows:
-                return Ok(StoreRows(tuple(rows), found.version))
+                return Ok(StoreRows(tuple(rows), version))
             first = found.rows[-1].key + "\0"
 
     async def feed(
--- a/nutmeglead/platform/tests/store_calls.feature
+++ b/nutmeglead/platform/tests/store_calls.feature
@@ -15,6 +15,12 @@
       | feed | sends one part each 600 ms without an end     | the call has failed after 12500 ms  | a call that never ends keeps back the rows of a table |
       | read | sends one part each 600 ms without an end     | the call has failed after 12000 ms  | a call that never ends keeps back the rows of a table |
 
+  Scenario: A change between two pages of a table is not missed
+    # Guards against a node that has read a large table again, after a lost history, and never learns of a change of its first rows.
+    Given two pages of a table, which the store reads at versions 7 and 9
+    When a node calls the read
+    Then the rows of both pages have arrived, and the next feed call asks for changes after version 7
+
   Scenario: The rows of a feed's answer tell for how long it waited on the link
     # Guards against ages of changes that leave out the time on a full link.
     Given an answer of the store that arrives at once, and one that arrives 900 ms after it was sent
