--- a/nutmeglead/soak/run.py
+++ b/nutmeglead/soak/run.py
@@ -15,10 +15,13 @@
 from result import Err
 
 from nutmeglead._generated.emulator.ttypes import DayFlow
+from nutmeglead._generated.peers.ttypes import NodeRow, TicketStatus
 from nutmeglead._generated.tickets.ttypes import KeyClaim, ServerItem, ServerState, Ticket
 from nutmeglead.emulator.balancer import LoadBalancer
 from nutmeglead.emulator.callers import Callers, ReportedOutcomes
+from nutmeglead.entry.copies import TICKET_STATUS_PATH
 from nutmeglead.http.client import HttpFetcher
+from nutmeglead.peers.fetch import fetch_struct
 from nutmeglead.platform.store import StoreClient
 from nutmeglead.platform.table import StoreTable
 from nutmeglead.ranges.keys import KEY_COUNT
@@ -26,6 +29,7 @@
 from nutmeglead.soak.fleet import (
     ENVIRONMENT_IP,
     FRONT_PORT,
+    PEER_PORT,
     SERVICES,
     EntryProgram,
     Fleet,
@@ -41,8 +45,10 @@
 STORE_TIMEOUT_MS = 1_500
 # Time for the entry processes to start and for the first placement of ranges.
 START_TIMEOUT_S = 20.0
-# All keys must have holders this long after the last fault, also on a busy machine.
+# This long after the last fault, also on a busy machine, all keys must have holders, and all entry
+# programs must follow the newest ticket.
 RECOVERY_TIMEOUT_S = 30.0
+STATUS_TIMEOUT_MS = 1_000
 CHECK_INTERVAL_S = 0.2
 # Step between the keys that are checked for a holder.
 KEY_SAMPLE_STEP = 997
@@ -150,6 +156,7 @@
             self.report.broken.append(
                 f"{self._count_unheld_keys()} sampled keys have no holder at the end"
             )
+        await self._check_tickets()
         probing.cancel()
         self._check_requirements(callers)
 
@@ -249,6 +256,26 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
         return True
 
+    async def _check_tickets(self) -> None:
+        """Report the entry programs that do not follow the newest ticket in time."""
+        loop, fetcher = asyncio.get_running_loop(), HttpFetcher()
+        end_s = loop.time() + RECOVERY_TIMEOUT_S
+        while outdated := [e.ip for e in self.fleet.entries if await self._is_outdated(e, fetcher)]:
+            if loop.time() > end_s:
+                self.report.broken.append(f"without ticket {self._head_number}: {outdated}")
+                break
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        fetcher.close()
+
+    async def _is_outdated(self, entry: EntryProgram, fetcher: HttpFetcher) -> bool:
+        """Return whether an entry program follows no ticket as new as the newest one filed."""
+        row = NodeRow(entry.ip, PEER_PORT, 0, "", 0.0)
+        path, timeout_ms = TICKET_STATUS_PATH, STATUS_TIMEOUT_MS
+        fetched = await fetch_struct(fetcher, row, path, TicketStatus, timeout_ms)
+        return isinstance(fetched, Err) or (
+            fetched.ok_value.message.ticket_number < self._head_number
+        )
+
     def _check_requirements(self, callers: Sequence[Callers]) -> None:
         report = self.report
         for group in callers:
