--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -348,7 +348,7 @@
 
     def alive_count(self) -> int:
         """Return the number of entry VMs that are alive, this one included."""
-        return len(self.membership.alive_ids(self.clock.now_ms()))
+        return self.peers.alive_count
 
     def in_flight_by_tag(self) -> Mapping[int, int]:
         """Return the number of this node's requests in flight per server tag."""
--- a/nutmeglead/peers/service.py
+++ b/nutmeglead/peers/service.py
@@ -107,6 +107,15 @@
         self._serving_hub: NodeId | None = None
         self._interval_count = 0
 
+    @property
+    def alive_count(self) -> int:
+        """Return how many nodes were alive at the start of the current interval, with this one.
+
+        Each request asks several times, and a pass over all peers costs more than the request's
+        other admission checks.
+        """
+        return max(1, len(self._alive_ids))
+
     async def start(self, ip: str, port: int) -> None:
         """Bind the UDP socket."""
         loop = asyncio.get_running_loop()
--- a/nutmeglead/peers/tests/membership.feature
+++ b/nutmeglead/peers/tests/membership.feature
@@ -48,6 +48,12 @@
     Given 12 nodes in 3 failure domains, where all are heard
     Then n-00 is alive for 550 ms more and then it is not
 
+  Scenario: Requests ask how many nodes are alive without a pass over all nodes
+    # Guards against processor time per request that grows with the number of nodes.
+    Given 12 nodes in 3 failure domains, where all are heard
+    When requests ask 100 times in each of 2 heartbeat intervals how many nodes are alive
+    Then the answers are 12, after 2 passes over all nodes
+
   Scenario: Requests in flight are counted once, whichever heartbeats report them
     # Guards against servers that seem full because the sums of two hubs include the same requests.
     Given a hub that serves two nodes with 3 and 4 requests at a server
--- a/nutmeglead/peers/tests/steps/membership_steps.py
+++ b/nutmeglead/peers/tests/steps/membership_steps.py
@@ -1,13 +1,18 @@
 """Steps for membership and for the sums of requests in flight, with explicit times."""
 
+import asyncio
 import re
 
 from behave import given, then, when
 
 from nutmeglead._generated.peers.ttypes import Heartbeat, NodeRow, Scope
+from nutmeglead.core.clock import ManualClock
 from nutmeglead.core.ids import FailureDomainName, NodeId
+from nutmeglead.emulator.network import EmulatedLoop
+from nutmeglead.emulator.virtual_time import run_virtual
 from nutmeglead.peers.codec import NodeState, encode_states, node_tag
-from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.membership import HEARTBEAT_INTERVAL_MS, Membership
+from nutmeglead.peers.service import PeerHandler, PeerService
 from nutmeglead.peers.work import InFlightTotals
 
 NOW_MS = 10_000
@@ -108,6 +113,39 @@
     assert found == rank, found
 
 
+@when(
+    "requests ask {count:d} times in each of {interval_count:d} heartbeat intervals how many nodes "
+    "are alive"
+)
+def step_ask(context, count, interval_count):
+    membership = context.fixture.membership
+    list_alive_ids, context.passes, context.answers = membership.alive_ids, 0, set()
+
+    def counted_alive_ids(now_ms):
+        context.passes += 1
+        return list_alive_ids(now_ms)
+
+    membership.alive_ids = counted_alive_ids
+
+    async def run(clock):
+        service = PeerService(membership, 1, PeerHandler(), ManualClock(NOW_MS))
+        task = asyncio.ensure_future(service.run())
+        await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000 / 2)
+        for _ in range(interval_count - 1):
+            context.answers |= {service.alive_count for _ in range(count)}
+            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
+        context.answers |= {service.alive_count for _ in range(count)}
+        task.cancel()
+
+    run_virtual(run, EmulatedLoop(1))
+
+
+@then("the answers are {alive_count:d}, after {passes:d} passes over all nodes")
+def step_answers(context, alive_count, passes):
+    assert context.answers == {alive_count}, context.answers
+    assert context.passes == passes, context.passes
+
+
 @when("hub n-00 reports that it heard n-09 {age_ms:d} ms ago")
 def step_reported_state(context, age_ms):
     state = NodeState(node_tag(NodeId("n-09")), age_ms, False, True)
