--- a/nutmeglead/entry/tests/manifests.py
+++ b/nutmeglead/entry/tests/manifests.py
@@ -105,6 +105,7 @@
     async def fill_links(self):
         """Keep the links of one node of each domain full of other data in both directions."""
         ips = [self.cluster.node_ip(node_id) for node_id in self.cluster.node_ids[-2:]]
+        # The loop holds tasks by weak references only.
         self.fill_task = asyncio.get_running_loop().create_task(self._fill_links(ips))
         await asyncio.sleep(UNHEARD_S)
 
--- a/nutmeglead/entry/tests/table_source.feature
+++ b/nutmeglead/entry/tests/table_source.feature
@@ -24,10 +24,10 @@
     Then it asks <hubs> for copies without a heartbeat
 
     Examples: each row names the failure it guards against
-      | case                           | silent_ms | next                 | hubs     | failure                                           |
-      | two heartbeats are lost        | 351       | nothing else happens | both     | a node waits until it takes its hubs for lost     |
-      | one heartbeat is lost          | 350       | nothing else happens | none     | each lost datagram costs a request                |
-      | no hub is heard                | 900       | one hub is heard     | none     | a node asks a hub that is lost while it hears one |
+      | case                    | silent_ms | next                 | hubs | failure                                           |
+      | two heartbeats are lost | 351       | nothing else happens | both | a node waits until it takes its hubs for lost     |
+      | one heartbeat is lost   | 350       | nothing else happens | none | each lost datagram costs a request                |
+      | no hub is heard         | 900       | one hub is heard     | none | a node asks a hub that is lost while it hears one |
 
   Scenario: A hub asks nobody without a heartbeat
     # Guards against a hub that takes another hub's copies for its own reading of the store.
--- a/nutmeglead/platform/tests/answer_delays.feature
+++ b/nutmeglead/platform/tests/answer_delays.feature
@@ -8,9 +8,9 @@
     Then its delay is <delay_ms> ms
 
     Examples: each row names the failure it guards against
-      | case                                  | ahead_ms | pause_ms | transfer_ms | delay_ms | failure                                   |
-      | an answer is as fast as the one before | 5000     | 100      | 4           | 0        | rows seem older than they are             |
-      | an answer waits on a full link         | 5000     | 100      | 1404        | 1400     | the time on a full link is left out       |
-      | the store's clock is behind            | -5000    | 100      | 1404        | 1400     | the clocks are compared as they are       |
-      | the fastest answer is a minute old     | 0        | 61000    | 1404        | 1400     | the fastest answer is forgotten at once   |
+      | case                                   | ahead_ms | pause_ms | transfer_ms | delay_ms | failure                                    |
+      | an answer is as fast as the one before | 5000     | 100      | 4           | 0        | rows seem older than they are              |
+      | an answer waits on a full link         | 5000     | 100      | 1404        | 1400     | the time on a full link is left out        |
+      | the store's clock is behind            | -5000    | 100      | 1404        | 1400     | the clocks are compared as they are        |
+      | the fastest answer is a minute old     | 0        | 61000    | 1404        | 1400     | the fastest answer is forgotten at once    |
       | the fastest answer is two minutes old  | 0        | 121000   | 1404        | 1400     | a node that calls seldom loses its measure |
