ranges: rights to renew end without the answers of witnesses that have left

Cause: a map lists a replaced witness set until a majority of it knows the newer map, and a range whose holder does not answer waits for that. Half of the set had left, so it never came. Two things were wrong: half of an even set is enough, as the other half is no majority; and beyond half, no count of answers can be enough. Change: rights end once the other witnesses are no majority. A majority confirms a map only for 30 s after one of its nodes has read it in the store (one reads it each 5 s and states the age in its heartbeats), so that all older rights end 30.6 s after a newer map was in the store. No witness that is cut off can hold longer, which is why no second holder appears.

--- a/nutmeglead/_generated/peers/ttypes.py
+++ b/nutmeglead/_generated/peers/ttypes.py
@@ -659,11 +659,12 @@
      - is_confirmed
      - quiet_ms
      - sent
+     - store_read_ago_ms
 
     """
 
 
-    def __init__(self, service_name=None, map_version=None, step=None, role_epoch=None, acting_node_id=None, is_confirmed=None, quiet_ms=None, sent=None,):
+    def __init__(self, service_name=None, map_version=None, step=None, role_epoch=None, acting_node_id=None, is_confirmed=None, quiet_ms=None, sent=None, store_read_ago_ms=None,):
         self.service_name = service_name
         self.map_version = map_version
         self.step = step
@@ -672,6 +673,7 @@
         self.is_confirmed = is_confirmed
         self.quiet_ms = quiet_ms
         self.sent = sent
+        self.store_read_ago_ms = store_read_ago_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -728,6 +730,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.store_read_ago_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -773,6 +780,10 @@
                 iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_read_ago_ms is not None:
+            oprot.writeFieldBegin('store_read_ago_ms', TType.I32, 9)
+            oprot.writeI32(self.store_read_ago_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2056,6 +2067,7 @@
     (6, TType.BOOL, 'is_confirmed', None, None, ),  # 6
     (7, TType.I32, 'quiet_ms', None, None, ),  # 7
     (8, TType.LIST, 'sent', (TType.STRUCT, [SentOrder, None], False), None, ),  # 8
+    (9, TType.I32, 'store_read_ago_ms', None, None, ),  # 9
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/nutmeglead/entry/tests/steps/ownership_steps.py
+++ b/nutmeglead/entry/tests/steps/ownership_steps.py
@@ -6,10 +6,12 @@
 from behave import given, then, when
 
 from nutmeglead.core.ids import NodeId
+from nutmeglead.emulator.cluster import STORE
 from nutmeglead.emulator.store_host import StoreFault
 from nutmeglead.entry.tests.deployment import (
     HEARTBEAT_MS,
     MANIFEST,
+    OPTIONS,
     SERVER_COUNT,
     SERVICE,
     run_cluster,
@@ -28,8 +30,10 @@
 class ClusterRun:
     """Run a trouble on a settled cluster, and sample unheld keys, manifests and readiness."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, options=OPTIONS, run_ms=RUN_MS):
         self.seed = seed
+        self.options = options
+        self.run_ms = run_ms
         self.longest_gap_ms = 0
         self.unheld_count = 0
         self.manifest_known_ms = None
@@ -37,7 +41,7 @@
         self.max_store_calls = 0
 
     def run(self, trouble):
-        run_cluster(self.seed, lambda cluster: self._run(cluster, trouble))
+        run_cluster(self.seed, lambda cluster: self._run(cluster, trouble), self.options)
 
     async def _run(self, cluster, trouble):
         self.cluster = cluster
@@ -48,7 +52,7 @@
         gap_since_ms = None
         start_ms = clock.now_ms()
         first_epoch = self._epoch()
-        while clock.now_ms() < start_ms + RUN_MS:
+        while clock.now_ms() < start_ms + self.run_ms:
             await asyncio.sleep(SAMPLE_MS / 1000)
             if cluster.unheld_keys():
                 gap_since_ms = clock.now_ms() if gap_since_ms is None else gap_since_ms
@@ -139,8 +143,14 @@
         await cut
 
     async def the_store_is_silent_for_9_s(self, cluster):
+        await self._silence_store(cluster, 9_000)
+
+    async def the_store_is_silent_for_20_s(self, cluster):
+        await self._silence_store(cluster, 20_000)
+
+    async def _silence_store(self, cluster, duration_ms):
         cluster.store.fault = StoreFault.SILENT
-        await pause(9_000)
+        await pause(duration_ms)
         cluster.store.fault = StoreFault.NONE
 
     async def the_store_is_silent_for_9_s_and_the_acting_node_dies(self, cluster):
@@ -250,6 +260,11 @@
         cluster.put_manifest(replace(MANIFEST, version=2))
 
 
+@given("a settled cluster of {nodes:d} nodes with seed {seed:d}, watched for {run_s:d} s")
+def step_large_cluster(context, nodes, seed, run_s):
+    context.cluster_run = ClusterRun(seed, replace(OPTIONS, nodes=nodes), 1000 * run_s)
+
+
 @given("a settled cluster with seed {seed:d}")
 def step_cluster(context, seed):
     context.cluster_run = ClusterRun(seed)
@@ -270,6 +285,7 @@
     assert longest_ms <= gap_ms + resolution_ms, longest_ms
 
 
+@then("at the end every key is held")
 @then("after 12 s every key is held")
 def step_all_held(context):
     assert context.cluster_run.unheld_count == 0, context.cluster_run.unheld_count
@@ -293,6 +309,48 @@
     context.cluster_run.run(getattr(context.troubles, trouble.replace(" ", "_")))
 
 
+async def restart_nodes(cluster):
+    staying = list(cluster.nodes)
+    for node_id in staying:
+        cluster.kill_node(node_id)
+    await pause(1_200)
+    for node_id in staying:
+        await cluster.start_node(node_id)
+
+
+@when("{count:d} of them leave for good {gap_ms:d} ms apart, {then_text}, and a server crashes")
+def step_lost_nodes(context, count, gap_ms, then_text):
+    async def trouble(cluster):
+        for node_id in cluster.node_ids[:count]:
+            cluster.kill_node(node_id)
+            await pause(gap_ms)
+        await pause(15_000 - count * gap_ms)
+        if then_text == "the others start again":
+            await restart_nodes(cluster)
+        await Troubles().a_server_crashes(cluster)
+
+    context.cluster_run.run(trouble)
+
+
+@when("{count:d} of them are cut off for {time_s:d} s with one of the servers")
+def step_cut_off_together(context, count, time_s):
+    async def trouble(cluster):
+        server_id = cluster.server_with_most_keys()
+        cut = {cluster.node_ip(node_id) for node_id in cluster.node_ids[:count]}
+        cut.add(cluster.servers[server_id].ip)
+        others = {cluster.node_ip(node_id) for node_id in cluster.node_ids[count:]}
+        for ip in cut:
+            for other in (*others, STORE.ip):
+                cluster.network.block(ip, other)
+        await pause(3 * HEARTBEAT_MS)
+        cluster.remove_entry(server_id)
+        await pause(1000 * time_s - 3 * HEARTBEAT_MS)
+        cluster.network.blocked_pairs.clear()
+        cluster.network.deliver_held()
+
+    context.cluster_run.run(trouble)
+
+
 @then("every node is ready within {bound_ms:d} ms and knows all servers")
 def step_ready(context, bound_ms):
     ready_ms = context.cluster_run.ready_ms
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -328,6 +328,20 @@
             return None
         return sorted(echoes, reverse=True)[needed - 1] if needed else now_ms
 
+    def store_reads_ms(
+        self, service: ServiceName, map_version: int, witnesses: Collection[NodeId]
+    ) -> list[int]:
+        """Return when witnesses that know no newer map have read the store, at the earliest.
+
+        A peer states the age of its read when it echoes a heartbeat, which this node sent before.
+        """
+        return [
+            view.echoed_ms - view.view.store_read_ago_ms
+            for _, view in self._views(service, witnesses)
+            if view.view.is_confirmed and view.view.map_version <= map_version
+            if view.echoed_ms > 0 and view.view.store_read_ago_ms is not None
+        ]
+
     def is_newer_map_known(self, service: ServiceName, map_version: int) -> bool:
         """Return whether any peer's view of the service has a newer map version."""
         return any(
@@ -346,7 +360,9 @@
             if view.view.map_version >= map_version
         }
 
-    def is_majority(self, node_ids: Collection[NodeId], witnesses: Collection[NodeId]) -> bool:
-        """Return whether the witnesses in `node_ids`, with this node, are a majority."""
-        counted = {n for n in witnesses if n in node_ids or n == self.own_id}
-        return 2 * len(counted) > len(witnesses)
+    def is_majority_without(
+        self, node_ids: Collection[NodeId], witnesses: Collection[NodeId]
+    ) -> bool:
+        """Return whether the witnesses without `node_ids` and this node are still a majority."""
+        others = {n for n in witnesses if n not in node_ids and n != self.own_id}
+        return 2 * len(others) > len(witnesses)
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -180,6 +180,7 @@
             self._rights.is_confirmed,
             self._rights.grant_history_ms(now_ms),
             self._rights.sent_orders(previous_holders, now_ms),
+            self._rights.store_read_ago_ms(now_ms),
         )
 
     @property
--- a/nutmeglead/ranges/renewal.py
+++ b/nutmeglead/ranges/renewal.py
@@ -14,9 +14,10 @@
 from nutmeglead.forwarding.model import ServerIncarnation
 from nutmeglead.peers.codec import encode_keys, server_tag
 from nutmeglead.ranges.context import ControllerContext
+from nutmeglead.ranges.expiry import RENEW_RIGHT_MS
 from nutmeglead.ranges.model import RangeMap
 from nutmeglead.ranges.orders import OrderSender
-from nutmeglead.ranges.rights import RENEW_RIGHT_MS, RenewalRights
+from nutmeglead.ranges.rights import RenewalRights
 from nutmeglead.ranges.role import RoleRows
 
 __all__ = ["LOOP_INTERVAL_MS", "Renewals", "renewer_of"]
@@ -24,6 +25,10 @@
 logger = logging.getLogger(__name__)
 
 LOOP_INTERVAL_MS = 50
+# Intervals of reads of the store: without one a node may send no more grants, or a majority goes on
+# with its renewals for a while.
+NEEDED_READ_INTERVAL_MS = RENEW_RIGHT_MS // 2
+DUE_READ_INTERVAL_MS = 2_000
 # Interval of reports that only name servers that answered. Failures are reported in the next pass
 # of the loop, since a lost server must be noticed soon.
 ANSWER_REPORT_INTERVAL_MS = 300
@@ -62,7 +67,7 @@
         self._current_map = current_map
         self._apply_stored_map = apply_stored_map
         self._acting_id = acting_id
-        self._next_store_check_ms = 0
+        self._store_checked_ms = -NEEDED_READ_INTERVAL_MS
         self._store_check: asyncio.Task[None] | None = None
         self._assignment: tuple[RangeMap, tuple[NodeId, ...], set[ServerIncarnation]] | None = None
         self._next_answer_report_ms = 0
@@ -78,13 +83,16 @@
             await asyncio.sleep(LOOP_INTERVAL_MS / 1000)
 
     def _renew(self, ranges: RangeMap, now_ms: int) -> None:
-        """Start a store check if no majority confirms the map; as a witness, renew due grants.
+        """Start a store check if it is needed or due; as a witness, renew due grants.
 
         A node of an earlier witness set only reads the map, and so learns that it is replaced.
         """
+        is_witness = self._context.node_id in ranges.witnesses
         if not self._rights.is_confirmed_by_majority(ranges, now_ms):
-            self._start_store_check(now_ms)
-        if self._context.node_id in ranges.witnesses:
+            self._start_store_check(now_ms, NEEDED_READ_INTERVAL_MS)
+        elif is_witness and self._rights.is_store_read_due(ranges, now_ms):
+            self._start_store_check(now_ms, DUE_READ_INTERVAL_MS)
+        if is_witness:
             self._order_sender.renew_due(self._assigned_servers(ranges, now_ms))
 
     def _assigned_servers(self, ranges: RangeMap, now_ms: int) -> set[ServerIncarnation]:
@@ -101,11 +109,12 @@
             self._assignment = ranges, alive, assigned
         return self._assignment[2]
 
-    def _start_store_check(self, now_ms: int) -> None:
-        """Start reading the map in the store, which confirms it while no majority does."""
-        if now_ms < self._next_store_check_ms or self._store_check is not None:
+    def _start_store_check(self, now_ms: int, interval_ms: int) -> None:
+        """Start reading the map in the store, unless a read began within the interval."""
+        is_recent = now_ms - self._store_checked_ms < interval_ms
+        if is_recent or self._store_check is not None:
             return
-        self._next_store_check_ms = now_ms + RENEW_RIGHT_MS // 2
+        self._store_checked_ms = now_ms
         task = asyncio.get_running_loop().create_task(self._confirm_by_store(now_ms))
         self._store_check = task
 
--- a/nutmeglead/ranges/rights.py
+++ b/nutmeglead/ranges/rights.py
@@ -3,30 +3,34 @@
 A grant gives a server a hold on a key range: the right to serve it for a limited time, which
 renewals extend. A map names its witnesses, the only nodes that may send its grants. A witness sends
 them only within RENEW_RIGHT_MS of a moment at which a majority of the witnesses, or the store, knew
-no newer map. When a majority of the witnesses report a newer version, its writer therefore knows
+no newer map; `expiry.py` states when this right ends. The writer of a newer version therefore knows
 the latest time at which another node can have sent a grant of the old version. When the witnesses
-change, a map also lists the earlier sets, until a majority of each knows that it is replaced.
+change, a map also lists the earlier sets, until they have lost their rights.
 """
 
 from collections import Counter
 from collections.abc import Iterable
 
 from nutmeglead._generated.peers.ttypes import Life, SentOrder
-from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.core.ids import ServiceName
 from nutmeglead.forwarding.model import ServerIncarnation
 from nutmeglead.peers.membership import Membership, PeerView
+from nutmeglead.ranges.expiry import (
+    CLOCK_DRIFT,
+    RENEW_RIGHT_MS,
+    STORE_READ_VALID_MS,
+    RightsExpiry,
+)
 from nutmeglead.ranges.model import RangeMap, WitnessSets
 
-__all__ = ["CLOCK_DRIFT", "GRANT_HISTORY_MS", "RENEW_RIGHT_MS", "RenewalRights"]
+__all__ = ["GRANT_HISTORY_MS", "RenewalRights"]
 
-RENEW_RIGHT_MS = 1_000
-# Share by which a server's clock, which measures the hold, may run slow (a rule of the
-# platform).
-CLOCK_DRIFT = 0.02
 # Covers the delivery of an order to the server and the rounding of both clocks.
 DELIVERY_MARGIN_MS = 100
-# Number of map versions for which the times at which a majority knew them are kept.
-KEPT_MAP_VERSIONS = 64
+# Time after the witnesses' newest read of the store at which one of them reads it again. The others
+# learn of that read from its heartbeats, and wait longer by one step for each place in the list.
+STORE_READ_INTERVAL_MS = 5_000
+STORE_READ_STEP_MS = 500
 # Age up to which sent orders are reported to other nodes; longer than any hold that is granted.
 GRANT_HISTORY_MS = 3_000
 
@@ -44,8 +48,7 @@
         # The newest version in the store when it was last read or written, and that time.
         self._store_version = -1
         self._store_confirmed_ms = -RENEW_RIGHT_MS
-        # The times at which a majority of a witness set first knew a map version.
-        self._majority_times_ms: dict[tuple[int, tuple[NodeId, ...]], int] = {}
+        self._expiry = RightsExpiry(service, membership)
         # Number of grants in flight by server, and when the last one that may have arrived ended.
         self._grants_in_flight: Counter[ServerIncarnation] = Counter()
         self._last_sent_ms: dict[ServerIncarnation, int] = {}
@@ -74,14 +77,33 @@
         return by_store and now_ms - self._store_confirmed_ms <= RENEW_RIGHT_MS
 
     def is_confirmed_by_majority(self, ranges: RangeMap, now_ms: int) -> bool:
-        """Return whether a majority of witnesses knew no newer map in the last RENEW_RIGHT_MS."""
-        if not self.is_confirmed:
+        """Return whether a majority of witnesses knew no newer map in the last RENEW_RIGHT_MS.
+
+        One of them must have read the store in the last STORE_READ_VALID_MS.
+        """
+        if not self.is_confirmed or self._store_read_age_ms(ranges, now_ms) > STORE_READ_VALID_MS:
             return False
         echo_ms = self._membership.majority_echo_ms(
             self._service, ranges.version, ranges.witnesses, now_ms
         )
         return echo_ms is not None and now_ms - echo_ms <= RENEW_RIGHT_MS
 
+    def _store_read_age_ms(self, ranges: RangeMap, now_ms: int) -> int:
+        """Return the longest time since the witnesses' newest read of the map in the store."""
+        reads_ms = self._membership.store_reads_ms(self._service, ranges.version, ranges.witnesses)
+        return now_ms - max([self._store_confirmed_ms, *reads_ms])
+
+    def is_store_read_due(self, ranges: RangeMap, now_ms: int) -> bool:
+        """Return whether this witness is to read the store, so that a majority may go on."""
+        place = ranges.witnesses.index(self._membership.own_id)
+        due_ms = STORE_READ_INTERVAL_MS + place * STORE_READ_STEP_MS
+        return self._store_read_age_ms(ranges, now_ms) >= due_ms
+
+    def store_read_ago_ms(self, now_ms: int) -> int | None:
+        """Return how long ago the last read of the store began, or None if that is too long ago."""
+        ago_ms = now_ms - self._store_confirmed_ms
+        return ago_ms if self.is_confirmed and ago_ms <= STORE_READ_VALID_MS else None
+
     def begin_grant(self, incarnation: ServerIncarnation) -> None:
         """Count a grant to a server as in flight."""
         self._grants_in_flight[incarnation] += 1
@@ -152,9 +174,8 @@
     ) -> int | None:
         """Return the latest time at which another node may have sent a grant of an older map.
 
-        Nodes that report `map_version` or a newer one also report their last grants. The others
-        lose the right RENEW_RIGHT_MS after a majority of each witness set knew the version; return
-        None until then.
+        Nodes that report `map_version` or a newer one also report their last grants. Return None
+        while one of the others may still have the right to send grants.
         """
         others = ranges.renewers - {self._membership.own_id}
         informed = self._membership.views_at_or_above(self._service, map_version, others)
@@ -164,46 +185,16 @@
         if len(informed) == len(others):
             return last_ms
         ends_ms = [
-            self._majority_time_ms(witnesses, map_version, now_ms)
-            for witnesses in ranges.witness_sets
+            self._expiry.end_ms(witnesses, map_version, now_ms) for witnesses in ranges.witness_sets
         ]
-        if not ends_ms or any(end_ms is None for end_ms in ends_ms):
+        known_ends_ms = [end_ms for end_ms in ends_ms if end_ms is not None]
+        if not ends_ms or len(known_ends_ms) < len(ends_ms):
             return None
-        return max(
-            [last_ms, *(end_ms + RENEW_RIGHT_MS for end_ms in ends_ms if end_ms is not None)]
-        )
-
-    def _majority_time_ms(
-        self, witnesses: tuple[NodeId, ...], map_version: int, now_ms: int
-    ) -> int | None:
-        """Return when a majority of a witness set was first seen to know a version, or None."""
-        known = self._majority_times_ms.get((map_version, witnesses))
-        if known is not None:
-            return known
-        informed = self._membership.views_at_or_above(self._service, map_version, witnesses)
-        if not self._membership.is_majority(informed, witnesses):
-            return None
-        self._majority_times_ms[(map_version, witnesses)] = now_ms
-        # Transfers begun under recent maps may still wait for these times; older ones have ended.
-        outdated = map_version - KEPT_MAP_VERSIONS
-        self._majority_times_ms = {
-            key: at_ms for key, at_ms in self._majority_times_ms.items() if key[0] > outdated
-        }
-        return now_ms
+        return max([last_ms, *known_ends_ms])
 
     def unexpired_witness_sets(self, ranges: RangeMap, now_ms: int) -> WitnessSets:
         """Return the witness sets without the earlier ones that may no longer send grants."""
-        kept = [
-            witnesses
-            for witnesses in ranges.witness_sets[:-1]
-            if not self._has_expired(witnesses, ranges.version, now_ms)
-        ]
-        return (*kept, ranges.witnesses)
-
-    def _has_expired(self, witnesses: tuple[NodeId, ...], map_version: int, now_ms: int) -> bool:
-        """Return whether a replaced witness set has lost the right to send grants."""
-        known_ms = self._majority_time_ms(witnesses, map_version, now_ms)
-        return known_ms is not None and now_ms - known_ms > RENEW_RIGHT_MS
+        return self._expiry.unexpired_sets(ranges, now_ms)
 
 
 def _last_reported_grant_ms(view: PeerView, incarnation: ServerIncarnation) -> int:
--- a/nutmeglead/ranges/tests/rights.feature
+++ b/nutmeglead/ranges/tests/rights.feature
@@ -77,3 +77,57 @@
     Then under map 2 the end of a lost server's hold is not known
     When peers 1 and 3 know map 2 at 5500 ms
     Then under map 2 the hold of a lost server ends at 7824 ms
+
+  Scenario: Half of an even number of witnesses ends the rights of the others
+    # Guards against keys of a crashed server that never get an owner again after half of the
+    # witnesses have left for good: the other half alone is no majority that could renew.
+    Given 6 nodes that know map 1
+    And a hold of 1200 ms
+    When peers 1 and 2 know map 2 at 5000 ms
+    Then under map 2 the hold of a lost server ends at 7324 ms
+
+  Scenario: Less than half of an even number of witnesses ends no rights
+    # Guards against a grant to a second server while the other witnesses are a majority that still
+    # renews the hold of the first one.
+    Given 6 nodes that know map 1
+    And a hold of 1200 ms
+    When peer 1 knows map 2 at 5000 ms
+    Then under map 2 the end of a lost server's hold is not known
+
+  Scenario: The rights of witnesses that have left for good end without an answer of theirs
+    # Guards against keys of a crashed server that never get an owner again after most witnesses
+    # have left for good: none of them will ever know the newer map.
+    Given a hold of 1200 ms
+    When peer 1 knows map 2 at 5000 ms
+    Then under map 2 the end of a lost server's hold is not known at 35599 ms
+    And under map 2 the hold of a lost server ends at 36924 ms
+
+  Scenario: A majority without a recent read of the store permits no grants
+    # Guards against witnesses that are cut off from the store and from the acting node, and renew
+    # each other's rights for longer than the acting node waits for them.
+    When a read of the store that began at 1000 ms returns map 1
+    And two peers echo the heartbeat sent at 30900 ms
+    Then grants of map 1 may be sent until 31000 ms
+
+  Scenario: A peer's read of the store permits grants as long as an own one
+    # Guards against a witness that loses its rights because the store refuses its calls, although
+    # the store answers its peers.
+    When a read of the store that began at 1000 ms returns map 1
+    And two peers echo the heartbeat sent at 30900 ms, 4000 ms after a read of the store
+    And two peers echo the heartbeat sent at 56500 ms, 29600 ms after a read of the store
+    Then grants of map 1 may be sent until 56900 ms
+
+  Scenario: A replaced witness set that has left for good is dropped from the map
+    # Guards against a map that keeps a set of nodes that have left, and so waits for them at each
+    # later move.
+    Given map 2 has other witnesses than map 1, and most of those of map 1 have left
+    When peer 3 knows map 2 at 5000 ms
+    Then the witnesses of map 1 are listed until 35600 ms
+
+  Scenario: A witness set that is replaced again is listed for its whole time again
+    # Guards against a set that is dropped by the time of its first replacement, after another
+    # acting node has made it the current one in the meantime.
+    Given map 2 has other witnesses than map 1, and most of those of map 1 have left
+    When peer 3 knows map 2 at 5000 ms
+    And the next map that this node knows is map 5 at 30000 ms
+    Then the witnesses of map 1 are listed until 60600 ms
--- a/nutmeglead/ranges/tests/steps/orders_steps.py
+++ b/nutmeglead/ranges/tests/steps/orders_steps.py
@@ -10,11 +10,12 @@
 from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord, ServerState
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.peers.membership import Membership
+from nutmeglead.ranges.expiry import RENEW_RIGHT_MS
 from nutmeglead.ranges.health import HolderHealth
 from nutmeglead.ranges.keys import KEY_COUNT
 from nutmeglead.ranges.model import KeyRange, RangeMap
 from nutmeglead.ranges.orders import OrderSender
-from nutmeglead.ranges.rights import RENEW_RIGHT_MS, RenewalRights
+from nutmeglead.ranges.rights import RenewalRights
 
 STOCK = ServiceName("stock")
 OWNER = ServerIncarnation(ServerId("s-1"), 1)
--- a/nutmeglead/ranges/tests/steps/rights_steps.py
+++ b/nutmeglead/ranges/tests/steps/rights_steps.py
@@ -34,9 +34,21 @@
         self.hold_ms = 0
         self.sent_ms = 0
 
-    def hear(self, peer, version, echo_ms, now_ms, sent=(), is_confirmed=True):
+    def hear(
+        self, peer, version, echo_ms, now_ms, sent=(), is_confirmed=True, store_read_ago_ms=None
+    ):
         self.sent_ms += 1
-        view = ServiceView(STOCK, version, 0, 1, "n-0", is_confirmed, GRANT_HISTORY_MS, list(sent))
+        view = ServiceView(
+            STOCK,
+            version,
+            0,
+            1,
+            "n-0",
+            is_confirmed,
+            GRANT_HISTORY_MS,
+            list(sent),
+            store_read_ago_ms,
+        )
         heartbeat = Heartbeat(
             peer, 1, self.sent_ms, echo_ms, False, {}, 0, [view], b"", Scope.GROUP, b"", False
         )
@@ -46,6 +58,10 @@
         whole = [KeyRange(0, KEY_COUNT - 1, INCARNATION, 1)]
         return RangeMap(STOCK, whole, version, witness_sets=self.witness_sets)
 
+    def are_first_witnesses_listed(self, version, now_ms):
+        sets = self.rights.unexpired_witness_sets(self.map(version), now_ms)
+        return self.witness_sets[0] in sets
+
     def may_send(self, now_ms):
         return self.rights.may_send(self.map(1), now_ms)
 
@@ -54,9 +70,9 @@
         return self.rights.hold_end_ms(INCARNATION, newest, version, self.hold_ms, now_ms)
 
 
-@given("5 nodes that know map 1")
-def step_nodes(context):
-    context.rights = RightsScenario(5)
+@given("{count:d} nodes that know map 1")
+def step_nodes(context, count):
+    context.rights = RightsScenario(count)
 
 
 @given("this node has restarted and not read the map")
@@ -76,6 +92,13 @@
     scenario.witness_sets = (("n-0", *scenario.peers[:2]), ("n-0", *scenario.peers[2:]))
 
 
+@given("map 2 has other witnesses than map 1, and most of those of map 1 have left")
+def step_replaced_and_left(context):
+    scenario = context.rights
+    scenario.known_version = 2
+    scenario.witness_sets = (("n-0", "n-7", "n-8"), ("n-0", *scenario.peers[2:]))
+
+
 @given("a hold of {hold_ms:d} ms")
 def step_hold(context, hold_ms):
     context.rights.hold_ms = hold_ms
@@ -87,6 +110,14 @@
         context.rights.hear(peer, 1, echo_ms, echo_ms + 10)
 
 
+@when(
+    "two peers echo the heartbeat sent at {echo_ms:d} ms, {ago_ms:d} ms after a read of the store"
+)
+def step_two_echo_reads(context, echo_ms, ago_ms):
+    for peer in context.rights.peers[:2]:
+        context.rights.hear(peer, 1, echo_ms, echo_ms + 10, store_read_ago_ms=ago_ms)
+
+
 @when("one peer echoes the heartbeat sent at {echo_ms:d} ms")
 def step_one_echoes(context, echo_ms):
     context.rights.hear(context.rights.peers[0], 1, echo_ms, echo_ms + 10)
@@ -127,10 +158,18 @@
 
 
 @when("peers {numbers} know map 2 at {now_ms:d} ms")
+@when("peer {numbers} knows map 2 at {now_ms:d} ms")
 def step_some_know(context, numbers, now_ms):
     for number in numbers.split(" and "):
         context.rights.hear(NodeId(f"n-{number}"), 2, now_ms, now_ms)
     context.rights.hold_end_ms(2, now_ms)
+    context.rights.are_first_witnesses_listed(2, now_ms)
+
+
+@when("the next map that this node knows is map {version:d} at {now_ms:d} ms")
+def step_next_map(context, version, now_ms):
+    context.rights.known_version = version
+    context.rights.are_first_witnesses_listed(version, now_ms)
 
 
 @then("grants of map 1 may be sent until {end_ms:d} ms")
@@ -149,6 +188,19 @@
     assert context.rights.hold_end_ms(2, 6_000) is None, context.rights.hold_end_ms(2, 6_000)
 
 
+@then("under map 2 the end of a lost server's hold is not known at {now_ms:d} ms")
+def step_unknown_at(context, now_ms):
+    assert context.rights.hold_end_ms(2, now_ms) is None, context.rights.hold_end_ms(2, now_ms)
+
+
 @then("under map 2 the hold of a lost server ends at {end_ms:d} ms")
 def step_ends(context, end_ms):
-    assert context.rights.hold_end_ms(2, 6_000) == end_ms, context.rights.hold_end_ms(2, 6_000)
+    now_ms = max(6_000, end_ms)
+    assert context.rights.hold_end_ms(2, now_ms) == end_ms, context.rights.hold_end_ms(2, now_ms)
+
+
+@then("the witnesses of map 1 are listed until {end_ms:d} ms")
+def step_listed_until(context, end_ms):
+    scenario = context.rights
+    assert scenario.are_first_witnesses_listed(scenario.known_version, end_ms)
+    assert not scenario.are_first_witnesses_listed(scenario.known_version, end_ms + 1)
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -51,7 +51,8 @@
 
 // What a node knows of a service. `step` counts the changes of `pending` under one version of the map. `is_confirmed`
 // is false until the node has read the map in the store after its start, because a restart loses what it knew before.
-// The last orders to servers that `sent` does not name were sent `quiet_ms` ago or earlier.
+// The last orders to servers that `sent` does not name were sent `quiet_ms` ago or earlier. The node began its newest
+// answered read of the map in the store `store_read_ago_ms` ago.
 struct ServiceView {
   1: required string service_name,
   2: required i64 map_version,
@@ -61,6 +62,7 @@
   6: required bool is_confirmed,
   7: required i32 quiet_ms,
   8: required list<SentOrder> sent,
+  9: optional i32 store_read_ago_ms,
 }
 
 // Which nodes a heartbeat reports on: its sender alone, the nodes that a hub serves, or all nodes.
