platform: refuse server entries and manifests that cannot be decoded or used

Cause: the JSON decoder raises RecursionError for deep nesting, which nobody caught. By the same cause, an error that is not expected where a value is decoded or first used, these ended processes or broke copies and requests too: half of a surrogate pair in a name or id, a zero byte or a host name in an address, a line break in an id, a value that is too deep to be printed in the error message. Change: such values are refused where they are decoded.

--- a/nutmeglead/platform/manifest.py
+++ b/nutmeglead/platform/manifest.py
@@ -59,7 +59,8 @@
             routes = tuple(self._route(entry) for entry in entries)
             version = _parse_version(parse_text(fields, "version"))
             manifest = Manifest(version, routes, services, _parse_limits(fields.get("limits")))
-        except FieldError as error:
+        except (ValueError, RecursionError) as error:
+            # Objects that are nested deeply cannot be compared with their earlier version.
             return Err(CodecError("a manifest", str(error)))
         self._parsed = {
             route.name: (entry, route) for entry, route in zip(entries, routes, strict=True)
--- a/nutmeglead/platform/registry.py
+++ b/nutmeglead/platform/registry.py
@@ -10,7 +10,9 @@
 from nutmeglead.platform.addresses import parse_address
 from nutmeglead.platform.fields import (
     FieldError,
+    is_printable_name,
     parse_integer,
+    parse_name,
     parse_object,
     parse_seconds_as_ms,
     parse_text,
@@ -28,6 +30,8 @@
         return parsed
     fields = parsed.ok_value
     try:
+        if not is_printable_name(server_id):
+            raise FieldError("id", "printable text without spaces at its ends", server_id)
         state = _STATES_BY_NAME.get(parse_text(fields, "state"))
         if state is None:
             raise FieldError("state", f"one of {', '.join(_STATES_BY_NAME)}", fields["state"])
@@ -36,10 +40,10 @@
             ServerRecord(
                 # `born` is the start time of this incarnation, in ms since the Unix epoch.
                 ServerIncarnation(ServerId(server_id), parse_integer(fields, "born")),
-                ServiceName(parse_text(fields, "service")),
+                ServiceName(parse_name(fields, "service")),
                 ip,
                 port,
-                FailureDomainName(parse_text(fields, "zone")),
+                FailureDomainName(parse_name(fields, "zone")),
                 max(1, parse_integer(fields, "slots")),
                 state,
                 # `warmup_left_s` counts from the last write of the entry, perhaps long ago.
--- a/nutmeglead/platform/store.py
+++ b/nutmeglead/platform/store.py
@@ -21,6 +21,7 @@
 from nutmeglead.http.errors import ConnectFailed, HttpError
 from nutmeglead.http.messages import RequestHead, ResponseHead
 from nutmeglead.platform.answer_delays import AnswerDelays
+from nutmeglead.platform.fields import is_encodable
 from nutmeglead.platform.wire import STORE_FEED_PATH, STORE_READ_PATH, STORE_TRANSACT_PATH
 
 __all__ = [
@@ -315,14 +316,20 @@
     """Return what `convert` makes of the JSON in an answer."""
     try:
         return Ok(convert(json.loads(answer)))
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         return Err(StoreUnavailable(f"the answer of the store could not be decoded: {error!r}"))
 
 
 def _parse_rows(fields: dict[str, Any]) -> StoreRows:
-    return StoreRows(
-        tuple(_parse_row(entry) for entry in fields["rows"]), int(fields.get("ver", 0))
-    )
+    """Return the rows of an answer, without those whose key cannot be encoded for other nodes."""
+    rows = []
+    for entry in fields["rows"]:
+        row = _parse_row(entry)
+        if is_encodable(row.key):
+            rows.append(row)
+        else:
+            logger.warning("table %s: ignoring the row with the key %r", row.table, row.key)
+    return StoreRows(tuple(rows), int(fields.get("ver", 0)))
 
 
 def _parse_row(entry: dict[str, Any]) -> StoreRow:
--- a/nutmeglead/platform/tests/decoding.feature
+++ b/nutmeglead/platform/tests/decoding.feature
@@ -40,6 +40,8 @@
       | a route is split 90 to 10 | the route lookup goes to stock with weight 0.9 and to spare with weight 0.1 | the weights of the services are lost                    |
       | a kind is unknown         | the manifest is refused                                                     | a request that must not be repeated is sent twice       |
       | the version is a number   | the manifest is refused                                                     | a version of another form is compared with earlier ones |
+      | the version is a superscript | the manifest is refused                                                  | an error of the conversion ends the process             |
+      | a field is nested deeply  | the manifest is refused                                                     | an error of the comparison ends the process             |
       | all weights are zero      | the manifest is refused                                                     | the weights are divided by their sum of zero            |
       | an unknown field is added | it has version 7 and the route lookup goes to stock                         | a manifest with a field of a newer platform is refused  |
       | times are fractions       | the route lookup times out after 850 ms                                     | fractions of seconds are cut off                        |
--- a/nutmeglead/platform/tests/steps/decoding_steps.py
+++ b/nutmeglead/platform/tests/steps/decoding_steps.py
@@ -63,6 +63,11 @@
 """
 
 
+# Stands for lists that are nested more deeply than the decoder can follow.
+NESTED = "nested lists"
+NESTED_BYTES = b"[" * 100_000 + b"]" * 100_000
+
+
 class DecodingScenario:
     """A server entry and a manifest that a scenario changes before they are decoded."""
 
@@ -77,7 +82,8 @@
 
     @property
     def decoded_manifest(self):
-        return ManifestDecoder().decode(json.dumps(self.manifest).encode())
+        data = json.dumps(self.manifest).encode()
+        return ManifestDecoder().decode(data.replace(b'"nested lists"', NESTED_BYTES))
 
 
 @given("a valid server entry")
@@ -134,6 +140,8 @@
     ),
     "a kind is unknown": lambda route, manifest: route.update(kind="sometimes"),
     "the version is a number": lambda route, manifest: manifest.update(version=7),
+    "the version is a superscript": lambda route, manifest: manifest.update(version="r²"),
+    "a field is nested deeply": lambda route, manifest: route.update(extra=NESTED),
     "all weights are zero": lambda route, manifest: route.update(
         backends=[{"service": "stock", "weight": 0}]
     ),
