entry: two hubs check that the store has received their feed calls

Cause: a change ends the waiting calls of all hubs together. Their next calls arrive while the store is silent and are swallowed; each hub waits 9 to 16.5 s for an answer that never comes, and none can copy from another. Change: the first two hubs that the store answers make a second call 20 ms after each waiting one, which is answered at once. Without that answer the waiting call is made again. After a failed call a hub asks without waiting. A hub that finds the store silent makes the next one check its calls. Tests that failed before: leaving.feature, two rows "the store was silent for 1 s after a change"; manifests.feature, "just before and after a short outage". They pass with the change, as does the rest of the entry suite (130 scenarios).

--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -121,9 +121,17 @@
             *self.feed.tables(),
             FollowedTable(NODES_TABLE, self._node_rows.apply, NODES_SETTLE_MS),
         ]
-        follows_store = self._table_source.follows_store
+        source = self._table_source
         self._table_watches = [
-            TableWatch(self.store, table, self.store_contact, clock, rng, follows_store)
+            TableWatch(
+                self.store,
+                table,
+                self.store_contact,
+                clock,
+                rng,
+                source.follows_store,
+                source.checks_calls,
+            )
             for table in tables
         ]
         self._map_copies = MapCopies(
--- a/nutmeglead/entry/table_source.py
+++ b/nutmeglead/entry/table_source.py
@@ -13,6 +13,9 @@
 
 # A hub that is not heard for longer has sent two heartbeats that did not arrive.
 UNHEARD_AFTER_MS = 2 * HEARTBEAT_INTERVAL_MS + 50
+# How many hubs make sure that the store has received their feed calls. The others learn of changes
+# from them if their own calls were lost; the second one is there for a loss of the first.
+CHECKING_HUBS = 2
 # A hub that has answered within this time counts as up, whether it is heard or not.
 ANSWER_VALID_MS = 1_000
 
@@ -45,6 +48,19 @@
         self._is_store = is_store
         return is_store
 
+    def checks_calls(self) -> bool:
+        """Return whether this node is one of the first hubs that the store answers.
+
+        In an outage, each hub that has noticed it makes another one check its calls.
+        """
+        membership, now_ms = self._membership, self._clock.now_ms()
+        answered = [
+            hub
+            for hub in membership.hub_ids(now_ms)
+            if hub == membership.own_id or membership.reaches_store(hub)
+        ]
+        return membership.own_id in answered[:CHECKING_HUBS]
+
     def unheard_hubs(self) -> list[NodeId]:
         """Return the regular hubs of a node that hears none of them, or an empty list.
 
--- a/nutmeglead/entry/tests/leaving.feature
+++ b/nutmeglead/entry/tests/leaving.feature
@@ -30,3 +30,7 @@
       | 12   | stock   | answers are lost and another entry has just changed | the use of an owner is counted from a late copy |
       | 13   | stock   | answers are lost and the hubs of a domain are killed | the use of an owner is counted from a late copy |
       | 14   | orders  | the store turned its hubs away just before and answers are lost | an own refusal is taken for an outage |
+      | 20   | orders  | the store was silent for 1 s after a change | the calls of all hubs end with the change, and the next ones are swallowed |
+      | 21   | stock   | the store was silent for 1 s after a change | the same, for the owner of a key              |
+      | 22   | orders  | the store was silent for 8 s after a change | the same, for a silence of many calls         |
+      | 23   | orders  | the store was silent after a change and the checking hubs are killed | hubs that do not check their calls take over |
--- a/nutmeglead/entry/tests/leaving.py
+++ b/nutmeglead/entry/tests/leaving.py
@@ -26,6 +26,10 @@
 # After this time no node uses a server whose entry has gone, and its keys have moved.
 LEFT_MS = 1_600
 DOWN_MS = 500
+# The store's answer has arrived, and the next call waits for the end of the pause.
+BEFORE_SILENCE_MS = 100
+# After an outage of the store, changes have to arrive in time again after this time.
+STABLE_WINDOW_MS = 3_000
 # Longer than the longest pause between failed calls to the store.
 REGAINED_MS = 1_000
 # The first failure domain has a third node, which these two serve.
@@ -157,6 +161,14 @@
         self.cluster.set_store_faults(HUBS_OF_A_DOMAIN, StoreFault.NONE)
         await pause(REGAINED_MS)
 
+    async def silence_store_after_change(self, silent_ms):
+        """Let the store swallow the calls that the hubs make after a change."""
+        self.change_another_entry()
+        await pause(BEFORE_SILENCE_MS)
+        self.cluster.store.fault = StoreFault.SILENT
+        await pause(silent_ms)
+        self.cluster.store.fault = StoreFault.NONE
+
 
 class Troubles:
     """Hold a method per trouble, named as in the step text."""
@@ -222,3 +234,19 @@
         run.cluster.store.lost_answers = 3
         run.kill(HUBS_OF_A_DOMAIN)
         run.announce()
+
+    async def the_store_was_silent_for_1_s_after_a_change(self, run):
+        await run.silence_store_after_change(1_000)
+        await pause(STABLE_WINDOW_MS)
+        run.announce()
+
+    async def the_store_was_silent_for_8_s_after_a_change(self, run):
+        await run.silence_store_after_change(8_000)
+        await pause(STABLE_WINDOW_MS)
+        run.announce()
+
+    async def the_store_was_silent_after_a_change_and_the_checking_hubs_are_killed(self, run):
+        await run.silence_store_after_change(1_000)
+        run.kill([NodeId("entry-0"), NodeId("entry-1")])
+        await pause(STABLE_WINDOW_MS)
+        run.announce()
--- a/nutmeglead/entry/tests/manifests.feature
+++ b/nutmeglead/entry/tests/manifests.feature
@@ -45,6 +45,7 @@
       | 15   | one route changes before and after an outage | the feed calls of all hubs are lost in the same outage     |
       | 16   | one route changes before and after an outage | the feed calls of all hubs are lost in the same outage     |
       | 17   | one route changes before and after an outage | the feed calls of all hubs are lost in the same outage     |
+      | 18   | one route changes just before and after a short outage | the calls that the hubs make after a change are lost, and nobody notices |
 
   # On a full link all datagrams are lost, and each stream gets one segment of 8 KB per 100 ms.
   Scenario Outline: A large manifest changes while links are full: <trouble>
--- a/nutmeglead/entry/tests/manifests.py
+++ b/nutmeglead/entry/tests/manifests.py
@@ -31,6 +31,9 @@
 # An outage in which the feed calls end that were made 15 s before, after a change.
 BEFORE_OUTAGE_S = 12.5
 OUTAGE_S = 4.5
+# The hubs have the change, and have not made their next feed calls yet.
+JUST_BEFORE_OUTAGE_S = 0.03
+SHORT_OUTAGE_S = 2.0
 # The first two nodes of both failure domains; each node is in the domain of its number modulo 2.
 HUBS = [NodeId(f"entry-{number}") for number in range(4)]
 LARGE_OPTIONS = replace(OPTIONS, nodes=NODE_COUNT, failure_domains=2)
@@ -186,10 +189,18 @@
 
 
 async def one_route_changes_before_and_after_an_outage(run):
+    await change_around_outage(run, BEFORE_OUTAGE_S, OUTAGE_S)
+
+
+async def one_route_changes_just_before_and_after_a_short_outage(run):
+    await change_around_outage(run, JUST_BEFORE_OUTAGE_S, SHORT_OUTAGE_S)
+
+
+async def change_around_outage(run, before_s, outage_s):
     run.change_a_route()
-    await asyncio.sleep(BEFORE_OUTAGE_S)
+    await asyncio.sleep(before_s)
     run.cluster.store.fault = StoreFault.SILENT
-    await asyncio.sleep(OUTAGE_S)
+    await asyncio.sleep(outage_s)
     run.cluster.store.fault = StoreFault.NONE
     await asyncio.sleep(STABLE_WINDOW_S)
     run.change_a_route()
--- a/nutmeglead/entry/tests/steps/manifests_steps.py
+++ b/nutmeglead/entry/tests/steps/manifests_steps.py
@@ -24,6 +24,9 @@
     "one route changes before and after an outage": (
         manifests.one_route_changes_before_and_after_an_outage
     ),
+    "one route changes just before and after a short outage": (
+        manifests.one_route_changes_just_before_and_after_a_short_outage
+    ),
     "one route changes on full links": manifests.one_route_changes_on_full_links,
     "1400 routes are added on full links": manifests.routes_are_added_on_full_links,
     "one route changes on full links as a hub of each domain is killed": (
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -31,8 +31,11 @@
 # calls of all hubs at once; different waiting times keep the next ones from ending together, in
 # the same outage.
 MIN_FEED_WAIT_MS = 7_500
-# A node that has no rows yet, or whose last call failed, must detect a silent store soon.
-PROBE_WAIT_MS = 1_000
+# A node that has no rows yet must detect a silent store soon.
+FIRST_FEED_WAIT_MS = 1_000
+# Time from a feed call to the call that checks whether the store answers. The feed call may have to
+# open a connection first.
+CHECK_DELAY_MS = 20
 # How often a node that takes copies checks whether it has to follow the store itself.
 FOLLOW_CHECK_INTERVAL_MS = 100
 # How many removed rows are kept, to be included in copies of changes.
@@ -70,8 +73,12 @@
         clock: Clock,
         rng: random.Random,
         follows_store: Callable[[], bool],
+        checks_calls: Callable[[], bool] = lambda: False,
     ) -> None:
-        """While `follows_store` returns false, the rows come from copies only."""
+        """While `follows_store` returns false, the rows come from copies only.
+
+        While `checks_calls` returns true, this node makes sure that its feed calls were received.
+        """
         self._store = store
         self._table = table.name
         self._apply = table.apply
@@ -81,6 +88,7 @@
         self._clock = clock
         self._rng = rng
         self.follows_store = follows_store
+        self._checks_calls = checks_calls
         self.version = 0
         # Version of the newest change of this table; `version` grows with changes of any table.
         self.changed_version = 0
@@ -214,20 +222,53 @@
     async def _next_rows_while_followed(
         self,
     ) -> Result[None, StoreHistoryLost | StoreUnavailable] | None:
-        """Fetch and apply the next changes, or return None once this node takes copies instead.
+        """Fetch and apply the next changes, or return None if another call is to be made instead.
 
-        Otherwise the next change of a large row arrives both as a copy of the change and as the
-        whole row, which delays the copy.
+        That is so once this node takes copies: otherwise the next change of a large row arrives
+        both as a copy of the change and as the whole row, which delays the copy. It is so too once
+        this node has to check its calls, and this call was not checked.
         """
+        is_checked = self._checks_calls()
         call = asyncio.ensure_future(self._next_rows())
+        check = asyncio.ensure_future(self._check_call()) if is_checked else None
         try:
-            while self.follows_store():
-                await asyncio.wait({call}, timeout=FOLLOW_CHECK_INTERVAL_MS / 1000)
+            while self.follows_store() and (is_checked or not self._checks_calls()):
+                waiting = {call} if check is None else {call, check}
+                await asyncio.wait(
+                    waiting,
+                    timeout=FOLLOW_CHECK_INTERVAL_MS / 1000,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
                 if call.done():
                     return call.result()
+                if check is not None and check.done():
+                    lost = check.result()
+                    if lost is not None:
+                        return lost
+                    check = None
             return None
         finally:
             call.cancel()
+            if check is not None:
+                check.cancel()
+
+    async def _check_call(
+        self,
+    ) -> Result[None, StoreHistoryLost | StoreUnavailable] | None:
+        """Return the result to go on with if the store may have lost the feed call, or None.
+
+        A store that was silent for a moment has swallowed the feed call, however soon it answers
+        other calls again. So this call is made just after the feed call, and answered at once.
+        """
+        await asyncio.sleep(CHECK_DELAY_MS / 1000)
+        fed = await self._store.feed(self._table, self.version, 0)
+        if isinstance(fed, Err):
+            return fed
+        if not fed.ok_value.rows:
+            return None
+        # The feed call should have returned these rows before.
+        self.apply_fed_rows(fed.ok_value, is_snapshot=False)
+        return Ok(None)
 
     async def _next_rows(self) -> Result[None, StoreHistoryLost | StoreUnavailable]:
         """Fetch and apply the next changes, or all rows if the store has lost its history.
@@ -248,8 +289,10 @@
 
     def _feed_wait_ms(self) -> int:
         """Return for how long the store may leave the next call unanswered."""
-        if self._last_call_failed or not self.version:
-            return PROBE_WAIT_MS
+        if self._last_call_failed:
+            return 0
+        if not self.version:
+            return FIRST_FEED_WAIT_MS
         return self._rng.randint(MIN_FEED_WAIT_MS, MAX_FEED_WAIT_MS)
 
     def apply_fed_rows(
