platform: ignore bounds whose form is not known

What was seen: no case; found by reading while looking for "the system didn't start". A text without "=" in `bounds`, such as a newer platform may send, kept the process from starting; a number ended it with a traceback. Change: such an entry is ignored, as values that are no number were. A `bounds` that is no list and ports that are no ports are refused with the name of the field. Tests that failed before: decoding.feature, "Bounds of another form", 3 rows.

--- a/nutmeglead/platform/node_settings.py
+++ b/nutmeglead/platform/node_settings.py
@@ -71,18 +71,18 @@
     listen = _parse_table(fields, "listen")
     limits = _parse_table(fields, "limits")
     ports = fields.get("port_range")
-    if not isinstance(ports, list) or len(ports) != 2:
+    if not isinstance(ports, list) or len(ports) != 2 or not all(map(_is_port, ports)):
         raise FieldError("port_range", "a list of the first and the last port", ports)
     return NodeSettings(
         NodeId(parse_text(fields, "node")),
         parse_text(fields, "ip"),
         FailureDomainName(parse_text(fields, "zone")),
         # The first port of the range becomes the peer port.
-        int(ports[0]),
+        ports[0],
         parse_address(parse_text(listen, "front"))[1],
         parse_address(parse_text(listen, "readiness"))[1],
         _parse_store(_parse_table(fields, "platform")),
-        _parse_bounds(fields.get("bounds", [])),
+        _parse_bounds(_parse_list(fields, "bounds")),
         parse_number(limits, "cpu_share", 1.0) * parse_number(limits, "cores", 1),
     )
 
@@ -94,17 +94,29 @@
     return value
 
 
+def _parse_list(fields: dict[str, Any], name: str) -> list[Any]:
+    value = fields.get(name, [])
+    if not isinstance(value, list):
+        raise FieldError(name, "a list", value)
+    return value
+
+
+def _is_port(value: object) -> bool:
+    return isinstance(value, int) and 0 < value < 65_536
+
+
 def _parse_store(fields: dict[str, Any]) -> StoreSettings:
     ip, port = parse_address(parse_text(fields, "address"))
     return StoreSettings(ip, port)
 
 
-def _parse_bounds(texts: list[str]) -> Bounds:
+def _parse_bounds(texts: list[Any]) -> Bounds:
     """Return the bounds in texts such as "drain_s=2", with times in seconds.
 
-    A value that is no number is ignored, and an absent one gets its default.
+    A text of another form or a value that is no number is ignored, as a newer platform may have
+    them; an absent bound gets its default.
     """
-    pairs = dict(entry.split("=", 1) for entry in texts)
+    pairs = dict(text.split("=", 1) for text in texts if isinstance(text, str) and "=" in text)
     values = {name: float(value) for name, value in pairs.items() if _is_number(value)}
     return Bounds(
         leave_ms=parse_seconds_as_ms(values, "drain_s", 2),
--- a/nutmeglead/platform/tests/decoding.feature
+++ b/nutmeglead/platform/tests/decoding.feature
@@ -61,3 +61,13 @@
       | platform   | a process without a store starts          |
       | listen     | a process without ports starts            |
       | port_range | peers are told a port that does not exist |
+
+  Scenario Outline: Bounds of another form are <verdict>
+    Given the example settings file of the platform with the bounds <bounds>
+    Then <result>
+
+    Examples: each row names the failure it guards against
+      | bounds               | verdict | result                                                         | failure                                                  |
+      | ["drain_s=2","later"] | ignored | its drain bound is 2000 ms                                    | a text of a newer platform keeps the process from starting |
+      | ["drain_s=2",7]      | ignored | its drain bound is 2000 ms                                     | a number raises an error that nobody catches             |
+      | 7                    | refused | the settings are refused and the reason names bounds           | the same, for a value that is no list                    |
--- a/nutmeglead/platform/tests/steps/decoding_steps.py
+++ b/nutmeglead/platform/tests/steps/decoding_steps.py
@@ -191,6 +191,17 @@
     context.settings = decode_settings(text.encode())
 
 
+@given("the example settings file of the platform with the bounds {bounds}")
+def step_settings_bounds(context, bounds):
+    text = re.sub(r"(?m)^bounds = .*$", f"bounds = {bounds}", SETTINGS)
+    context.settings = decode_settings(text.encode())
+
+
+@then("its drain bound is {leave_ms:d} ms")
+def step_drain_bound(context, leave_ms):
+    assert context.settings.unwrap().bounds.leave_ms == leave_ms
+
+
 @then(
     "the node is front-halle-a-1 with its ports, its store and "
     "a drain bound of 2000 ms and a grace time of 6000 ms"
