entry: a start waits for its ports, and does without that of the metrics

A port that is held for a moment, by the process before this one or because a VM has no address yet, ended the program at once, and again after each start. Change: the front, readiness and peer ports are tried for 5 s (event 1009) before the program ends with code 12 as before. The metrics port is tried for as long as it takes, while the process serves. The existing row on a held front port keeps its check; the wait is 0 there.

--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -23,6 +23,7 @@
         "the changed settings are invalid; the previous ones stay in force",
     )
     LISTEN_FAILED = (1005, logging.ERROR, "a port of the settings could not be bound")
+    LISTEN_DELAYED = (1009, logging.WARNING, "a port could not be bound yet; it is tried again")
     EVENT_LOOP_STALLED = (
         1008,
         logging.WARNING,
--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -68,9 +68,9 @@
         )
         self._server = PipelineServer(self._answer, lambda: caller_limits, clock)
 
-    async def start(self) -> None:
+    async def start(self, ip: str, port: int) -> None:
         """Listen for requests of peers."""
-        await self._server.start(self._settings.ip, self._settings.peer_port)
+        await self._server.start(ip, port)
 
     async def close(self) -> None:
         """Close the port and all connections."""
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -25,6 +25,7 @@
 from nutmeglead.entry.metrics import MetricsServer
 from nutmeglead.entry.node_rows import NODES_TABLE, NodeRows
 from nutmeglead.entry.operator_feed import OperatorFeed, PlatformFeed
+from nutmeglead.entry.ports import PortBinder
 from nutmeglead.entry.table_source import TableSource
 from nutmeglead.entry.watch import FollowedTable, TableWatch
 from nutmeglead.forwarding.forwarder import Forwarder
@@ -160,13 +161,14 @@
         self.begin()
 
     async def bind(self) -> None:
-        """Bind the readiness, front, peer and metrics ports."""
-        settings = self.settings
-        await self.readiness_server.start(settings.ip, settings.ready_port)
-        await self.front_server.start(settings.ip, settings.front_port)
-        await self.peers.start(settings.ip, settings.peer_port)
-        await self._table_copies.start()
-        await self._metrics.start(settings.ip, settings.metrics_port)
+        """Bind the ports; raise OSError if another one than that of the metrics stays in use."""
+        settings, binder = self.settings, PortBinder(self.settings.ip, self.clock)
+        await binder.bind(self.readiness_server.start, settings.ready_port)
+        await binder.bind(self.front_server.start, settings.front_port)
+        await binder.bind(self.peers.start, settings.peer_port)
+        await binder.bind(self._table_copies.start, settings.peer_port)
+        if not await binder.try_bind(self._metrics.start, settings.metrics_port):
+            self._spawn(binder.bind_optional(self._metrics.start, settings.metrics_port))
 
     def begin(self) -> None:
         """Start the tasks that follow the store and the peers."""
--- a/nutmeglead/programs/tests/services.feature
+++ b/nutmeglead/programs/tests/services.feature
@@ -53,6 +53,14 @@
       | nutmeglead-entry   | front_port | a node without its port is taken for a healthy one    |
       | nutmeglead-standin | store      | an outage of the store is taken for a fault elsewhere |
 
+  Scenario: A metrics port that another process holds does not keep the program from serving
+    # Guards against a node that ends at each start because of another program's metrics.
+    Given the program nutmeglead-entry
+    And another process holds its metrics_port
+    When it runs until /v1/ready was fetched from its ready_port
+    Then it answered 503 with stock: no range map
+    And it logged its start, its stop and its end, and returned DONE
+
   Scenario: The stand-in serves the servers of a ticket that are on loopback, and no others
     Given the program nutmeglead-standin
     And a ticket with stock-1 on loopback, stock-2 on 192.0.2.1 and stock-3 removed on loopback
--- a/nutmeglead/programs/tests/steps/services_steps.py
+++ b/nutmeglead/programs/tests/steps/services_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from nutmeglead.core.events import Event
+from nutmeglead.entry import ports
 from nutmeglead.programs import entry
 from nutmeglead.programs.exit_codes import ExitCode
 from nutmeglead.programs.tests.loopback import IP, ServiceRun, free_ports
@@ -127,7 +128,8 @@
     async def visit():
         raise AssertionError("the program has started")
 
-    context.service.run.run([], visit)
+    with mock.patch.object(ports, "LISTEN_RETRY_MS", 0):
+        context.service.run.run([], visit)
 
 
 @when("its settings file is changed to a drain bound of {leave_ms:d} ms, and then to a faulty one")
