programs: run without a standard output

What was seen: with its standard output closed, the entry program ended at each start with AttributeError, exit 1 (reproduced by hand: `python3 -m nutmeglead.programs.entry >&-`). Whether the users' machines start it so is not known. Change: the log is dropped then. Test that failed before: services.feature, "The program runs without a standard output".

--- a/nutmeglead/programs/entry.py
+++ b/nutmeglead/programs/entry.py
@@ -95,6 +95,13 @@
     return Ok(LoadedSettings(node, make_feed, settings.log.level, settings.log.format))
 
 
+def _log_descriptor() -> int:
+    """Return the descriptor of standard output, or one that drops the log if it is closed."""
+    if sys.stdout is None:
+        return os.open(os.devnull, os.O_WRONLY)
+    return sys.stdout.fileno()
+
+
 class _SettingsReloader:
     """Reload the settings file on SIGHUP, or when its time of change or its size differs."""
 
@@ -191,7 +198,7 @@
     if options.check:
         print(loaded.err_value if isinstance(loaded, Err) else f"{path}: the settings are valid")
         return exit_code_of(loaded.err_value) if isinstance(loaded, Err) else ExitCode.DONE
-    stream = NonBlockingStream(sys.stdout.fileno())
+    stream = NonBlockingStream(_log_descriptor())
     if isinstance(loaded, Err):
         configure_logging("INFO", "json", stream)
         log_event(logger, Event.SETTINGS_REFUSED, error=str(loaded.err_value))
--- a/nutmeglead/programs/tests/services.feature
+++ b/nutmeglead/programs/tests/services.feature
@@ -75,6 +75,12 @@
     Then it logged SETTINGS_RELOADED and then SETTINGS_KEPT
     And it logged its start, its stop and its end, and returned DONE
 
+  Scenario: The program runs without a standard output
+    # Guards against a process that ends at each start where its output is closed.
+    Given the settings examples/loopback/domain-a.jsonc
+    When the entry program gets SIGHUP after its event loop has closed, with its standard output closed
+    Then its exit code is 12 and no traceback is printed
+
   Scenario Outline: <signal> that comes <moment> does not end the program by the signal
     # Guards against a process that exits with -15 or -1, without a graceful stop, because the signal has its default action
     # before the event loop handles it and after the loop has closed (seeds 1, 511 and 519 of the soak).
--- a/nutmeglead/programs/tests/steps/stops_steps.py
+++ b/nutmeglead/programs/tests/steps/stops_steps.py
@@ -42,10 +42,14 @@
 
 @when("the entry program gets {signal:w} {moment}")
 def step_signal(context, signal, moment):
+    moment, _, output = moment.partition(", ")
     is_early = moment == "while it imports its modules"
     script = SCRIPT.format(signal=signal, is_early=is_early)
+    command = [sys.executable, "-c", script, "--settings", str(context.settings_path)]
+    if output == "with its standard output closed":
+        command = ["sh", "-c", 'exec "$@" >&-', "sh", *command]
     context.completed = subprocess.run(
-        [sys.executable, "-c", script, "--settings", context.settings_path],
+        command,
         cwd=ROOT,
         capture_output=True,
         text=True,
