core: an error in the renewals or in a transfer ends the process, as in its other tasks

What callers would have seen: after an unexpected error in the renewals all holds run out, and after one in a transfer its range has no owner, for as long as the process runs. Cause: the controller started both in tasks that nobody watched. Change: start_essential_task, which the entry process used under another name, starts them too. The platform restarts the process, which reads the map in the store.

--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -17,6 +17,7 @@
 from nutmeglead.core.codec import encode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.core.tasks import start_essential_task
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.entry.copies import TICKET_STATUS_PATH, TableCopies
 from nutmeglead.entry.load_reports import LoadReports
@@ -122,7 +123,6 @@
             *self.feed.tables(),
             FollowedTable(NODES_TABLE, self._node_rows.apply, NODES_SETTLE_MS),
         ]
-        source = self._table_source
         self._table_watches = [
             TableWatch(
                 self.store,
@@ -130,8 +130,8 @@
                 self.store_contact,
                 clock,
                 rng,
-                source.follows_store,
-                source.checks_calls,
+                self._table_source.follows_store,
+                self._table_source.checks_calls,
             )
             for table in tables
         ]
@@ -231,9 +231,7 @@
         return None if status is None else encode(status)
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(_exit_on_failure)
-        self._tasks.append(task)
+        self._tasks.append(start_essential_task(coroutine))
 
     async def _run_housekeeping(self) -> None:
         while True:
@@ -400,11 +398,3 @@
     def on_load_report(self, report: LoadReport) -> None:
         """Apply a peer's report of requested keys and of service times."""
         self._load_reports.apply(report)
-
-
-def _exit_on_failure(task: "asyncio.Task[None]") -> None:
-    """Exit with status 70 when a task has failed; the platform restarts the process."""
-    if task.cancelled() or task.exception() is None:
-        return
-    logger.critical("a task of the entry process failed; exiting", exc_info=task.exception())
-    raise SystemExit(70) from task.exception()
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -16,6 +16,7 @@
 from nutmeglead._generated.peers.ttypes import MapDelta, OrderReport, ServiceView
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.core.tasks import start_essential_task
 from nutmeglead.forwarding.model import ServerIncarnation, ServerState
 from nutmeglead.platform.store import StoreAnswerLost, StoreUnavailable
 from nutmeglead.ranges.audit import move_record
@@ -193,7 +194,7 @@
     async def run(self) -> None:
         """Watch the role, place ranges while holding it and renew grants, until cancelled."""
         # A separate task, since renewals must not wait for a slow store.
-        renewals = asyncio.get_running_loop().create_task(self._renewals.run())
+        renewals = start_essential_task(self._renewals.run())
         try:
             while True:
                 if not self.role.is_held and not self.is_node_stopping:
--- a/nutmeglead/ranges/transfer.py
+++ b/nutmeglead/ranges/transfer.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.tasks import start_essential_task
 from nutmeglead.forwarding.model import ServerIncarnation
 from nutmeglead.platform.grants import GrantError, GrantRefused
 from nutmeglead.ranges.context import ControllerContext
@@ -59,8 +60,7 @@
         for entry in set(self._tasks) - pending:
             self._tasks.pop(entry).cancel()
         for entry in pending - set(self._tasks):
-            task = asyncio.get_running_loop().create_task(self._transfer(entry, ranges.version))
-            self._tasks[entry] = task
+            self._tasks[entry] = start_essential_task(self._transfer(entry, ranges.version))
 
     def stop(self) -> None:
         """Cancel all transfers."""
