ranges: the choice of witnesses in a module of its own

No change of behaviour, but that the earlier sets are looked at also when there is none, so that the time since which a set is listed is right from the first map that lists it. Measured: ownership.feature, 25 scenarios (one trouble each, lost nodes) and rights.feature pass.

--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -42,6 +42,7 @@
 from nutmeglead.ranges.role import RoleLost, RoleRows
 from nutmeglead.ranges.role_watch import STORE_RETRY_MS, RoleWatch
 from nutmeglead.ranges.transfer import Transfers
+from nutmeglead.ranges.witnesses import choose_witnesses, next_witness_sets
 
 __all__ = ["RangeController"]
 
@@ -54,9 +55,6 @@
 # Confirmed grants are written with the next move, or alone after this time, so that the next acting
 # node reads them in the store.
 CONFIRMATION_WRITE_DELAY_MS = 1_000
-# A witness that was silent for this time is replaced; a killed process restarts sooner.
-WITNESS_REPLACED_AFTER_MS = 6_000
-MAX_WITNESSES = 9
 
 
 class RangeController:
@@ -232,7 +230,8 @@
         if not moves and now_ms >= self._next_balance_ms:
             self._next_balance_ms = now_ms + BALANCE_INTERVAL_MS
             moves = self._balancing_moves(self.ranges, servers, now_ms)
-        sets = self._next_witness_sets(self.ranges, now_ms)
+        membership = self._context.membership
+        sets = next_witness_sets(self.ranges, self._rights, membership, now_ms)
         if moves or sets != self.ranges.witness_sets or self._is_confirmation_write_due(now_ms):
             await self._write_and_start_map(self.ranges, moves, sets)
 
@@ -253,31 +252,6 @@
         since_ms = self._unwritten_since_ms
         return since_ms is not None and now_ms - since_ms >= CONFIRMATION_WRITE_DELAY_MS
 
-    def _next_witness_sets(self, ranges: RangeMap, now_ms: int) -> WitnessSets:
-        """Return the witness sets for the next map.
-
-        Earlier sets that may no longer send grants are dropped. A new set is added when this node
-        is no witness, or a witness was silent for WITNESS_REPLACED_AFTER_MS.
-        """
-        membership, own_id = self._context.membership, self._context.node_id
-        sets = ranges.witness_sets
-        if len(sets) > 1:
-            sets = self._rights.unexpired_witness_sets(ranges, now_ms)
-        are_witnesses_present = own_id in ranges.witnesses and not any(
-            membership.is_absent_for(node_id, WITNESS_REPLACED_AFTER_MS, now_ms)
-            for node_id in ranges.witnesses
-        )
-        if are_witnesses_present:
-            return sets
-        chosen = self._choose_witnesses(now_ms)
-        return sets if chosen == ranges.witnesses else (*sets, chosen)
-
-    def _choose_witnesses(self, now_ms: int) -> tuple[NodeId, ...]:
-        """Return this node and the first of the other hubs, at most MAX_WITNESSES in all."""
-        own_id = self._context.node_id
-        hubs = [n for n in self._context.membership.hub_ids(now_ms) if n != own_id]
-        return (own_id, *hubs[: MAX_WITNESSES - 1])
-
     async def _create_first_map(
         self, servers: dict[ServerIncarnation, ServerCapacity], now_ms: int
     ) -> None:
@@ -289,9 +263,8 @@
         if not servers or now_ms - since_ms < FIRST_MAP_STABLE_MS:
             return
         empty = RangeMap(self.service, [KeyRange(0, KEY_COUNT - 1, None, 0)])
-        await self._write_and_start_map(
-            empty, initial_moves(servers), (self._choose_witnesses(now_ms),)
-        )
+        witnesses = choose_witnesses(self._context.membership, now_ms)
+        await self._write_and_start_map(empty, initial_moves(servers), (witnesses,))
 
     def _urgent_moves(
         self, servers: dict[ServerIncarnation, ServerCapacity], now_ms: int
--- a/nutmeglead/ranges/expiry.py
+++ b/nutmeglead/ranges/expiry.py
@@ -96,7 +96,7 @@
             for witnesses in replaced
             if not self._has_expired(witnesses, ranges.version, now_ms)
         ]
-        return (*kept, ranges.witnesses)
+        return (*kept, *ranges.witness_sets[-1:])
 
     def _has_expired(self, witnesses: tuple[NodeId, ...], map_version: int, now_ms: int) -> bool:
         """Return whether a replaced witness set has lost the right to send grants."""
