ranges: a replaced witness set stays listed until the holds that it renewed have ended

What callers would have seen: two servers that hold a key, for up to 1.3 s. Cause: a set was dropped from the map when its rights ended. A move that begins then does not wait for a hold that a node of the set, cut off from the acting node, renewed just before. Change: a set stays listed for 3 s more, longer than any hold. Since later maps would postpone that for ever while they come in quick succession, its end counts from the map that replaced it.

--- a/nutmeglead/ranges/expiry.py
+++ b/nutmeglead/ranges/expiry.py
@@ -25,6 +25,9 @@
 CLOCK_DRIFT = 0.02
 # Longest time, by this node's clock, for which another node's read of the store may be valid.
 MAX_READ_VALID_MS = round(STORE_READ_VALID_MS * (1 + CLOCK_DRIFT))
+# Time for which a replaced set stays listed after its rights have ended, longer than any hold:
+# moves that begin then must still wait for the holds that it may have renewed last.
+EXPIRED_SET_LISTED_MS = 3_000
 # Number of map versions for which times are kept. Transfers begun under recent maps may still wait
 # for these times; older ones have ended.
 KEPT_MAP_VERSIONS = 64
@@ -41,10 +44,10 @@
         self._majority_end_ms: dict[tuple[int, tuple[NodeId, ...]], int] = {}
         # When this node first asked about a map version, which was then in the store.
         self._known_ms: dict[int, int] = {}
-        # Since when the map lists each replaced set, according to consecutive versions up to
-        # `_listed_version`.
-        self._listed_ms: dict[tuple[NodeId, ...], int] = {}
-        self._listed_version = 0
+        # The version that replaced each listed set, and when it was first seen, according to
+        # consecutive versions up to `_last_version`.
+        self._replaced: dict[tuple[NodeId, ...], tuple[int, int]] = {}
+        self._last_version = 0
 
     def end_ms(self, witnesses: tuple[NodeId, ...], map_version: int, now_ms: int) -> int | None:
         """Return when the rights of a set under maps before a version end.
@@ -81,26 +84,26 @@
         }
 
     def unexpired_sets(self, ranges: RangeMap, now_ms: int) -> WitnessSets:
-        """Return the witness sets of a map without the replaced ones that have lost their rights.
+        """Return the witness sets of a map without the replaced ones whose last holds have ended.
 
         The acting node calls this with each version of the map. After a version that it did not
         see, a set may have been the current one again in the meantime, so its time starts anew.
         """
+        is_continuous = ranges.version - self._last_version in (0, 1)
+        known = self._replaced if is_continuous else {}
         replaced = ranges.witness_sets[:-1]
-        is_continuous = ranges.version - self._listed_version in (0, 1)
-        listed_ms = self._listed_ms if is_continuous else {}
-        self._listed_ms = {witnesses: listed_ms.get(witnesses, now_ms) for witnesses in replaced}
-        self._listed_version = ranges.version
-        kept = [
-            witnesses
-            for witnesses in replaced
-            if not self._has_expired(witnesses, ranges.version, now_ms)
-        ]
+        self._replaced = {
+            witnesses: known.get(witnesses, (ranges.version, now_ms)) for witnesses in replaced
+        }
+        self._last_version = ranges.version
+        kept = [witnesses for witnesses in replaced if not self._has_expired(witnesses, now_ms)]
         return (*kept, *ranges.witness_sets[-1:])
 
-    def _has_expired(self, witnesses: tuple[NodeId, ...], map_version: int, now_ms: int) -> bool:
-        """Return whether a replaced witness set has lost the right to send grants."""
-        if now_ms - self._listed_ms[witnesses] > MAX_READ_VALID_MS:
-            return True
-        end_ms = self.end_ms(witnesses, map_version, now_ms)
-        return end_ms is not None and now_ms > end_ms
+    def _has_expired(self, witnesses: tuple[NodeId, ...], now_ms: int) -> bool:
+        """Return whether the holds that a replaced witness set may have renewed have ended."""
+        replacing_version, replaced_ms = self._replaced[witnesses]
+        ends_ms = [replaced_ms + MAX_READ_VALID_MS]
+        end_ms = self.end_ms(witnesses, replacing_version, now_ms)
+        if end_ms is not None:
+            ends_ms.append(end_ms)
+        return now_ms > min(ends_ms) + EXPIRED_SET_LISTED_MS
