forwarding: ignore a Keep-Alive time that is no time

What callers would have seen: a connection that is closed without an answer, after the request has run. Change: a time of more than 6 digits is ignored. Test that failed before: requests.feature, "states a keep-alive time of 5000 digits".

--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -41,6 +41,8 @@
 # Used without a Keep-Alive header, when the time after which the server closes idle connections is
 # unknown.
 DEFAULT_KEEP_ALIVE_MS = 4_000
+# A longer number is no time that a server means, and from 4,301 digits on it cannot be converted.
+MAX_KEEP_ALIVE_DIGITS = 6
 # Late answers to earlier requests that may arrive on the connection before the right one.
 MAX_STALE_ANSWERS = 2
 # Statuses that suggest that the request has not run. Without the server's `x-not-executed` header
@@ -218,6 +220,6 @@
         keep_alive = header_value(headers, b"keep-alive") or b""
         for parameter in keep_alive.split(b","):
             name, _, value = parameter.strip().partition(b"=")
-            if name == b"timeout" and value.isdigit():
+            if name == b"timeout" and value.isdigit() and len(value) <= MAX_KEEP_ALIVE_DIGITS:
                 # Stop 500 ms early: the next request must arrive before the server closes.
                 self._keep_alive_ms = int(value) * 1000 - 500
--- a/nutmeglead/forwarding/tests/requests.feature
+++ b/nutmeglead/forwarding/tests/requests.feature
@@ -31,6 +31,7 @@
       | a safe    | sends no length                           | 200 with "whole"  | 1        | a body that ends with its connection is rejected                        |
       | a safe    | sends no length and resets the connection | 200 of the second | 2        | a reset is taken for the end of a body                                  |
       | a safe    | answers twice                             | 200 with "whole"  | 1        | bytes after the answer reach the caller                                 |
+      | an unsafe | states a keep-alive time of 5000 digits   | 200 with "whole"  | 1        | a number that cannot be converted leaves the request without an answer  |
       | an unsafe | sends a late answer first                 | 200 with "whole"  | 1        | the answer to an earlier request reaches the caller                     |
       | a safe    | sends no signature                        | 200 of the second | 2        | a success without a server's signature reaches the caller               |
       | a safe    | encodes the body                          | 200 of the second | 2        | an encoded body is passed on as the server's                            |
--- a/nutmeglead/forwarding/tests/scripted_server.py
+++ b/nutmeglead/forwarding/tests/scripted_server.py
@@ -1,6 +1,7 @@
 """A server on loopback that answers requests with scripted bytes, also invalid ones."""
 
 import asyncio
+import re
 import socket
 import struct
 
@@ -88,7 +89,7 @@
         body = await reader.readexactly(size_bytes)
         self.requests.append((lines[0], headers, body))
         behaviour = self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
-        method = getattr(self, "_" + behaviour.replace(" ", "_").replace("'", "_"))
+        method = getattr(self, "_" + re.sub("[ '-]", "_", behaviour))
         return await method(reader, writer, headers["x-request-id"])
 
     async def _send(self, writer, data):
@@ -131,6 +132,10 @@
     async def _answers_correctly(self, reader, writer, request_id):
         return await self._send(writer, answer(request_id, self.server_id.encode()))
 
+    async def _states_a_keep_alive_time_of_5000_digits(self, reader, writer, request_id):
+        extra = b"Keep-Alive: timeout=" + b"9" * 5_000 + b"\r\n"
+        return await self._send(writer, answer(request_id, extra_headers=extra))
+
     async def _answers_late(self, reader, writer, request_id):
         await self.may_answer.wait()
         return await self._answers_correctly(reader, writer, request_id)
