ranges: all witnesses together need no recent read of the store; stopping ones are replaced at once

And after a series of planned stops that takes all hubs, the keys of a crashed server still wait. Cause: one limit for a majority and for the complete set; and witnesses that were replaced only after a silence of 6 s, when a series of stops has taken the whole set, so that none of it knows the new map. Change: without a read of the store in the last 30 s all witnesses have to confirm the map, for at most ten minutes. The rights of a set of which one node knows a newer map end as before, as it is never complete again. A witness that is stopping is replaced while it can still learn of the map. Tests that failed before, on: rights.feature, "All witnesses together ..." (two) and "A witness set of which nobody is left"; lost_nodes.feature, "all hubs have left in turn" and "an outage of the store of a minute".

--- a/nutmeglead/entry/tests/lost_nodes.feature
+++ b/nutmeglead/entry/tests/lost_nodes.feature
@@ -26,10 +26,24 @@
     Then no key ever has two holders
     And at the end every key is held
 
-  Scenario: Renewals go on through an outage of the store of 20 s
+  Scenario: A server crashes after all hubs have left in turn
+    # Guards against a witness set that has left as a whole before it is replaced, so that nobody knows what its nodes did last.
+    Given a settled cluster of 9 nodes with seed 48, watched for 32 s
+    When the 6 hubs are stopped 1300 ms apart, and a server crashes
+    Then no key ever has two holders
+    And keys are without a holder for at most 4500 ms
+    And at the end every key is held
+
+  Scenario: Renewals go on through an outage of the store of a minute
     # Guards against rights that end soon after the store does not answer, because they need a recent read of it.
-    Given a settled cluster of 6 nodes with seed 46, watched for 25 s
-    When the trouble is that the store is silent for 20 s
+    Given a settled cluster of 6 nodes with seed 46, watched for 62 s
+    When the trouble is that the store is silent for 60 s
+    Then keys are without a holder for at most 0 ms
+
+  Scenario: Renewals go on through an outage of the store of 20 s in which a node is lost
+    # Guards against the same, where the witnesses are not complete.
+    Given a settled cluster of 6 nodes with seed 49, watched for 25 s
+    When the trouble is that the store is silent for 20 s and a node is lost
     Then keys are without a holder for at most 0 ms
 
   Scenario: The rows of nodes that have left for good are removed, though they were half of the witnesses
--- a/nutmeglead/entry/tests/steps/lost_nodes_steps.py
+++ b/nutmeglead/entry/tests/steps/lost_nodes_steps.py
@@ -1,5 +1,6 @@
 """Steps for nodes that leave for good, or are cut off together, and then servers that crash."""
 
+import asyncio
 from dataclasses import replace
 
 from behave import given, then, when
@@ -37,6 +38,20 @@
     context.cluster_run.run(trouble)
 
 
+@when("the {count:d} hubs are stopped {gap_ms:d} ms apart, and a server crashes")
+def step_stopped_hubs(context, count, gap_ms):
+    async def trouble(cluster):
+        stops = []
+        for node_id in cluster.node_ids[:count]:
+            stops.append(asyncio.ensure_future(cluster.stop_node(node_id)))
+            await pause(gap_ms)
+        await asyncio.gather(*stops)
+        await pause(10_000)
+        await crash_server_with_most_keys(cluster)
+
+    context.cluster_run.run(trouble)
+
+
 @when("{count:d} of them are cut off for {time_s:d} s with one of the servers")
 def step_cut_off_together(context, count, time_s):
     async def trouble(cluster):
--- a/nutmeglead/entry/tests/steps/ownership_steps.py
+++ b/nutmeglead/entry/tests/steps/ownership_steps.py
@@ -72,7 +72,11 @@
     async def the_store_is_silent_for_9_s(self, cluster):
         await self._silence_store(cluster, 9_000)
 
-    async def the_store_is_silent_for_20_s(self, cluster):
+    async def the_store_is_silent_for_60_s(self, cluster):
+        await self._silence_store(cluster, 60_000)
+
+    async def the_store_is_silent_for_20_s_and_a_node_is_lost(self, cluster):
+        cluster.kill_node(cluster.node_ids[-1])
         await self._silence_store(cluster, 20_000)
 
     async def _silence_store(self, cluster, duration_ms):
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -221,6 +221,11 @@
         times = [at for at in (peer.heartbeat_received_ms, peer.reported_ms) if at is not None]
         return now_ms - max([peer.added_ms, *times]) > silent_ms
 
+    def is_stopping(self, node_id: NodeId) -> bool:
+        """Return whether a peer is stopping, by its newest heartbeat or report."""
+        peer = self._peers.get(node_id)
+        return peer is not None and peer.is_leaving
+
     def reaches_store(self, node_id: NodeId) -> bool:
         """Return whether the store answers a peer, by its newest heartbeat or report."""
         peer = self._peers.get(node_id)
@@ -309,10 +314,15 @@
             if view is not None:
                 yield node_id, view
 
-    def majority_echo_ms(
-        self, service: ServiceName, map_version: int, witnesses: Collection[NodeId], now_ms: int
+    def echo_ms(
+        self,
+        service: ServiceName,
+        map_version: int,
+        witnesses: Collection[NodeId],
+        count: int,
+        now_ms: int,
     ) -> int | None:
-        """Return the latest local time at which a majority of the witnesses knew no newer map.
+        """Return the latest local time at which `count` of the witnesses knew no newer map.
 
         Returns None if too few witnesses have confirmed that. If this node is a witness, it counts
         as one that knows no newer map now.
@@ -323,7 +333,7 @@
             if view.view.is_confirmed and view.view.map_version <= map_version
             if view.echoed_ms > 0
         ]
-        needed = len(witnesses) // 2 + 1 - (self.own_id in witnesses)
+        needed = count - (self.own_id in witnesses)
         if not witnesses or len(echoes) < needed:
             return None
         return sorted(echoes, reverse=True)[needed - 1] if needed else now_ms
--- a/nutmeglead/ranges/renewal.py
+++ b/nutmeglead/ranges/renewal.py
@@ -25,8 +25,8 @@
 logger = logging.getLogger(__name__)
 
 LOOP_INTERVAL_MS = 50
-# Intervals of reads of the store: without one a node may send no more grants, or a majority goes on
-# with its renewals for a while.
+# Intervals of reads of the store, where a node may send no more grants without one, and where the
+# witnesses go on for a while.
 NEEDED_READ_INTERVAL_MS = RENEW_RIGHT_MS // 2
 DUE_READ_INTERVAL_MS = 2_000
 # Interval of reports that only name servers that answered. Failures are reported in the next pass
@@ -88,7 +88,7 @@
         A node of an earlier witness set only reads the map, and so learns that it is replaced.
         """
         is_witness = self._context.node_id in ranges.witnesses
-        if not self._rights.is_confirmed_by_majority(ranges, now_ms):
+        if not self._rights.is_confirmed_by_witnesses(ranges, now_ms):
             self._start_store_check(now_ms, NEEDED_READ_INTERVAL_MS)
         elif is_witness and self._rights.is_store_read_due(ranges, now_ms):
             self._start_store_check(now_ms, DUE_READ_INTERVAL_MS)
--- a/nutmeglead/ranges/rights.py
+++ b/nutmeglead/ranges/rights.py
@@ -2,8 +2,8 @@
 
 A grant gives a server a hold on a key range: the right to serve it for a limited time, which
 renewals extend. A map names its witnesses, the only nodes that may send its grants. A witness sends
-them only within RENEW_RIGHT_MS of a moment at which a majority of the witnesses, or the store, knew
-no newer map; `expiry.py` states when this right ends. The writer of a newer version therefore knows
+them only within RENEW_RIGHT_MS of a moment at which enough of the witnesses, or the store, knew no
+newer map; `expiry.py` states when this right ends. The writer of a newer version therefore knows
 the latest time at which another node can have sent a grant of the old version. When the witnesses
 change, a map also lists the earlier sets, until they have lost their rights.
 """
@@ -18,6 +18,7 @@
 from nutmeglead.ranges.expiry import (
     CLOCK_DRIFT,
     RENEW_RIGHT_MS,
+    STORE_READ_VALID_FOR_ALL_MS,
     STORE_READ_VALID_MS,
     RightsExpiry,
 )
@@ -62,8 +63,8 @@
     def may_send(self, ranges: RangeMap, now_ms: int) -> bool:
         """Return whether this node may send grants of a map now.
 
-        It must be a witness and know no newer map, and a majority of the witnesses or the store
-        must have known none in the last RENEW_RIGHT_MS.
+        It must be a witness and know no newer map, and enough witnesses, or the store, must have
+        known none in the last RENEW_RIGHT_MS.
         """
         if self._membership.own_id not in ranges.witnesses:
             return False
@@ -71,21 +72,23 @@
             return False
         if self._store_version > ranges.version:
             return False
-        if self.is_confirmed_by_majority(ranges, now_ms):
+        if self.is_confirmed_by_witnesses(ranges, now_ms):
             return True
         by_store = self._store_version == ranges.version
         return by_store and now_ms - self._store_confirmed_ms <= RENEW_RIGHT_MS
 
-    def is_confirmed_by_majority(self, ranges: RangeMap, now_ms: int) -> bool:
-        """Return whether a majority of witnesses knew no newer map in the last RENEW_RIGHT_MS.
+    def is_confirmed_by_witnesses(self, ranges: RangeMap, now_ms: int) -> bool:
+        """Return whether enough witnesses knew no newer map in the last RENEW_RIGHT_MS.
 
-        One of them must have read the store in the last STORE_READ_VALID_MS.
+        A majority of them is enough after a recent read of the map in the store.
         """
-        if not self.is_confirmed or self._store_read_age_ms(ranges, now_ms) > STORE_READ_VALID_MS:
+        read_age_ms = self._store_read_age_ms(ranges, now_ms)
+        if not self.is_confirmed or read_age_ms > STORE_READ_VALID_FOR_ALL_MS:
             return False
-        echo_ms = self._membership.majority_echo_ms(
-            self._service, ranges.version, ranges.witnesses, now_ms
-        )
+        witnesses = ranges.witnesses
+        is_recent = read_age_ms <= STORE_READ_VALID_MS
+        needed = len(witnesses) // 2 + 1 if is_recent else len(witnesses)
+        echo_ms = self._membership.echo_ms(self._service, ranges.version, witnesses, needed, now_ms)
         return echo_ms is not None and now_ms - echo_ms <= RENEW_RIGHT_MS
 
     def _store_read_age_ms(self, ranges: RangeMap, now_ms: int) -> int:
@@ -94,7 +97,7 @@
         return now_ms - max([self._store_confirmed_ms, *reads_ms])
 
     def is_store_read_due(self, ranges: RangeMap, now_ms: int) -> bool:
-        """Return whether this witness is to read the store, so that a majority may go on."""
+        """Return whether this witness is to read the store, so that a majority stays enough."""
         place = ranges.witnesses.index(self._membership.own_id)
         due_ms = STORE_READ_INTERVAL_MS + place * STORE_READ_STEP_MS
         return self._store_read_age_ms(ranges, now_ms) >= due_ms
@@ -102,7 +105,7 @@
     def store_read_ago_ms(self, now_ms: int) -> int | None:
         """Return how long ago the last read of the store began, or None if that is too long ago."""
         ago_ms = now_ms - self._store_confirmed_ms
-        return ago_ms if self.is_confirmed and ago_ms <= STORE_READ_VALID_MS else None
+        return ago_ms if self.is_confirmed and ago_ms <= STORE_READ_VALID_FOR_ALL_MS else None
 
     def begin_grant(self, incarnation: ServerIncarnation) -> None:
         """Count a grant to a server as in flight."""
--- a/nutmeglead/ranges/tests/rights.feature
+++ b/nutmeglead/ranges/tests/rights.feature
@@ -109,6 +109,18 @@
     And two peers echo the heartbeat sent at 30900 ms
     Then grants of map 1 may be sent until 31000 ms
 
+  Scenario: All witnesses together need no recent read of the store
+    # Guards against holds of all keys that end in a long outage of the store, although no node is lost.
+    When a read of the store that began at 1000 ms returns map 1
+    And all peers echo the heartbeat sent at 599000 ms
+    Then grants of map 1 may be sent until 600000 ms
+
+  Scenario: All witnesses together permit grants for ten minutes without the store
+    # Guards against rights without an end, if all witnesses are cut off from the store and from the acting node.
+    When a read of the store that began at 1000 ms returns map 1
+    And all peers echo the heartbeat sent at 600900 ms
+    Then grants of map 1 may be sent until 601000 ms
+
   Scenario: A peer's read of the store permits grants as long as an own one
     # Guards against a witness that loses its rights because the store refuses its calls, although
     # the store answers its peers.
@@ -124,6 +136,12 @@
     When peer 3 knows map 2 at 5000 ms
     Then the witnesses of map 1 are listed until 38600 ms
 
+  Scenario: A witness set of which nobody is left keeps its rights for longer
+    # Guards against a second holder, if all nodes of the set are only cut off and confirm the map to each other.
+    Given map 2 has other witnesses than map 1, and all of those of map 1 have left
+    When peer 3 knows map 2 at 5000 ms
+    Then the witnesses of map 1 are listed until 620000 ms
+
   Scenario: A witness set that is replaced again is listed for its whole time again
     # Guards against a set that is dropped by the time of its first replacement, after another
     # acting node has made it the current one in the meantime.
@@ -145,3 +163,10 @@
     When peers 1 and 3 know map 2 at 5500 ms
     And the next map that this node knows is map 3 at 7000 ms
     Then the witnesses of map 1 are listed until 9500 ms
+
+  Scenario: Many later maps do not begin the time of a replaced witness set anew
+    # Guards against the same, for the times of old versions, of which only the last 64 are kept.
+    Given map 2 has other witnesses than map 1, and most of those of map 1 have left
+    When peer 3 knows map 2 at 5000 ms
+    And maps 3 to 99 follow until 20000 ms, each with a move that waits for a hold
+    Then the witnesses of map 1 are listed until 38600 ms
--- a/nutmeglead/ranges/tests/steps/rights_steps.py
+++ b/nutmeglead/ranges/tests/steps/rights_steps.py
@@ -99,6 +99,12 @@
     scenario.witness_sets = (("n-0", "n-7", "n-8"), ("n-0", *scenario.peers[2:]))
 
 
+@given("map 2 has other witnesses than map 1, and all of those of map 1 have left")
+def step_replaced_and_all_left(context):
+    scenario = context.rights
+    scenario.witness_sets = (("n-7", "n-8", "n-9"), ("n-0", *scenario.peers[2:]))
+
+
 @given("a hold of {hold_ms:d} ms")
 def step_hold(context, hold_ms):
     context.rights.hold_ms = hold_ms
@@ -118,6 +124,12 @@
         context.rights.hear(peer, 1, echo_ms, echo_ms + 10, store_read_ago_ms=ago_ms)
 
 
+@when("all peers echo the heartbeat sent at {echo_ms:d} ms")
+def step_all_echo(context, echo_ms):
+    for peer in context.rights.peers:
+        context.rights.hear(peer, 1, echo_ms, echo_ms + 10)
+
+
 @when("one peer echoes the heartbeat sent at {echo_ms:d} ms")
 def step_one_echoes(context, echo_ms):
     context.rights.hear(context.rights.peers[0], 1, echo_ms, echo_ms + 10)
@@ -172,6 +184,16 @@
     context.rights.are_first_witnesses_listed(version, now_ms)
 
 
+@when("maps 3 to {last:d} follow until {end_ms:d} ms, each with a move that waits for a hold")
+def step_many_maps(context, last, end_ms):
+    scenario = context.rights
+    for version in range(3, last + 1):
+        now_ms = end_ms - (last - version) * 100
+        scenario.are_first_witnesses_listed(version, now_ms)
+        scenario.hold_end_ms(version, now_ms)
+    scenario.known_version = last
+
+
 @then("grants of map 1 may be sent until {end_ms:d} ms")
 def step_may_until(context, end_ms):
     scenario = context.rights
--- a/nutmeglead/ranges/witnesses.py
+++ b/nutmeglead/ranges/witnesses.py
@@ -24,11 +24,13 @@
     """Return the witness sets for the map after `ranges`.
 
     Earlier sets that may no longer send grants are dropped. A new set is added when this node is no
-    witness, or a witness was silent for WITNESS_REPLACED_AFTER_MS.
+    witness, or a witness is stopping or was silent for WITNESS_REPLACED_AFTER_MS. One that is
+    stopping still learns of the new map, which ends its rights.
     """
     sets = rights.unexpired_witness_sets(ranges, now_ms)
     are_witnesses_present = membership.own_id in ranges.witnesses and not any(
-        membership.is_absent_for(node_id, WITNESS_REPLACED_AFTER_MS, now_ms)
+        membership.is_stopping(node_id)
+        or membership.is_absent_for(node_id, WITNESS_REPLACED_AFTER_MS, now_ms)
         for node_id in ranges.witnesses
     )
     if are_witnesses_present:
