emulator: a server that has crashed applies no late orders

Cause: a fault of the emulator. The trace shows server s-1 crash at 1013374 and its old process, which is not up, take late grants at 1014258 that had arrived before; its new process holds the keys rightly. Orders that wait to be applied went on after the crash. Change: the end of a process cancels them. The check of the owners is as it was.

--- a/nutmeglead/emulator/cluster.py
+++ b/nutmeglead/emulator/cluster.py
@@ -220,6 +220,7 @@
         """End a server's process; its connections are reset and new ones refused."""
         server = self.servers[server_id]
         server.holder.is_up = False
+        server.host.cancel_late_orders()
         self.network.close_host(server.ip)
 
     def disconnect_host(self, ip: str) -> None:
--- a/nutmeglead/emulator/server_host.py
+++ b/nutmeglead/emulator/server_host.py
@@ -113,6 +113,10 @@
     async def stop(self) -> None:
         """Stop listening, end all connections, and cancel the orders that wait to be applied."""
         await self._server.close()
+        self.cancel_late_orders()
+
+    def cancel_late_orders(self) -> None:
+        """Cancel the orders that wait to be applied, as the end of the process does."""
         for task in self._late_tasks:
             task.cancel()
 
--- a/nutmeglead/entry/tests/ownership_mix.feature
+++ b/nutmeglead/entry/tests/ownership_mix.feature
@@ -21,3 +21,4 @@
       | seed | nodes | failure                                                                         |
       | 213  | 12    | restarted nodes waited 16.5 s for each answer of a store that was silent at first |
       | 201  | 12    | none yet                                                                        |
+      | 912  | 6     | the emulator let a server that had crashed apply a late order, which counted as a second holder |
