--- a/nutmeglead/entry/tests/steps/malformed_entries_steps.py
+++ b/nutmeglead/entry/tests/steps/malformed_entries_steps.py
@@ -14,17 +14,19 @@
 from nutmeglead._generated.peers.ttypes import TableCopy
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.core.codec import decode, encode
-from nutmeglead.core.ids import ServiceName
+from nutmeglead.core.ids import FailureDomainName, ServerId, ServiceName
 from nutmeglead.emulator.rows import RowStore, RowStoreFetcher
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.entry.tables import apply_server_rows
 from nutmeglead.entry.tests.deployment import OPTIONS, ROUTE, SERVICE, run_cluster
 from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord, ServerState
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.forwarding.request import CallerRequest
 from nutmeglead.http.client import ClientConnection
 from nutmeglead.http.messages import RequestHead
 from nutmeglead.peers.codec import server_tag
+from nutmeglead.platform.registry import encode_server
 from nutmeglead.platform.store import StoreClient
 from nutmeglead.platform.wire import SERVERS_TABLE
 from nutmeglead.ranges.keys import KEY_COUNT
@@ -32,17 +34,17 @@
 
 SETTLE_S = 6
 OBSERVED_S = 3
-ENTRY = {
-    "service": SERVICE,
-    "address": "10.2.0.77:80",
-    "zone": "zone-0",
-    "version": "v1",
-    "slots": 4,
-    "state": "ready",
-    "warmup_left_s": 0,
-    "seq": 4,
-    "born": 1_700_000_000_000,
-}
+RECORD = ServerRecord(
+    ServerIncarnation(ServerId("x-1"), 1_700_000_000_000),
+    SERVICE,
+    "10.2.0.77",
+    80,
+    FailureDomainName("zone-0"),
+    4,
+    ServerState.READY,
+    0,
+)
+ENTRY = json.loads(encode_server(RECORD))
 HALF_PAIR = "half \ud800"
 # The id and the bytes of each malformed entry.
 MALFORMED = {
