http, forwarding, programs: the log tells which side has ended an exchange

What callers saw: requests without an answer around SIGTERM; the log could not tell whether the process or the caller had ended them. Cause: an exchange that is cut off at the end of a stop was logged as caller-left, without its attempt in progress, and PROGRAM_STOPPED had only the number of connections. Change: the outcome cut-off, the attempt in progress in `attempts`, and cut_off_requests and duration_ms in PROGRAM_STOPPED.

--- a/nutmeglead/emulator/cluster.py
+++ b/nutmeglead/emulator/cluster.py
@@ -301,12 +301,12 @@
         self.network.close_host(self.node_ip(node_id))
 
     async def stop_node(self, node_id: NodeId) -> int:
-        """Stop an entry process gracefully, as on SIGTERM; return how many answers were cut off."""
+        """Stop an entry process gracefully, as on SIGTERM; return how many requests it cut off."""
         process = self.nodes[node_id]
         cut_off = await self.run_on(self.node_ip(node_id), process.stop())
         self.nodes.pop(node_id, None)
         self.network.close_host(self.node_ip(node_id))
-        return int(cut_off)
+        return cut_off.exchanges
 
     def set_store_faults(self, node_ids: Sequence[NodeId], fault: StoreFault) -> None:
         """Set how the store treats the calls of some nodes."""
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -34,7 +34,7 @@
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.exchange import CallerExchange, CallerLimits
-from nutmeglead.http.pipeline import PipelineServer
+from nutmeglead.http.pipeline import CutOff, PipelineServer
 from nutmeglead.peers.membership import Membership, Peer
 from nutmeglead.peers.service import PeerHandler, PeerService
 from nutmeglead.platform.grants import GrantClient
@@ -182,10 +182,10 @@
         self._spawn(self._loop_monitor.run())
         self._spawn(self._run_housekeeping())
 
-    async def stop(self) -> int:
+    async def stop(self) -> CutOff:
         """Leave load balancing, answer accepted requests and stop all parts.
 
-        Return how many answers were cut off when the stop grace ended.
+        Return what was cut off when the stop grace ended.
         """
         self.is_stopping = True
         self.membership.is_leaving = True
--- a/nutmeglead/forwarding/errors.py
+++ b/nutmeglead/forwarding/errors.py
@@ -11,6 +11,7 @@
     "CallerLeft",
     "ConnectionBroken",
     "DeadlinePassed",
+    "ExchangeCutOff",
     "ForwardingError",
     "NoConnection",
     "Overloaded",
@@ -76,6 +77,16 @@
         return self.reason
 
 
+@dataclass
+class ExchangeCutOff(ForwardingError):
+    """Report an exchange that this process has ended without an answer."""
+
+    reason: str
+
+    def __str__(self) -> str:
+        return self.reason
+
+
 @dataclass
 class DeadlinePassed(ForwardingError):
     """Report a request that was not answered by its deadline; it may have run if it was sent."""
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -241,7 +241,7 @@
         try:
             await handler.run(exchange)
         except asyncio.CancelledError:
-            handler.record_caller_left()
+            handler.record_cancelled(exchange.is_cut_off)
             raise
         finally:
             handler.close()
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -17,6 +17,7 @@
     AttemptError,
     CallerLeft,
     DeadlinePassed,
+    ExchangeCutOff,
     ForwardingError,
     Overloaded,
     ServerRefused,
@@ -94,9 +95,18 @@
             self._waited_ms,
         )
 
-    def record_caller_left(self) -> None:
-        """Set the outcome to `caller-left`, unless an answer to the caller was begun."""
-        if self.status == 0:
+    def record_cancelled(self, is_cut_off: bool) -> None:
+        """Set the outcome to `cut-off` or `caller-left`, by which side has ended the connection.
+
+        An answer that was begun keeps its outcome if the caller has left.
+        """
+        if self._attempt is not None:
+            progress = "in progress" if self._attempt.was_sent else "not sent"
+            self.attempt_results.append(_attempt_label(self._attempt, progress))
+        if is_cut_off:
+            self.outcome = "cut-off"
+            self.failure = ExchangeCutOff("this process has cut off the connection")
+        elif self.status == 0:
             self.outcome = "caller-left"
             self.failure = CallerLeft("the caller closed its connection")
 
--- a/nutmeglead/forwarding/tests/requests.feature
+++ b/nutmeglead/forwarding/tests/requests.feature
@@ -85,6 +85,17 @@
     When a caller sends a safe request and disconnects
     Then the server's connection is closed
 
+  Scenario Outline: The log tells which side has ended an exchange
+    # Guards against requests that a stopping process cuts off and logs as if their callers had left (issue 37).
+    Given a first server that never answers
+    When a caller sends a safe request and <event>
+    Then the log says <outcome> and that the attempt at the first server was in progress
+
+    Examples: each row names the failure it guards against
+      | event                           | outcome     | failure                                          |
+      | disconnects                     | caller-left | callers without patience look like a bad stop    |
+      | the process ends its connection | cut-off     | an operator looks for the cause at the caller    |
+
   Scenario: Pipelined requests are answered in order
     # Guards against the answer to a fast request being sent before that of a slow one ahead of it.
     Given a first server that answers late
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -39,6 +39,10 @@
     def reset(self) -> None:
         """End the connection with a reset, dropping bytes that are not sent yet."""
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether this side has aborted the connection with its exchanges."""
+
     def closes_after(self, exchange: "CallerExchange") -> bool:
         """Return whether the connection is closed after the response of this exchange."""
 
@@ -130,6 +134,11 @@
         """Return the IP address of the caller, or "" if it is not known."""
         return self._connection.peer_ip
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether this process, and not the caller, has ended the exchange."""
+        return self._connection.is_cut_off
+
     @property
     def must_close(self) -> bool:
         """Return whether no other request may follow on the connection."""
--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import h11
 
@@ -18,7 +19,7 @@
 from nutmeglead.http.messages import RequestHead
 from nutmeglead.http.sockets import enable_dead_peer_detection
 
-__all__ = ["PipelineServer"]
+__all__ = ["CutOff", "PipelineServer"]
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +38,14 @@
 Handler = Callable[[CallerExchange], Awaitable[None]]
 
 
+@dataclass(frozen=True)
+class CutOff:
+    """Count the connections that were aborted with exchanges in progress, and those exchanges."""
+
+    connections: int = 0
+    exchanges: int = 0
+
+
 class PipelineServer:
     """Server that listens on one address and runs a handler for each request.
 
@@ -82,11 +91,8 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-    async def wait_closed(self, timeout_ms: int) -> int:
-        """Wait up to `timeout_ms` for the connections to end, then abort those that remain.
-
-        Return how many of them still had an exchange in progress.
-        """
+    async def wait_closed(self, timeout_ms: int) -> CutOff:
+        """Wait up to `timeout_ms` for the connections to end, then abort those that remain."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_ms / 1000
         while (remaining_s := end_s - loop.time()) > 0 and self.connections:
@@ -94,10 +100,8 @@
             await asyncio.wait(tasks, timeout=min(remaining_s, IDLE_CHECK_INTERVAL_MS / 1000))
             # A connection that was accepted last may bring no request.
             self._close_idle_connections()
-        cut_off = [connection for connection in self.connections if connection.is_busy]
-        for connection in list(self.connections):
-            connection.abort()
-        return len(cut_off)
+        counts = [connection.cut_off() for connection in list(self.connections)]
+        return CutOff(sum(count > 0 for count in counts), sum(counts))
 
     async def close(self) -> None:
         """Stop listening and abort all connections, including those with running exchanges."""
@@ -128,6 +132,7 @@
         self._is_between_requests = True
         # Whether the last response is sent and the peer is to close the connection.
         self._is_lingering = False
+        self.is_cut_off = False
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -172,6 +177,12 @@
             self._accepts_requests = False
             self.close()
 
+    def cut_off(self) -> int:
+        """Abort the connection, and return how many exchanges were in progress."""
+        self.is_cut_off = True
+        self.abort()
+        return len(self._handlers)
+
     def _cancel_handlers(self) -> None:
         """Cancel all running handlers and read no further request."""
         self._accepts_requests = False
--- a/nutmeglead/http/tests/steps/edge_steps.py
+++ b/nutmeglead/http/tests/steps/edge_steps.py
@@ -317,4 +317,4 @@
 
 @then("the server reports {count:d} connections cut off")
 def step_cut_off(context, count):
-    assert context.http.cut_off == count
+    assert context.http.cut_off.connections == count, context.http.cut_off
--- a/nutmeglead/programs/entry.py
+++ b/nutmeglead/programs/entry.py
@@ -159,8 +159,15 @@
     await stopping.wait()
     reload_task.cancel()
     log_event(logger, Event.PROGRAM_STOPPING)
+    begun_s = loop.time()
     cut_off = await process.stop()
-    log_event(logger, Event.PROGRAM_STOPPED, cut_off=cut_off)
+    log_event(
+        logger,
+        Event.PROGRAM_STOPPED,
+        cut_off=cut_off.connections,
+        cut_off_requests=cut_off.exchanges,
+        duration_ms=round((loop.time() - begun_s) * 1000),
+    )
     return ExitCode.DONE
 
 
