--- /dev/null
+++ b/nutmeglead/emulator/pipelined_callers.py
@@ -0,0 +1,174 @@
+"""Send requests ahead on connections to one address, and record which got a whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import h11
+
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
+from nutmeglead.http.channel import ByteChannel
+from nutmeglead.http.errors import HttpError
+from nutmeglead.http.messages import RequestHead, header_value
+from nutmeglead.platform.wire import REQUEST_ID_HEADER
+
+__all__ = ["CutRequest", "PipelinedCallers"]
+
+CONNECT_TIMEOUT_MS = 1_000
+# Pause before another connection is opened after one has failed or ended.
+RECONNECT_DELAY_MS = 50
+# A caller without an answer for this time closes its connection.
+PATIENCE_MS = 8_000
+
+MakeHead = Callable[[str], RequestHead]
+
+
+@dataclass(frozen=True)
+class CutRequest:
+    """A request whose connection was closed by its peer before it had a whole answer.
+
+    `peer` is what `identify_peer` returned when the connection was opened.
+    """
+
+    request_id: str
+    peer: object
+
+
+@dataclass
+class _Outstanding:
+    """Hold a request that has no answer yet, and the parser that its answer is given to."""
+
+    request_id: str
+    parser: h11.Connection
+    body: bytearray = field(default_factory=bytearray)
+    status: int = 0
+    closes: bool = False
+    is_not_run: bool = False
+
+
+class PipelinedCallers:
+    """Keep `depth` requests outstanding on each of several connections to an address.
+
+    A caller sends the next request as soon as one is answered. After an answer with
+    `connection: close` it opens another connection, and sends none of the requests behind it again.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        depth: int,
+        make_head: MakeHead,
+        clock: Clock,
+        identify_peer: Callable[[], object] = lambda: None,
+    ) -> None:
+        self.sent: set[str] = set()
+        # Ids with a successful answer, and those that were answered as not run.
+        self.answered: set[str] = set()
+        self.not_run: set[str] = set()
+        self.cut: list[CutRequest] = []
+        self.wrong_answers = 0
+        self._name = name
+        self._address = address
+        self._depth = depth
+        self._make_head = make_head
+        self._clock = clock
+        self._identify_peer = identify_peer
+        self._numbers = itertools.count(1)
+        self._end_ms = 0
+
+    async def run(self, duration_s: float, connections: int = 1) -> None:
+        """Send requests for `duration_s`, and wait until the last one has ended."""
+        self._end_ms = self._clock.now_ms() + round(duration_s * 1000)
+        await asyncio.gather(*(self._run_caller() for _ in range(connections)))
+
+    @property
+    def _is_over(self) -> bool:
+        return self._clock.now_ms() >= self._end_ms
+
+    async def _run_caller(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self._is_over:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                    _, channel = await loop.create_connection(ByteChannel, *self._address)
+            except OSError:
+                await asyncio.sleep(RECONNECT_DELAY_MS / 1000)
+                continue
+            peer = self._identify_peer()
+            outstanding: deque[_Outstanding] = deque()
+            try:
+                async with asyncio.timeout(None) as patience:
+                    await self._use(channel, outstanding, patience)
+            except TimeoutError:
+                # The caller has left, so nobody owes it an answer.
+                outstanding.clear()
+            except HttpError:
+                pass
+            self.cut += [CutRequest(request.request_id, peer) for request in outstanding]
+            channel.abort()
+            await asyncio.sleep(RECONNECT_DELAY_MS / 1000)
+
+    async def _use(
+        self, channel: ByteChannel, outstanding: deque[_Outstanding], patience: asyncio.Timeout
+    ) -> None:
+        """Send and read on a connection until it ends, or an answer says that it will."""
+        loop = asyncio.get_running_loop()
+        while True:
+            while len(outstanding) < self._depth and not self._is_over:
+                await self._send(channel, outstanding)
+            if not outstanding:
+                return
+            patience.reschedule(loop.time() + PATIENCE_MS / 1000)
+            unread = await channel.read()
+            if not unread:
+                return
+            while outstanding and unread:
+                unread, closes = self._receive(outstanding, unread)
+                if closes:
+                    return
+
+    async def _send(self, channel: ByteChannel, outstanding: deque[_Outstanding]) -> None:
+        request_id = f"{self._name}-{next(self._numbers)}"
+        head = self._make_head(request_id)
+        parser = h11.Connection(h11.CLIENT)
+        headers = [*head.headers, (REQUEST_ID_HEADER, request_id.encode())]
+        request = h11.Request(method=head.method, target=head.target, headers=headers)
+        data = (parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b"")
+        self.sent.add(request_id)
+        outstanding.append(_Outstanding(request_id, parser))
+        await channel.write(data)
+
+    def _receive(self, outstanding: deque[_Outstanding], data: bytes) -> tuple[bytes, bool]:
+        """Give bytes to the oldest request, and drop it from `outstanding` once it is answered.
+
+        Return the bytes behind its answer, and whether the answer closes the connection.
+        """
+        oldest = outstanding[0]
+        oldest.parser.receive_data(data)
+        while (event := oldest.parser.next_event()) is not h11.NEED_DATA:
+            if isinstance(event, h11.Response):
+                headers = list(event.headers)
+                oldest.status = event.status_code
+                oldest.closes = header_value(headers, b"connection") == b"close"
+                outcome = header_value(headers, OUTCOME_HEADER)
+                oldest.is_not_run = outcome == Outcome.NOT_RUN.value.encode()
+            elif isinstance(event, h11.Data):
+                oldest.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                outstanding.popleft()
+                self._record_answer(oldest)
+                return oldest.parser.trailing_data[0], oldest.closes
+        return b"", False
+
+    def _record_answer(self, request: _Outstanding) -> None:
+        if 200 <= request.status < 300:
+            self.answered.add(request.request_id)
+            self.wrong_answers += not request.body.startswith(request.request_id.encode() + b" ")
+        elif request.is_not_run:
+            self.not_run.add(request.request_id)
--- /dev/null
+++ b/nutmeglead/entry/tests/stops.py
@@ -0,0 +1,75 @@
+"""Stop a node of a cluster while its callers send requests ahead."""
+
+import asyncio
+from dataclasses import replace
+
+from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.emulator.cluster import FRONT_PORT, ClusterOptions, ServiceOptions
+from nutmeglead.emulator.network import HOST
+from nutmeglead.emulator.pipelined_callers import PipelinedCallers
+from nutmeglead.emulator.server_host import ServerOptions
+from nutmeglead.entry.tests.deployment import ROUTE, SERVICE, SPEC, run_cluster
+from nutmeglead.forwarding.model import Backend, Manifest
+from nutmeglead.http.messages import RequestHead
+from nutmeglead.platform.wire import DEADLINE_HEADER, KEY_HEADER
+
+ORDERS = ServiceName("orders")
+CALLER_IP = "10.9.0.1"
+STOPPED = NodeId("entry-0")
+SETTLE_S = 6
+LOAD_S = 2
+# Callers stay until the process is gone.
+OBSERVED_S = 8
+STEP_OF_KEYS = 9_973
+
+
+class StoppedNode:
+    """Stop one node, and hold which requests at servers got no answer from it."""
+
+    def __init__(self, has_keys, deadline_ms=800):
+        self._service = SERVICE if has_keys else ORDERS
+        self._deadline_ms = deadline_ms
+        self.servers = ServerOptions()
+
+    def run(self, seed, depth, connections=4):
+        """Send requests to the node on some connections, and stop it after `LOAD_S`."""
+        route = replace(
+            ROUTE, backends=(Backend(self._service, 1.0),), timeout_ms=self._deadline_ms
+        )
+        specs = {SERVICE: SPEC, ORDERS: replace(SPEC, name=ORDERS, has_keys=False)}
+        options = ClusterOptions(
+            (
+                ServiceOptions(SERVICE, 6, self.servers),
+                ServiceOptions(ORDERS, 6, self.servers, has_keys=False),
+            ),
+            Manifest(1, (route,), specs),
+        )
+        run_cluster(seed, lambda cluster: self._run(cluster, depth, connections), options)
+
+    async def _run(self, cluster, depth, connections):
+        await asyncio.sleep(SETTLE_S)
+        self.callers = PipelinedCallers(
+            "ahead",
+            (cluster.node_ip(STOPPED), FRONT_PORT),
+            depth,
+            self._head,
+            cluster.clock,
+        )
+        HOST.set(CALLER_IP)
+        load = asyncio.create_task(self.callers.run(LOAD_S + OBSERVED_S, connections))
+        await asyncio.sleep(LOAD_S)
+        started_ms = cluster.clock.now_ms()
+        self.cut_off = await cluster.stop_node(STOPPED)
+        self.duration_ms = cluster.clock.now_ms() - started_ms
+        await load
+        run_counts = cluster.executions.run_counts
+        self.lost = [cut.request_id for cut in self.callers.cut if run_counts[cut.request_id]]
+
+    def _head(self, request_id):
+        key = int(request_id.rpartition("-")[2]) * STEP_OF_KEYS % 65_536
+        headers = [
+            (b"host", b"stock.example"),
+            (DEADLINE_HEADER, b"%d" % self._deadline_ms),
+            (KEY_HEADER, b"%d" % key),
+        ]
+        return RequestHead(b"GET", b"/s/x", headers)
--- a/nutmeglead/soak/fleet.py
+++ b/nutmeglead/soak/fleet.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 
@@ -37,7 +37,7 @@
 from nutmeglead.settings.structs import plain_struct
 from nutmeglead.soak.proxy import Proxy
 
-__all__ = ["EntryProgram", "Fleet", "SoakServer"]
+__all__ = ["EntryProgram", "Fleet", "ProgramRun", "SoakServer"]
 
 logger = logging.getLogger(__name__)
 
@@ -49,7 +49,6 @@
     ServiceSettings("stock", 4, 130, idempotent=True, timeout_ms=2_000, target_latency_ms=500),
     ServiceSettings("orders", 4, 130, timeout_ms=2_000, target_latency_ms=500, priority=0),
 )
-WORK_MS = 20.0
 STOP_GRACE_MS = 4_000
 # A process that has not exited after this time is killed.
 EXIT_TIMEOUT_S = 6.0
@@ -70,6 +69,19 @@
     holder: Holder
 
 
+@dataclass(eq=False)
+class ProgramRun:
+    """Hold the signals that one process of an entry program has got."""
+
+    signals: set[signal.Signals] = field(default_factory=set)
+
+    @property
+    def ended_as_planned(self) -> bool:
+        """Return whether the process was stopped, and neither killed nor paused."""
+        unplanned = {signal.SIGKILL, signal.SIGSTOP}
+        return signal.SIGTERM in self.signals and not unplanned & self.signals
+
+
 class EntryProgram:
     """Run one entry process; signals go only to the process that was started here."""
 
@@ -78,6 +90,8 @@
         self._settings_path = settings_path
         self._log_path = log_path
         self._process: asyncio.subprocess.Process | None = None
+        # The latest process.
+        self.run = ProgramRun()
 
     async def start(self) -> None:
         """Start the entry program, and return once its first statement has run.
@@ -85,6 +99,7 @@
         Until then the interpreter leaves signals their default actions. The program's output is
         appended to the log file.
         """
+        self.run = ProgramRun()
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -114,6 +129,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self._process is not None and self._process.returncode is None:
+            self.run.signals.add(number)
             self._process.send_signal(number)
 
     async def wait_for_exit(self) -> int:
@@ -131,7 +147,9 @@
 class Fleet:
     """Own the store, the servers, the proxies and the entry programs of one run."""
 
-    def __init__(self, seed: int, entry_count: int, servers_per_service: int, net: int) -> None:
+    def __init__(
+        self, seed: int, entry_count: int, servers_per_service: int, net: int, work_ms: float
+    ) -> None:
         """Use `net` as third part of the entry programs' addresses; each run needs its own."""
         self.clock = SystemClock()
         self.rng = random.Random(seed)
@@ -147,6 +165,7 @@
         self._net = net
         self._entry_count = entry_count
         self._servers_per_service = servers_per_service
+        self._work_ms = work_ms
         # A TemporaryDirectory would remove the logs of a failed run when the program exits.
         self._directory = Path(tempfile.mkdtemp(prefix="nutmeglead-soak-"))
 
@@ -208,7 +227,7 @@
 
     def _host(self, keys: KeyServer) -> ServerHost:
         rng = random.Random(self.rng.random())
-        options = ServerOptions(work_ms=WORK_MS)
+        options = ServerOptions(work_ms=self._work_ms)
         host = ServerHost(keys, options, self.executions, self.clock, rng)
         host.notice_checker = self.notice_checker
         return host
--- a/nutmeglead/soak/run.py
+++ b/nutmeglead/soak/run.py
@@ -7,7 +7,7 @@
 import random
 import signal
 import sys
-from collections.abc import Awaitable, Sequence
+from collections.abc import Awaitable, Mapping, Sequence
 from copy import copy
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -19,11 +19,14 @@
 from nutmeglead._generated.tickets.ttypes import KeyClaim, ServerItem, ServerState, Ticket
 from nutmeglead.emulator.balancer import LoadBalancer
 from nutmeglead.emulator.callers import Callers, ReportedOutcomes
+from nutmeglead.emulator.pipelined_callers import PipelinedCallers
 from nutmeglead.entry.copies import TICKET_STATUS_PATH
 from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.messages import RequestHead
 from nutmeglead.peers.fetch import fetch_struct
 from nutmeglead.platform.store import StoreClient
 from nutmeglead.platform.table import StoreTable
+from nutmeglead.platform.wire import DEADLINE_HEADER
 from nutmeglead.ranges.keys import KEY_COUNT
 from nutmeglead.soak.faults import FAULTS
 from nutmeglead.soak.fleet import (
@@ -33,6 +36,7 @@
     SERVICES,
     EntryProgram,
     Fleet,
+    ProgramRun,
     SoakServer,
 )
 from nutmeglead.tickets.filing import TicketFiling
@@ -91,6 +95,11 @@
     mean_interval_s: float = 1.2
     # Third part of the entry programs' loopback addresses; concurrent runs need others.
     net: int = 1
+    # Names of the faults to draw from.
+    faults: tuple[str, ...] = tuple(FAULTS.names())
+    # Requests that a caller of each entry program keeps outstanding on its connection.
+    pipeline_depth: int = 3
+    work_ms: float = 20.0
 
 
 @dataclass
@@ -109,7 +118,7 @@
 
     def __init__(self, seed: int, options: SoakOptions) -> None:
         self.rng = random.Random(seed)
-        self.fleet = Fleet(seed, options.entries, options.servers, options.net)
+        self.fleet = Fleet(seed, options.entries, options.servers, options.net, options.work_ms)
         self.report = SoakReport(seed)
         self._options = options
         self._claim_count = 0
@@ -148,8 +157,10 @@
             Callers(list(FLOWS), balancer, fleet.clock, self.rng),
             *(self._callers_of(number) for number in range(len(fleet.entries))),
         ]
+        pipelined = [self._pipelined_callers_of(number) for number in range(len(fleet.entries))]
         duration_s = self._options.fault_s
         load_tasks = [loop.create_task(group.run(duration_s)) for group in callers]
+        load_tasks += [loop.create_task(group.run(duration_s)) for group in pipelined]
         await self._inject_faults(duration_s)
         await asyncio.gather(*load_tasks)
         if not await self._wait_until_held(RECOVERY_TIMEOUT_S):
@@ -159,6 +170,7 @@
         await self._check_tickets()
         probing.cancel()
         self._check_requirements(callers)
+        self._check_pipelined(pipelined)
 
     def _callers_of(self, number: int) -> Callers:
         """Return callers that use their connections to one entry process until it has ended."""
@@ -166,8 +178,20 @@
         address = (self.fleet.entries[number].ip, FRONT_PORT)
         return Callers(flows, OneEntry(address), self.fleet.clock, self.rng)
 
+    def _pipelined_callers_of(self, number: int) -> PipelinedCallers:
+        """Return a caller that sends requests ahead on connections to one entry process."""
+        entry = self.fleet.entries[number]
+        return PipelinedCallers(
+            f"ahead-{number}",
+            (entry.ip, FRONT_PORT),
+            self._options.pipeline_depth,
+            _pipelined_head,
+            self.fleet.clock,
+            lambda: entry.run,
+        )
+
     async def _inject_faults(self, duration_s: float) -> None:
-        loop, names = asyncio.get_running_loop(), FAULTS.names()
+        loop, names = asyncio.get_running_loop(), self._options.faults
         start_s = loop.time()
         running = []
         while (at_s := loop.time() - start_s) < duration_s:
@@ -293,6 +317,34 @@
         if not report.in_time:
             report.broken.append("no request was answered in time")
 
+    def _check_pipelined(self, pipelined: Sequence[PipelinedCallers]) -> None:
+        """Check the answers of callers that send ahead, and what planned stops cut off."""
+        run_counts = self.fleet.executions.run_counts
+        lost = [
+            cut.request_id
+            for group in pipelined
+            for cut in group.cut
+            if run_counts[cut.request_id]
+            and isinstance(cut.peer, ProgramRun)
+            and cut.peer.ended_as_planned
+        ]
+        self._report_counts(
+            {
+                f"requests ran and were cut off by a planned stop: {lost[:3]}": len(lost),
+                "pipelined requests got another one's answer": sum(
+                    group.wrong_answers for group in pipelined
+                ),
+                "pipelined requests ran although they were answered as not run": sum(
+                    bool(run_counts[r]) for group in pipelined for r in group.not_run
+                ),
+            }
+        )
+        if not any(group.answered for group in pipelined):
+            self.report.broken.append("no pipelined request was answered")
+
+    def _report_counts(self, violations: Mapping[str, int]) -> None:
+        self.report.broken += [f"{count} {text}" for text, count in violations.items() if count]
+
     def _check_answers(self, reported_outcomes: ReportedOutcomes) -> None:
         """Compare what callers were answered with what servers ran."""
         run_counts = self.fleet.executions.run_counts
@@ -308,7 +360,14 @@
                 not run_counts[r] for r in reported_outcomes.answered
             ),
         }
-        self.report.broken += [f"{count} {text}" for text, count in violations.items() if count]
+        self._report_counts(violations)
+
+
+def _pipelined_head(request_id: str) -> RequestHead:
+    """Return the head of a request that may be repeated, for a key drawn from its id."""
+    target = f"/{SERVICES[0].name}/{request_id}".encode()
+    headers = [(b"host", b"soak"), (DEADLINE_HEADER, b"%d" % FLOWS[0].time_limit_ms)]
+    return RequestHead(b"GET", target, headers)
 
 
 def _checked_name(component: EntryProgram | SoakServer) -> str:
@@ -336,10 +395,23 @@
     parser.add_argument("--servers", type=int, default=SoakOptions.servers)
     parser.add_argument("--fault-s", type=float, default=SoakOptions.fault_s)
     parser.add_argument("--net", type=int, default=SoakOptions.net)
+    parser.add_argument("--pipeline-depth", type=int, default=SoakOptions.pipeline_depth)
+    parser.add_argument("--work-ms", type=float, default=SoakOptions.work_ms)
+    parser.add_argument(
+        "--fault", action="append", choices=FAULTS.names(), help="draw from these faults only"
+    )
     options = parser.parse_args(arguments)
     # Exit through the cleanup on SIGTERM, so that no entry process is left running.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
-    soak_options = SoakOptions(options.entries, options.servers, options.fault_s, net=options.net)
+    soak_options = SoakOptions(
+        options.entries,
+        options.servers,
+        options.fault_s,
+        net=options.net,
+        faults=tuple(options.fault or FAULTS.names()),
+        pipeline_depth=options.pipeline_depth,
+        work_ms=options.work_ms,
+    )
     failed = 0
     for seed in range(options.first, options.first + options.count):
         run = SoakRun(seed, soak_options)
--- a/nutmeglead/soak/tests/steps/soak_steps.py
+++ b/nutmeglead/soak/tests/steps/soak_steps.py
@@ -16,6 +16,23 @@
     context.report = asyncio.run(SoakRun(seed, options).run())
 
 
+@when(
+    "entry processes are stopped for {fault_s:d} s, seed {seed:d}, whose callers keep {depth:d} requests "
+    "outstanding that take {work_ms:d} ms"
+)
+def step_stops(context, fault_s, seed, depth, work_ms):
+    options = SoakOptions(
+        entries=3,
+        servers=3,
+        fault_s=fault_s,
+        net=TEST_NET,
+        faults=("entry stopped",),
+        pipeline_depth=depth,
+        work_ms=work_ms,
+    )
+    context.report = asyncio.run(SoakRun(seed, options).run())
+
+
 @then("the soak reports no broken requirement")
 def step_no_broken_requirement(context):
     assert not context.report.broken, (context.report.broken, context.report.log)
