http: a stopping server does not close a connection on which a request is arriving

What callers saw: a request whose body was still under way when its node stopped listening ended with a closed connection. Cause: the bytes of a request that has begun are in its parser, not in the connection's buffer, so the connection counted as idle. Change: a connection is idle only between requests. The limit on the time from a request's first byte to its last ends one that does not arrive, and the end of the grace does. Measured: http/tests/stops.feature, 2 rows with half a request: no answer before, whole answers now.

--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -192,7 +192,8 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive, or the peer is to close it."""
-        if not self.is_busy and not self.unread_bytes and not self._is_lingering:
+        has_begun = self.unread_bytes or not self._is_between_requests
+        if not self.is_busy and not has_begun and not self._is_lingering:
             self._accepts_requests = False
             self.close()
 
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -9,6 +9,7 @@
       | manner   | sending                                               | count | failure                                                       |
       | at once  | a request, and another one later                      | 1     | a connection takes requests until it is aborted               |
       | at once  | two requests, and another one later                   | 2     | the same, with several requests in progress                   |
+      | at once  | half a request, and the rest later                    | 1     | a connection is closed as idle while a request arrives        |
 
   Scenario Outline: A caller is told that its connection ends
     Given a server whose answers take 400 ms and are sent at once
@@ -19,3 +20,10 @@
       | sending                             | failure                                                  |
       | a request, and another one later    | the caller waits for an answer to the unread request     |
       | two requests, and another one later | the same, with several requests in progress              |
+      | half a request, and the rest later  | the caller sends its next request on a closed connection |
+
+  Scenario: A request whose rest never arrives does not keep a server from stopping
+    # Guards against a stop that waits for a caller that has gone silent until its grace is over.
+    Given a server whose answers take 400 ms and are sent at once
+    When it stops listening and a caller sends half a request
+    Then the server has stopped 3000 ms later
