http: a request that is not whole does not cut off the answers before it

What callers saw: an answer that was being sent broke off, when its node stopped while half of the next request had arrived. Cause: reading that ends in the middle of a request raised PeerClosed, and the end of the connection's task cancelled the handlers of the requests before it. Change: the reading ends; the answers to the requests before are sent, unless the caller is gone, which cancels them as before.

--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -236,6 +236,10 @@
             except MalformedMessage as error:
                 await self._reject_request(parser, error)
                 return
+            except PeerClosed as error:
+                # The requests before this one still get their answers.
+                logger.debug("request from %s is not whole: %s", self.peer_ip, error)
+                return
             # An answer that closes the connection may have been begun while the body arrived.
             if request is None or not self._takes_requests():
                 return
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -9,6 +9,7 @@
       | manner   | sending                                               | count | failure                                                       |
       | at once  | a request, and another one later                      | 1     | a connection takes requests until it is aborted               |
       | at once  | two requests, and another one later                   | 2     | the same, with several requests in progress                   |
+      | in parts | a request and half of another one, and the rest later | 1     | an unread request cuts off the answer to the one before it    |
       | at once  | half a request, and the rest later                    | 1     | a connection is closed as idle while a request arrives        |
 
   Scenario Outline: A caller is told that its connection ends
