http: an answer that is cut off at the end of the grace ends with a reset

What callers saw: shown by the test only; a caller of HTTP/1.0 takes a part of an answer without a length for the whole one. Cause: what remained at the end of the grace was closed, which looks like the end of such an answer. Change: connections with an exchange in progress are reset, as answers that servers break off are already. Measured: http/tests/stops.feature, the scenario of HTTP/1.0, on loopback sockets: a normal end before, a reset now.

--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -200,7 +200,11 @@
     def cut_off(self) -> int:
         """Abort the connection, and return how many exchanges were in progress."""
         self.is_cut_off = True
-        self.abort()
+        # A close would look like the end of a response whose length is not known.
+        if self._handlers:
+            self.reset()
+        else:
+            self.abort()
         return len(self._handlers)
 
     def _cancel_handlers(self) -> None:
--- a/nutmeglead/http/tests/steps/stops_steps.py
+++ b/nutmeglead/http/tests/steps/stops_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from nutmeglead.core.clock import SystemClock
 from nutmeglead.emulator.network import EmulatedLoop
 from nutmeglead.emulator.virtual_time import run_virtual
 from nutmeglead.http.channel import ByteChannel
@@ -34,29 +35,64 @@
 class StoppingServer:
     """Send bytes around the end of listening, and hold what the caller has received."""
 
-    def __init__(self, streams):
-        self._streams = streams
+    def __init__(self, manner):
+        self._manner = manner
         self.handled = []
         self.received = b""
+        self.was_reset = False
 
     async def _answer(self, exchange):
         self.handled.append(exchange.head.target.decode())
-        if not self._streams:
+        if self._manner == "at once":
             await asyncio.sleep(WORK_MS / 1000)
             await exchange.respond(200, [], b"whole")
             return
-        await exchange.start_response(200, [(b"content-length", b"5")])
+        length = [] if self._manner.endswith("without a length") else [(b"content-length", b"5")]
+        await exchange.start_response(200, length)
         await exchange.send_body(b"wh")
         await asyncio.sleep(WORK_MS / 1000)
         await exchange.send_body(b"ole")
         await exchange.finish_response()
 
+    async def _connect(self, clock):
+        """Start the server, and return it with a caller's connection."""
+        server = PipelineServer(self._answer, lambda: LIMITS, clock)
+        await server.start(*ADDRESS)
+        _, channel = await asyncio.get_running_loop().create_connection(ByteChannel, *ADDRESS)
+        return server, channel
+
+    async def cut_off_on_loopback(self):
+        """Stop a server without any grace while it answers a request of HTTP/1.0."""
+        server = PipelineServer(self._answer, lambda: LIMITS, SystemClock())
+        port = await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.0\r\nhost: a\r\n\r\n")
+        await reader.readuntil(b"wh")
+        await server.stop_listening()
+        self.cut_off = await server.wait_closed(0)
+        try:
+            await reader.read()
+        except ConnectionResetError:
+            self.was_reset = True
+        writer.close()
+
+    async def leave_after_a_malformed_request(self, clock):
+        """Send two requests and leave before the first is answered, and then stop the server."""
+        server, channel = await self._connect(clock)
+        await channel.write(GET % b"1" + b"malformed\r\n\r\n")
+        await asyncio.sleep(EARLIER_MS / 1000)
+        channel.abort()
+        await asyncio.sleep(LATER_MS / 1000)
+        server.begin_stop()
+        await server.stop_listening()
+        stopped_ms = clock.now_ms()
+        await server.wait_closed(GRACE_MS)
+        self.duration_ms = clock.now_ms() - stopped_ms
+
     async def run(self, clock, sending):
         before, after = SENDINGS[sending]
         loop = asyncio.get_running_loop()
-        server = PipelineServer(self._answer, lambda: LIMITS, clock)
-        await server.start(*ADDRESS)
-        _, channel = await loop.create_connection(ByteChannel, *ADDRESS)
+        server, channel = await self._connect(clock)
         server.begin_stop()
         await channel.write(before)
         await asyncio.sleep(EARLIER_MS / 1000)
@@ -75,7 +111,7 @@
 
 @given("a server whose answers take 400 ms and are sent {manner}")
 def step_server(context, manner):
-    context.stopping = StoppingServer(manner == "in parts")
+    context.stopping = StoppingServer(manner)
 
 
 @when("it stops listening and a caller sends {sending}")
@@ -83,6 +119,27 @@
     run_virtual(lambda clock: context.stopping.run(clock, sending), EmulatedLoop(1))
 
 
+@when("it stops without any grace while it answers a request of HTTP/1.0")
+def step_cut_off(context):
+    asyncio.run(context.stopping.cut_off_on_loopback())
+
+
+@when("a caller sends a request and a malformed one, leaves, and the server stops")
+def step_leave(context):
+    run_virtual(context.stopping.leave_after_a_malformed_request, EmulatedLoop(1))
+
+
+@then("the caller's connection ends with a reset")
+def step_reset(context):
+    assert context.stopping.cut_off.exchanges == 1, context.stopping.cut_off
+    assert context.stopping.was_reset
+
+
+@then("the server has no connection left before the end of its grace")
+def step_no_connection(context):
+    assert context.stopping.duration_ms < GRACE_MS, context.stopping.duration_ms
+
+
 @then("it has handled {count:d} and the caller has received {count_again:d} whole answers")
 def step_answers(context, count, count_again):
     stopping = context.stopping
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -23,6 +23,12 @@
       | two requests, and another one later | the same, with several requests in progress              |
       | half a request, and the rest later  | the caller sends its next request on a closed connection |
 
+  Scenario: An answer that is cut off at the end of the grace does not look complete
+    # Guards against a caller that takes the close of a cut connection for the end of an answer without a length (HTTP/1.0).
+    Given a server whose answers take 400 ms and are sent in parts without a length
+    When it stops without any grace while it answers a request of HTTP/1.0
+    Then the caller's connection ends with a reset
+
   Scenario: A request whose rest never arrives does not keep a server from stopping
     # Guards against a stop that waits for a caller that has gone silent until its grace is over.
     Given a server whose answers take 400 ms and are sent at once
