http: a connection with a malformed request ends when its caller has left

What callers saw: nothing at once; each such connection stays registered for good, and lets a stop last for its whole grace. Cause: the answer to the malformed request waited for the response before it to be finished, which never happens if the caller leaves and its handler is cancelled. Change: it waits for the handlers, which always end. Measured: http/tests/stops.feature, "A malformed request behind one whose caller leaves": the stop took 3,000 ms, its whole grace, before; all 25 scenarios of http pass now.

--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -365,8 +365,9 @@
     async def _reject_request(self, parser: h11.Connection, error: MalformedMessage) -> None:
         """Send an error response without a body, marked as not run, after the earlier responses."""
         self._accepts_requests = False
-        if self._latest_exchange is not None and not self._latest_exchange.finished.done():
-            await asyncio.shield(self._latest_exchange.finished)
+        # The handlers end also if their responses are never finished, as when the caller has left.
+        while self._handlers:
+            await asyncio.wait(self._handlers)
         if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         outcome = (OUTCOME_HEADER, Outcome.NOT_RUN.value.encode())
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -29,6 +29,12 @@
     When it stops without any grace while it answers a request of HTTP/1.0
     Then the caller's connection ends with a reset
 
+  Scenario: A malformed request behind one whose caller leaves does not keep a server from stopping
+    # Guards against a connection that stays registered for good and makes each stop last for its whole grace.
+    Given a server whose answers take 400 ms and are sent at once
+    When a caller sends a request and a malformed one, leaves, and the server stops
+    Then the server has no connection left before the end of its grace
+
   Scenario: A request whose rest never arrives does not keep a server from stopping
     # Guards against a stop that waits for a caller that has gone silent until its grace is over.
     Given a server whose answers take 400 ms and are sent at once
