forwarding: a request whose time is over when it is assigned gives its place back

What callers saw: shown by the test only; a server counts as busier by one request until the process ends, so it gets less work. If the time of a waiting request ends in the same pass of the event loop in which it is assigned a server, the task is no longer cancelling when it looks whether to give the server back. Change: a request that ends without having taken its server gives it back, whatever ended it.

--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
-from bisect import insort
 from collections.abc import Callable
 
 from result import Result
@@ -28,7 +26,7 @@
 from nutmeglead.forwarding.request import CallerRequest
 from nutmeglead.forwarding.selection import ServerSelector
 from nutmeglead.forwarding.upstream import Upstream
-from nutmeglead.forwarding.waiting import LeavingRequests, Waiter
+from nutmeglead.forwarding.waiting import LeavingRequests, WaitingRequests
 from nutmeglead.peers.codec import server_tag
 from nutmeglead.ranges.model import RangeMap
 
@@ -62,8 +60,7 @@
         self._settings = settings
         self._in_flight_elsewhere = in_flight_elsewhere
         self._node_count = node_count
-        self._waiters: list[Waiter] = []
-        self._sequence = 0
+        self._waiting = WaitingRequests(clock, self.release)
         self.leaving_requests = LeavingRequests()
         self.notices = NoticeFollower(
             spec.name, registry, clock, rng, settings.backoff_spread, self.dispatch_waiting
@@ -92,7 +89,7 @@
     @property
     def waiting_count(self) -> int:
         """Return the number of requests that wait on this node."""
-        return len(self._waiters)
+        return len(self._waiting)
 
     # ---- updates of servers, key ranges and service ----
 
@@ -167,7 +164,7 @@
         )
         if assigned is not None:
             return assigned
-        if len(self._waiters) >= self._settings.max_waiting_requests:
+        if len(self._waiting) >= self._settings.max_waiting_requests:
             raise self._overload_error("too many requests wait on this node")
         until_ms = self._wait_until_ms(request, tried_servers)
         if until_ms > self._clock.now_ms():
@@ -232,9 +229,9 @@
         """
         if not self.spec.has_keys or self.ranges is None or request.key is None:
             ready = sum(upstream.is_ready for upstream in self.upstreams.values())
-            return len(self._waiters) // max(1, ready)
+            return len(self._waiting) // max(1, ready)
         owner = self.ranges.locate(request.key).owner
-        keys = (waiter.request.key for waiter in self._waiters)
+        keys = (waiting.key for waiting in self._waiting)
         return sum(key is not None and self.ranges.locate(key).owner == owner for key in keys)
 
     def _would_overtake(self, request: CallerRequest) -> bool:
@@ -244,46 +241,20 @@
         """
         if self.spec.has_keys:
             return False
-        return any(waiter.sort_key[0] <= request.route.priority for waiter in self._waiters)
+        return any(waiting.route.priority <= request.route.priority for waiting in self._waiting)
 
     async def _wait_for_slot(
         self, request: CallerRequest, tried_servers: frozenset[ServerIncarnation], until_ms: int
     ) -> Upstream:
         """Queue a request until it is assigned a server; raise Overloaded at `until_ms`."""
-        self._sequence += 1
-        sort_key = (request.route.priority, request.deadline_ms, self._sequence)
-        assigned: asyncio.Future[Upstream] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(sort_key, request, tried_servers, assigned)
-        insort(self._waiters, waiter)
-        remaining_ms = max(0, until_ms - self._clock.now_ms())
         try:
-            async with asyncio.timeout(remaining_ms / 1000):
-                return await assigned
+            return await self._waiting.wait(request, tried_servers, until_ms)
         except TimeoutError:
             raise self._refusal_error(request, tried_servers) from None
-        finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-            elif (
-                assigned.done() and not assigned.cancelled() and asyncio.current_task() is not None
-            ):
-                self._release_if_cancelled(assigned)
-
-    def _release_if_cancelled(self, assigned: asyncio.Future[Upstream]) -> None:
-        """Release the server if the request was cancelled after assignment, before it resumed."""
-        task = asyncio.current_task()
-        if task is not None and task.cancelling():
-            self.release(assigned.result())
 
     def dispatch_waiting(self) -> None:
         """Assign servers to the waiting requests for which there is room now."""
-        for waiter in list(self._waiters):
-            if waiter.assigned.done():
-                continue
-            upstream = self._try_assign(waiter.request, waiter.tried_servers)
-            if upstream is not None:
-                self._waiters.remove(waiter)
-                waiter.assigned.set_result(upstream)
+        self._waiting.assign(self._try_assign)
 
     def release(self, upstream: Upstream) -> None:
         """Count a request at a server as ended, and assign waiting requests to the new room."""
--- a/nutmeglead/forwarding/tests/steps/waiting_steps.py
+++ b/nutmeglead/forwarding/tests/steps/waiting_steps.py
@@ -136,10 +136,14 @@
         scenario.dispatch.release(scenario.upstream)
 
 
-def free_slots_and_cancel(scenario, task):
-    """Cancel the request after it is assigned to the server but before its task resumes."""
+def free_all_slots(scenario, task):
     for _ in range(FULL_IN_FLIGHT):
         scenario.dispatch.release(scenario.upstream)
+
+
+def free_slots_and_cancel(scenario, task):
+    """Cancel the request after it is assigned to the server but before its task resumes."""
+    free_all_slots(scenario, task)
     task.cancel()
 
 
@@ -205,6 +209,15 @@
         context.waiting_scenario.run(free_slots_and_cancel, 50)
 
 
+@when(
+    "a request's time of {time_ms:d} ms is over at the moment at which it is assigned to the server"
+)
+def step_over_when_assigned(context, time_ms):
+    context.waiting_scenario.run(free_all_slots, time_ms)
+    # The refusal shows that the time was over, and not that the request was assigned before.
+    assert context.waiting_scenario.result[:2] == ("refused", time_ms)
+
+
 @then("the request is assigned to the server after {time_ms:d} ms")
 def step_request_assigned(context, time_ms):
     assert context.waiting_scenario.result == (
--- a/nutmeglead/forwarding/tests/waiting.feature
+++ b/nutmeglead/forwarding/tests/waiting.feature
@@ -57,6 +57,12 @@
     When a request is cancelled at the moment at which it is assigned to the server
     Then the server has no request of this node in flight
 
+  Scenario: A request whose time is over when it is assigned gives its place back
+    # Guards against a server that counts as busier by one request until the process ends.
+    Given the server has just become full
+    When a request's time of 720 ms is over at the moment at which it is assigned to the server
+    Then the server has no request of this node in flight
+
   Scenario: A leaving owner of a key is still used at first
     # Guards against refusals while the keys of a leaving server are moved as planned.
     Given the server announced 1000 ms ago that it is leaving
