tests: a stop waits for an answer of which a part is not sent yet

Change: a scenario on loopback with an answer of 32 MB, whose caller reads only once the connection is being closed.

--- a/nutmeglead/http/tests/steps/stops_steps.py
+++ b/nutmeglead/http/tests/steps/stops_steps.py
@@ -1,12 +1,14 @@
 """Steps for servers that stop while requests arrive, on virtual time."""
 
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 
 from nutmeglead.core.clock import SystemClock
 from nutmeglead.emulator.network import EmulatedLoop
 from nutmeglead.emulator.virtual_time import run_virtual
+from nutmeglead.http import pipeline
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.pipeline import PipelineServer
@@ -15,6 +17,9 @@
 LIMITS = CallerLimits(16_384, 65_536, 3_000, 15_000)
 WORK_MS = 400
 GRACE_MS = 3_000
+LARGE_BYTES = 33_554_432
+# More passes of the event loop than the end of a connection and of the wait for it take.
+PASSES = 20
 # Requests are sent this long before the server stops listening, and further bytes as long after it.
 EARLIER_MS = LATER_MS = 100
 GET = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -76,6 +81,33 @@
             self.was_reset = True
         writer.close()
 
+    async def stop_with_unsent_bytes(self):
+        """Stop a server whose caller reads an answer only after its connection is being closed.
+
+        The answer is larger than what the kernel buffers, and its last part waits in the process.
+        """
+        server = PipelineServer(self._answer_large, lambda: LIMITS, SystemClock())
+        port = await server.start("127.0.0.1", 0)
+        server.begin_stop()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET % b"1")
+        await reader.readuntil(b"\r\n\r\n")
+        (connection,) = server.connections
+        await server.stop_listening()
+        stopping = asyncio.create_task(server.wait_closed(GRACE_MS))
+        while not connection.transport.is_closing():
+            await asyncio.sleep(0)
+        for _ in range(PASSES):
+            await asyncio.sleep(0)
+        self.ended_early = stopping.done()
+        self.received = await reader.read()
+        writer.close()
+        self.cut_off = await stopping
+
+    async def _answer_large(self, exchange):
+        exchange._connection.transport.set_write_buffer_limits(2 * LARGE_BYTES)
+        await exchange.respond(200, [], b"x" * LARGE_BYTES)
+
     async def leave_after_a_malformed_request(self, clock):
         """Send two requests and leave before the first is answered, and then stop the server."""
         server, channel = await self._connect(clock)
@@ -124,6 +156,19 @@
     asyncio.run(context.stopping.cut_off_on_loopback())
 
 
+@when("it stops while a caller reads its answer late")
+def step_unsent(context):
+    with mock.patch.object(pipeline, "LINGER_MS", 0):
+        asyncio.run(context.stopping.stop_with_unsent_bytes())
+
+
+@then("the server has stopped only after the caller has received all of it")
+def step_all_received(context):
+    stopping = context.stopping
+    assert len(stopping.received) == LARGE_BYTES, len(stopping.received)
+    assert not stopping.ended_early
+
+
 @when("a caller sends a request and a malformed one, leaves, and the server stops")
 def step_leave(context):
     run_virtual(context.stopping.leave_after_a_malformed_request, EmulatedLoop(1))
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -29,6 +29,12 @@
     When it stops without any grace while it answers a request of HTTP/1.0
     Then the caller's connection ends with a reset
 
+  Scenario: A stop waits for an answer of which a part is not sent yet
+    # Guards against a process that ends while the last part of an answer waits in its buffer for a slow caller.
+    Given a server whose answers take 400 ms and are sent at once
+    When it stops while a caller reads its answer late
+    Then the server has stopped only after the caller has received all of it
+
   Scenario: A malformed request behind one whose caller leaves does not keep a server from stopping
     # Guards against a connection that stays registered for good and makes each stop last for its whole grace.
     Given a server whose answers take 400 ms and are sent at once
