programs: a stop signal during the start ends the entry program

What callers saw: shown by the test only; a process that waited for a port at its start took callers on its other ports, went on with the start after SIGTERM and was killed with their requests, since its stop began up to 5 s late. Cause: the signal was only looked at once all ports were bound. Change: the start is given up when the signal comes first, and the stop of what is bound begins at once.

--- a/nutmeglead/programs/entry.py
+++ b/nutmeglead/programs/entry.py
@@ -137,6 +137,23 @@
         return status.st_mtime_ns, status.st_size
 
 
+async def _start_unless_stopped(process: EntryProcess, stopping: asyncio.Event) -> bool:
+    """Start a process and return True, or False if it is asked to stop before its ports are bound.
+
+    Raise OSError if a port cannot be bound.
+    """
+    loop = asyncio.get_running_loop()
+    starting, asked = loop.create_task(process.start()), loop.create_task(stopping.wait())
+    await asyncio.wait((starting, asked), return_when=asyncio.FIRST_COMPLETED)
+    asked.cancel()
+    if starting.done():
+        await starting
+        return True
+    starting.cancel()
+    await asyncio.wait((starting,))
+    return False
+
+
 async def _run(path: Path, loaded: LoadedSettings) -> ExitCode:
     """Serve until SIGTERM or SIGINT; return DONE, or LISTEN_FAILED if a port cannot be bound."""
     loop = asyncio.get_running_loop()
@@ -147,17 +164,18 @@
     reloader = _SettingsReloader(path, process)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     try:
-        await process.start()
+        is_started = await _start_unless_stopped(process, stopping)
     except OSError as error:
         log_event(logger, Event.LISTEN_FAILED, reason=str(error))
         return ExitCode.LISTEN_FAILED
-    reload_task = loop.create_task(reloader.run())
-    log_event(logger, Event.PROGRAM_STARTED, node=loaded.node.node_id, life=process.incarnation)
-    # Objects that exist after the start are left out of later garbage collections.
-    gc.collect()
-    gc.freeze()
-    await stopping.wait()
-    reload_task.cancel()
+    if is_started:
+        reload_task = loop.create_task(reloader.run())
+        log_event(logger, Event.PROGRAM_STARTED, node=loaded.node.node_id, life=process.incarnation)
+        # Objects that exist after the start are left out of later garbage collections.
+        gc.collect()
+        gc.freeze()
+        await stopping.wait()
+        reload_task.cancel()
     log_event(logger, Event.PROGRAM_STOPPING)
     begun_s = loop.time()
     cut_off = await process.stop()
--- a/nutmeglead/programs/tests/services.feature
+++ b/nutmeglead/programs/tests/services.feature
@@ -53,6 +53,15 @@
       | nutmeglead-entry   | front_port | a node without its port is taken for a healthy one    |
       | nutmeglead-standin | store      | an outage of the store is taken for a fault elsewhere |
 
+  Scenario: A stop signal ends a program that still waits for a port
+    # Guards against a process that goes on with its start, takes callers and is killed at the end of its grace.
+    Given the program nutmeglead-entry
+    And another process holds its peer_port
+    When it gets SIGTERM as soon as it has logged that a port is not free
+    Then its exit code is 0
+    And it did not log its start
+    And its ports but the peer_port are free again
+
   Scenario: A metrics port that another process holds does not keep the program from serving
     # Guards against a node that ends at each start because of another program's metrics.
     Given the program nutmeglead-entry
--- a/nutmeglead/programs/tests/steps/services_steps.py
+++ b/nutmeglead/programs/tests/steps/services_steps.py
@@ -1,6 +1,8 @@
 """Steps for the service programs; each runs its own main function in this process."""
 
 import json
+import logging
+import signal
 import socket
 import tempfile
 from pathlib import Path
@@ -123,6 +125,29 @@
     service.run.run(service.arguments, visit)
 
 
+@when("it gets SIGTERM as soon as it has logged that a port is not free")
+def step_stopped_while_it_waits(context):
+    async def visit():
+        raise AssertionError("the program has started")
+
+    def stop(record):
+        if getattr(record, "event", None) is Event.LISTEN_DELAYED:
+            signal.raise_signal(signal.SIGTERM)
+        return True
+
+    logger = logging.getLogger("nutmeglead.entry.ports")
+    logger.addFilter(stop)
+    context.add_cleanup(logger.removeFilter, stop)
+    context.service.run.run([], visit)
+
+
+@then("its ports but the {port} are free again")
+def step_others_free(context, port):
+    service = context.service
+    others = set(service.own_ports()) - {service.port(port)}
+    assert not any(map(is_bound, others))
+
+
 @when("it runs until it ends")
 def step_ends(context):
     async def visit():
