--- a/nutmeglead/emulator/pipelined_callers.py
+++ b/nutmeglead/emulator/pipelined_callers.py
@@ -12,6 +12,7 @@
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
+from nutmeglead.emulator.server_host import ENTRY_HEADER
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.errors import HttpError
 from nutmeglead.http.messages import RequestHead, header_value
@@ -138,7 +139,11 @@
         request_id = f"{self._name}-{next(self._numbers)}"
         head = self._make_head(request_id)
         parser = h11.Connection(h11.CLIENT)
-        headers = [*head.headers, (REQUEST_ID_HEADER, request_id.encode())]
+        headers = [
+            *head.headers,
+            (REQUEST_ID_HEADER, request_id.encode()),
+            (ENTRY_HEADER, self._address[0].encode()),
+        ]
         request = h11.Request(method=head.method, target=head.target, headers=headers)
         data = (parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b"")
         self.sent.add(request_id)
