entry: the times of a stop are parts of its grace

Cause: with a grace under 4.2 s, requests at work were given up before its last sixth; with one under 2.8 s, the process waited for the load balancer until it was killed. Change: the end and the last answers are one twelfth and one twenty-fourth of the grace, at most 500 and 250 ms, as with the users' 6 s.

--- a/nutmeglead/entry/stop_schedule.py
+++ b/nutmeglead/entry/stop_schedule.py
@@ -8,10 +8,11 @@
 
 # After SIGTERM the load balancer needs two readiness checks, one a second, to remove a node.
 LEAVE_ROTATION_MS = 2_300
-# Part of the grace that is left for closing everything but the front server.
-CLOSE_MS = 500
-# Part of the grace before that in which the last answers are sent.
-LAST_ANSWERS_MS = 200
+# Longest time, and part of the grace, that is left for closing everything but the front server.
+MAX_CLOSE_MS, CLOSE_SHARE = 500, 1 / 12
+# The same for the time before that in which the last answers are sent. Servers that are still at
+# work in the last sixth of the grace may be given up.
+MAX_LAST_ANSWERS_MS, LAST_ANSWERS_SHARE = 250, 1 / 24
 
 
 @dataclass(frozen=True)
@@ -29,6 +30,7 @@
     @classmethod
     def plan(cls, begun_ms: int, grace_ms: int) -> StopSchedule:
         """Return the times of a stop that was asked for at `begun_ms`."""
-        end_ms = begun_ms + max(0, grace_ms - CLOSE_MS)
-        answers_due_ms = max(begun_ms, end_ms - LAST_ANSWERS_MS)
+        end_ms = begun_ms + grace_ms - round(min(MAX_CLOSE_MS, grace_ms * CLOSE_SHARE))
+        last_answers_ms = min(MAX_LAST_ANSWERS_MS, grace_ms * LAST_ANSWERS_SHARE)
+        answers_due_ms = end_ms - round(last_answers_ms)
         return cls(min(begun_ms + LEAVE_ROTATION_MS, answers_due_ms), answers_due_ms, end_ms)
