http, forwarding: names of the stop, and no choice of a server twice per request while a node runs

Cause: the read-through: last call is no term of the field; the check of the stop chose a server for each request, although no node that runs needs it. Change: has_stopped_listening and end_reading_ahead; the check runs only on a stopping node.

--- a/nutmeglead/forwarding/dispatch.py
+++ b/nutmeglead/forwarding/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
@@ -166,7 +167,9 @@
         owner = self._usable_owner(request) if self.spec.has_keys else None
         if owner is not None and not self.admission.admits(owner):
             raise self._overload_error("the key's owner has more requests than it can answer")
-        if self._clock.now_ms() >= self._start_by_ms(self._select_server(request, tried_servers)):
+        if self._stop_limit.is_set and (
+            self._clock.now_ms() >= self._start_until_ms(request, tried_servers)
+        ):
             raise self._refusal_error(request, tried_servers)
         assigned = (
             self._try_assign(request, tried_servers) if not self._would_overtake(request) else None
@@ -240,7 +243,7 @@
     def _start_until_ms(
         self, request: CallerRequest, tried_servers: frozenset[ServerIncarnation]
     ) -> int:
-        """Return until when a waiting request may be sent before this node stops, or 0 if never."""
+        """Return until when this stopping node may send a request, or 0 if never."""
         upstream, now_ms = self._select_server(request, tried_servers), self._clock.now_ms()
         start_by_ms = self._start_by_ms(upstream)
         if upstream is not None and now_ms + upstream.backoff_left_ms(now_ms) >= start_by_ms:
@@ -249,6 +252,8 @@
 
     def _start_by_ms(self, upstream: Upstream | None) -> float:
         """Return until when this node may send a request to a server, or to a typical one."""
+        if not self._stop_limit.is_set:
+            return math.inf
         time_ms = self._typical_service_time_ms() if upstream is None else upstream.service_time_ms
         return self._stop_limit.start_by_ms(time_ms)
 
--- a/nutmeglead/forwarding/stop_limit.py
+++ b/nutmeglead/forwarding/stop_limit.py
@@ -18,6 +18,11 @@
 
     answers_due_ms: int | None = None
 
+    @property
+    def is_set(self) -> bool:
+        """Return whether the node is stopping."""
+        return self.answers_due_ms is not None
+
     def start_by_ms(self, service_time_ms: float) -> float:
         """Return until when a request that takes this time may be sent to a server."""
         if self.answers_due_ms is None:
--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -57,8 +57,8 @@
         self.limits = limits
         self.clock = clock
         self.is_stopping = False
-        # Whether only connections without an exchange in progress take another request.
-        self.is_last_call = False
+        # From then on, a connection with an exchange in progress takes no further request.
+        self.has_stopped_listening = False
         self.connections: set[_CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -84,9 +84,9 @@
         await _run_pending_callbacks()
         self._close_port()
         await _run_pending_callbacks()
-        self.is_last_call = True
+        self.has_stopped_listening = True
         for connection in list(self.connections):
-            connection.begin_last_call()
+            connection.end_reading_ahead()
         self._close_idle_connections()
 
     def _close_port(self) -> None:
@@ -171,24 +171,24 @@
         """Return whether the connection is closed after the response of this exchange.
 
         Called when the response starts. While the server is stopping, this also ends the reading of
-        requests if the exchange is the latest one and, before the last call, no further bytes have
-        arrived.
+        requests if the exchange is the latest one and, while the server listens, no further bytes
+        have arrived.
         """
         if exchange is not self._latest_exchange:
             return False
         server = self._server
-        if server.is_last_call or (server.is_stopping and not self.unread_bytes):
+        if server.has_stopped_listening or (server.is_stopping and not self.unread_bytes):
             self._accepts_requests = False
         return not self._accepts_requests
 
-    def begin_last_call(self) -> None:
+    def end_reading_ahead(self) -> None:
         """End the reading of requests that arrive behind an exchange in progress."""
         if self.is_busy:
             self._wake_reader()
 
     def _takes_requests(self) -> bool:
         """Return whether another request may be read and handled."""
-        return self._accepts_requests and not (self._server.is_last_call and self.is_busy)
+        return self._accepts_requests and not (self._server.has_stopped_listening and self.is_busy)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive, or the peer is to close it."""
