--- a/nutmeglead/entry/tests/steps/stops_steps.py
+++ b/nutmeglead/entry/tests/steps/stops_steps.py
@@ -37,7 +37,13 @@
         cluster.remove_entry(server.record.server_id)
 
 
+def lose_answers(stopped, cluster):
+    for server in stopped.servers_of(cluster):
+        server.host.lost_answer_share = 1.0
+
+
 DISTURBANCES = {
+    "lost all answers": lose_answers,
     "wanted nothing for 7 s": want_nothing,
     "became very slow": become_slow,
     "lost their keys": lose_keys,
@@ -50,13 +56,13 @@
 
 
 @when(
-    "a node is stopped just after its servers {event}, with 1 request outstanding on a connection, "
-    "seed {seed:d}"
+    "a node is stopped just after its servers {event}, with {depth:d} requests outstanding on a "
+    "connection, seed {seed:d}"
 )
-def step_stop_disturbed(context, event, seed):
+def step_stop_disturbed(context, event, depth, seed):
     stopped = context.stopped
     stopped.disturb = partial(DISTURBANCES[event], stopped)
-    stopped.run(seed, depth=1)
+    stopped.run(seed, depth, connections=8)
 
 
 @when(
--- a/nutmeglead/entry/tests/stops.feature
+++ b/nutmeglead/entry/tests/stops.feature
@@ -18,17 +18,21 @@
     # Guards against requests that are cut off because nothing tells those that wait, or are tried again, that their node stops.
     Given a cluster and a service <kind> keys whose servers work for <work_ms> ms
     And requests that may take 8700 ms
-    When a node is stopped just after its servers <event>, with 1 request outstanding on a connection, seed <seed>
+    When a node is stopped just after its servers <event>, with <depth> requests outstanding on a connection, seed <seed>
     Then no connection was cut off, and the node has stopped after <stopped_ms> ms at most
     And its callers were told <outcome>
 
     Examples: each row names the failure it guards against
-      | kind    | work_ms | event                   | seed | stopped_ms | outcome        | failure                                           |
-      | with    | 60      | wanted nothing for 7 s  | 5    | 2400       | not run        | requests wait for a server until they are cut off |
-      | without | 60      | wanted nothing for 7 s  | 6    | 2400       | not run        | the same, with a choice of servers                |
-      | with    | 60      | became very slow        | 7    | 5500       | may have run   | requests at work are cut off without an answer    |
-      | without | 60      | became very slow        | 8    | 5500       | may have run   | the same, with a choice of servers                |
-      | with    | 60      | lost their keys         | 9    | 2800       | not run        | requests wait for an owner until they are cut off |
+      | kind    | work_ms | event                  | depth | seed | stopped_ms | outcome      | failure                                           |
+      | with    | 60      | wanted nothing for 7 s | 1     | 5    | 2400       | not run      | requests wait for a server until they are cut off |
+      | without | 60      | wanted nothing for 7 s | 1     | 6    | 2400       | not run      | the same, with a choice of servers                |
+      | with    | 60      | became very slow       | 1     | 7    | 5500       | may have run | requests at work are cut off without an answer    |
+      | without | 60      | became very slow       | 1     | 8    | 5500       | may have run | the same, with a choice of servers                |
+      | with    | 60      | became very slow       | 16    | 11   | 5500       | not run      | requests that wait for a full server are cut off  |
+      | without | 60      | became very slow       | 16    | 12   | 5500       | not run      | the same, with a choice of servers                |
+      | with    | 60      | lost their keys        | 1     | 9    | 2800       | not run      | requests wait for an owner until they are cut off |
+      | with    | 60      | lost all answers       | 4     | 13   | 5500       | may have run | a request is cut off between two tries            |
+      | without | 60      | lost all answers       | 4     | 14   | 5500       | may have run | the same, with a choice of servers                |
 
   Scenario Outline: The times of a stop follow from its grace
     Then a stop with a grace of <grace_ms> ms accepts until <rotation_ms>, answers until <answers_ms> and ends at <end_ms>
