--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -17,7 +17,7 @@
 from nutmeglead.http.errors import HttpError, MalformedMessage, PeerClosed
 from nutmeglead.http.exchange import CallerExchange, CallerLimits
 from nutmeglead.http.messages import RequestHead
-from nutmeglead.http.sockets import enable_dead_peer_detection
+from nutmeglead.http.sockets import enable_dead_peer_detection, read_arrivals
 
 __all__ = ["CutOff", "PipelineServer"]
 
@@ -31,9 +31,6 @@
 
 # While the server waits for its connections to end, it closes idle ones at this interval.
 IDLE_CHECK_INTERVAL_MS = 200
-# Passes of the event loop in which it polls its sockets, accepts connections, creates their
-# transports and reads the bytes that have arrived on them; asyncio needs one for each.
-ACCEPT_PASSES = 4
 
 Handler = Callable[[CallerExchange], Awaitable[None]]
 
@@ -81,9 +78,9 @@
         that are closed before their bytes are read. A connection in use ends with the answer to the
         latest request that was read; its caller may always have sent another one by then.
         """
-        await _run_pending_callbacks()
+        await read_arrivals()
         self._close_port()
-        await _run_pending_callbacks()
+        await read_arrivals()
         self.has_stopped_listening = True
         for connection in list(self.connections):
             connection.end_reading_ahead()
@@ -115,12 +112,6 @@
         await self.wait_closed(0)
 
 
-async def _run_pending_callbacks() -> None:
-    """Let the event loop accept the waiting connections and read what has arrived."""
-    for _ in range(ACCEPT_PASSES):
-        await asyncio.sleep(0)
-
-
 class _CallerConnection(ByteChannel):
     """Server side of one connection.
 
--- a/nutmeglead/http/sockets.py
+++ b/nutmeglead/http/sockets.py
@@ -1,11 +1,11 @@
-"""TCP socket options."""
+"""TCP socket options, and what has arrived at the sockets of an event loop."""
 
 import asyncio
 import contextlib
 import socket
 import struct
 
-__all__ = ["enable_dead_peer_detection", "reset_on_close"]
+__all__ = ["enable_dead_peer_detection", "read_arrivals", "reset_on_close"]
 
 # A peer that disappears may send no reset. Keep-alive probes close an idle connection to it within
 # 3 s, and the limit on unacknowledged data closes a busy one within 3 s.
@@ -14,6 +14,10 @@
 KEEPALIVE_PROBE_COUNT = 2
 TCP_USER_TIMEOUT_MS = 3_000
 
+# Passes of the event loop in which it polls its sockets, accepts connections, creates their
+# transports and reads the bytes that have arrived on them; asyncio needs one for each.
+ACCEPT_PASSES = 4
+
 
 def enable_dead_peer_detection(transport: asyncio.BaseTransport | None) -> None:
     """Make the kernel close the connection when its peer stops acknowledging.
@@ -42,3 +46,9 @@
     # The connection may have ended already.
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, linger_s))
+
+
+async def read_arrivals() -> None:
+    """Let the event loop accept the waiting connections and read what has arrived."""
+    for _ in range(ACCEPT_PASSES):
+        await asyncio.sleep(0)
--- a/nutmeglead/soak/run.py
+++ b/nutmeglead/soak/run.py
@@ -18,7 +18,7 @@
 from nutmeglead._generated.peers.ttypes import NodeRow, TicketStatus
 from nutmeglead._generated.tickets.ttypes import KeyClaim, ServerItem, ServerState, Ticket
 from nutmeglead.emulator.balancer import LoadBalancer
-from nutmeglead.emulator.callers import Callers, ReportedOutcomes
+from nutmeglead.emulator.callers import Callers
 from nutmeglead.emulator.pipelined_callers import PipelinedCallers
 from nutmeglead.entry.copies import TICKET_STATUS_PATH
 from nutmeglead.http.client import HttpFetcher
@@ -28,6 +28,7 @@
 from nutmeglead.platform.table import StoreTable
 from nutmeglead.platform.wire import DEADLINE_HEADER
 from nutmeglead.ranges.keys import KEY_COUNT
+from nutmeglead.soak.checks import answer_violations, pipelined_violations
 from nutmeglead.soak.faults import FAULTS
 from nutmeglead.soak.fleet import (
     ENVIRONMENT_IP,
@@ -36,7 +37,6 @@
     SERVICES,
     EntryProgram,
     Fleet,
-    ProgramRun,
     SoakServer,
 )
 from nutmeglead.tickets.filing import TicketFiling
@@ -170,7 +170,8 @@
         await self._check_tickets()
         probing.cancel()
         self._check_requirements(callers)
-        self._check_pipelined(pipelined)
+        run_counts = self.fleet.executions.run_counts
+        self._report_counts(pipelined_violations(pipelined, run_counts))
 
     def _callers_of(self, number: int) -> Callers:
         """Return callers that use their connections to one entry process until it has ended."""
@@ -303,11 +304,11 @@
         )
 
     def _check_requirements(self, callers: Sequence[Callers]) -> None:
-        report = self.report
+        report, run_counts = self.report, self.fleet.executions.run_counts
         for group in callers:
             report.owed += sum(counts.owed for counts in group.counts.values())
             report.in_time += sum(counts.in_time for counts in group.counts.values())
-            self._check_answers(group.reported_outcomes)
+            self._report_counts(answer_violations(group.reported_outcomes, run_counts))
         ignored = self.fleet.notice_checker.faults
         if ignored:
             report.broken.append(f"{len(ignored)} requests against servers' notices: {ignored[:3]}")
@@ -317,51 +318,9 @@
         if not report.in_time:
             report.broken.append("no request was answered in time")
 
-    def _check_pipelined(self, pipelined: Sequence[PipelinedCallers]) -> None:
-        """Check the answers of callers that send ahead, and what planned stops cut off."""
-        run_counts = self.fleet.executions.run_counts
-        lost = [
-            cut.request_id
-            for group in pipelined
-            for cut in group.cut
-            if run_counts[cut.request_id]
-            and isinstance(cut.peer, ProgramRun)
-            and cut.peer.ended_as_planned
-        ]
-        self._report_counts(
-            {
-                f"requests ran and were cut off by a planned stop: {lost[:3]}": len(lost),
-                "pipelined requests got another one's answer": sum(
-                    group.wrong_answers for group in pipelined
-                ),
-                "pipelined requests ran although they were answered as not run": sum(
-                    bool(run_counts[r]) for group in pipelined for r in group.not_run
-                ),
-            }
-        )
-        if not any(group.answered for group in pipelined):
-            self.report.broken.append("no pipelined request was answered")
-
     def _report_counts(self, violations: Mapping[str, int]) -> None:
         self.report.broken += [f"{count} {text}" for text, count in violations.items() if count]
 
-    def _check_answers(self, reported_outcomes: ReportedOutcomes) -> None:
-        """Compare what callers were answered with what servers ran."""
-        run_counts = self.fleet.executions.run_counts
-        violations = {
-            "at-most-once requests ran more than once": sum(
-                run_counts[r] > 1 for r in reported_outcomes.at_most_once
-            ),
-            "requests ran although their outcome was not-run": sum(
-                bool(run_counts[r]) for r in reported_outcomes.not_run
-            ),
-            "successful answers belong to other requests": reported_outcomes.wrong_answers,
-            "successful answers without an execution": sum(
-                not run_counts[r] for r in reported_outcomes.answered
-            ),
-        }
-        self._report_counts(violations)
-
 
 def _pipelined_head(request_id: str) -> RequestHead:
     """Return the head of a request that may be repeated, for a key drawn from its id."""
