tests: the scenarios of a stop and of forwarded requests without wire names and replaced methods

Cause: the read-through: names of headers belong to platform/wire.py, and a test object replaced one of its own methods. Change: the constants, and one function per way to stop a node.

--- a/nutmeglead/entry/tests/stops.py
+++ b/nutmeglead/entry/tests/stops.py
@@ -13,7 +13,7 @@
 from nutmeglead.forwarding.model import Backend, Manifest
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.messages import RequestHead
-from nutmeglead.platform.wire import DEADLINE_HEADER, KEY_HEADER
+from nutmeglead.platform.wire import DEADLINE_HEADER, KEY_HEADER, REQUEST_ID_HEADER
 
 ORDERS = ServiceName("orders")
 CALLER_IP = "10.9.0.1"
@@ -39,6 +39,13 @@
 
     def run(self, seed, depth, connections=4):
         """Send requests to the node on some connections, and stop it after `LOAD_S`."""
+        self._run_cluster(seed, partial(self._stop_under_load, depth, connections))
+
+    def run_with_late_body(self, seed, begin_ms, arrival_ms):
+        """Stop the node before the body of a request arrives, and keep what its caller receives."""
+        self._run_cluster(seed, partial(self._stop_before_body, begin_ms, arrival_ms))
+
+    def _run_cluster(self, seed, use):
         route = replace(ROUTE, backends=(Backend(self._service, 1.0),), timeout_ms=self.deadline_ms)
         specs = {SERVICE: SPEC, ORDERS: replace(SPEC, name=ORDERS, has_keys=False)}
         options = ClusterOptions(
@@ -48,9 +55,9 @@
             ),
             Manifest(1, (route,), specs),
         )
-        run_cluster(seed, lambda cluster: self._run(cluster, depth, connections), options)
+        run_cluster(seed, use, options)
 
-    async def _run(self, cluster, depth, connections):
+    async def _stop_under_load(self, depth, connections, cluster):
         await asyncio.sleep(SETTLE_S)
         self.callers = PipelinedCallers(
             "ahead",
@@ -75,19 +82,14 @@
         """Return the servers of the requests' service."""
         return [s for s in cluster.servers.values() if s.record.service == self._service]
 
-    def run_with_late_body(self, seed, begin_ms, arrival_ms):
-        """Stop the node while the body of a request arrives, and keep what its caller receives."""
-        self._run = partial(self._run_with_late_body, begin_ms, arrival_ms)
-        self.run(seed, depth=1)
-
-    async def _run_with_late_body(self, begin_ms, arrival_ms, cluster, depth, connections):
+    async def _stop_before_body(self, begin_ms, arrival_ms, cluster):
         await asyncio.sleep(SETTLE_S)
         HOST.set(CALLER_IP)
         address = (cluster.node_ip(STOPPED), FRONT_PORT)
         _, channel = await asyncio.get_running_loop().create_connection(ByteChannel, *address)
         head = self._head("late-1")
-        lines = [b"POST /s/x HTTP/1.1", b"x-request-id: late-1", b"content-length: 4"]
-        lines += [name + b": " + value for name, value in head.headers]
+        fields = [*head.headers, (REQUEST_ID_HEADER, b"late-1"), (b"content-length", b"4")]
+        lines = [b"POST /s/x HTTP/1.1", *(name + b": " + value for name, value in fields)]
         stopping = asyncio.create_task(cluster.stop_node(STOPPED))
         await asyncio.sleep(begin_ms / 1000)
         await channel.write(b"\r\n".join(lines) + b"\r\n\r\n")
--- a/nutmeglead/forwarding/tests/request_scenario.py
+++ b/nutmeglead/forwarding/tests/request_scenario.py
@@ -22,6 +22,7 @@
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.platform.node_settings import Bounds
+from nutmeglead.platform.wire import DEADLINE_HEADER, KEY_HEADER, REQUEST_ID_HEADER
 from nutmeglead.ranges.keys import KEY_COUNT
 from nutmeglead.ranges.model import KeyRange, RangeMap
 
@@ -212,8 +213,8 @@
         path = "/none/x"
     head = f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
     if kind != "anonymous":
-        head += f"X-Request-Id: {request_id}\r\n"
-    head += f"X-Deadline-Ms: {left_ms}\r\nX-Shard-Key: 7\r\n{extra}"
+        head += f"{REQUEST_ID_HEADER.decode()}: {request_id}\r\n"
+    head += f"{DEADLINE_HEADER.decode()}: {left_ms}\r\n{KEY_HEADER.decode()}: 7\r\n{extra}"
     if body and "Content-Length" not in extra:
         head += f"Content-Length: {len(body)}\r\n"
     return (head + "\r\n" + (body or "")).encode()
