--- a/nutmeglead/emulator/cluster.py
+++ b/nutmeglead/emulator/cluster.py
@@ -12,9 +12,10 @@
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.ids import FailureDomainName, NodeId, ServerId, ServiceName
+from nutmeglead.emulator.hosts import HOST
 from nutmeglead.emulator.judge import Holder, OwnershipChecker
 from nutmeglead.emulator.key_server import KeyServer
-from nutmeglead.emulator.network import HOST, EmulatedLoop, Network
+from nutmeglead.emulator.network import EmulatedLoop, Network
 from nutmeglead.emulator.notice_checker import NoticeChecker
 from nutmeglead.emulator.rows import RowStore
 from nutmeglead.emulator.server_host import ExecutionLog, ServerHost, ServerOptions
--- a/nutmeglead/emulator/network.py
+++ b/nutmeglead/emulator/network.py
@@ -1,8 +1,9 @@
 """Emulate TCP streams and UDP datagrams in memory, with delays and network faults.
 
-A task belongs to the host whose address is in `HOST` when the task is created; its child tasks
-inherit the address. Bytes that a fault holds back are delivered when the fault ends, as TCP
-retransmissions are, unless their sender has reset the connection; datagrams are lost.
+Bytes that a fault holds back are delivered when the fault ends, as TCP
+retransmissions are, whatever has become of their sender. They are dropped only if the sender's
+kernel gives them up: with a reset, or after the socket's limit on unacknowledged data. Datagrams
+are lost.
 """
 
 from __future__ import annotations
@@ -10,25 +11,19 @@
 import asyncio
 import contextvars
 import random
-from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any
 
-from nutmeglead.emulator.links import SEGMENT_BYTES, Links
+from nutmeglead.emulator.hosts import HOST, HostCallback, Hosts
+from nutmeglead.emulator.links import Links
+from nutmeglead.emulator.streams import Stream
 from nutmeglead.emulator.virtual_time import VirtualLoop
 
-__all__ = ["HOST", "EmulatedLoop", "Network"]
+__all__ = ["EmulatedLoop", "Network"]
 
-# Address of the host that runs the current task.
-HOST: contextvars.ContextVar[str] = contextvars.ContextVar("host", default="")
-
-# Bytes in flight and unread above which the sender's writing is paused.
-WINDOW_BYTES = 262_144
 # A connect that a fault blocks sleeps for this time, so that the caller's own timeout ends it.
 FOREVER_S = 86_400.0
-# Least time between two arrivals on a stream.
-ORDER_STEP_S = 1e-6
 
 Address = tuple[str, int]
 
@@ -40,7 +35,7 @@
         self.loop = loop
         self.listeners: dict[Address, _Listener] = {}
         self.endpoints: dict[Address, _Endpoint] = {}
-        self.streams: set[_Stream] = set()
+        self.streams: set[Stream] = set()
         self.links = Links()
         self.one_way_ms: Callable[[str, str], float] = lambda sender, receiver: 0.25
         # Hosts whose traffic is blocked, and blocked (sender, receiver) pairs.
@@ -49,7 +44,8 @@
         # Probability with which a datagram is lost.
         self.datagram_loss = 0.0
         self._rng = rng
-        self._held_back: list[tuple[_Stream, Callable[[], None]]] = []
+        self._held_back: list[tuple[Stream, Callable[[], None]]] = []
+        self.hosts = Hosts()
 
     def is_blocked(self, sender: str, receiver: str) -> bool:
         """Return whether a fault blocks traffic from one host to another host."""
@@ -69,16 +65,28 @@
         for stream, deliver in held:
             stream.deliver_at(self.loop.time(), deliver)
 
-    def hold_back(self, stream: _Stream, deliver: Callable[[], None]) -> None:
+    def hold_back(self, stream: Stream, deliver: Callable[[], None]) -> None:
         """Hold a delivery of a stream back until `deliver_held` is called."""
+        if not self.has_held(stream):
+            stream.limit_unacknowledged_time()
         self._held_back.append((stream, deliver))
 
-    def drop_held(self, stream: _Stream) -> None:
+    def has_held(self, stream: Stream) -> bool:
+        """Return whether data of a stream is held back."""
+        return any(held[0] is stream for held in self._held_back)
+
+    def drop_held(self, stream: Stream) -> None:
         """Drop the held-back data of a stream, as a reset by its sender does."""
         self._held_back = [held for held in self._held_back if held[0] is not stream]
 
+    def thaw_host(self, ip: str) -> None:
+        """Let the processes of a frozen host run again, which then do all that was due."""
+        for callback in self.hosts.thaw(ip):
+            self.loop.call_soon(callback)
+
     def close_host(self, ip: str) -> None:
-        """Close the ports of a host whose process ended, and reset its connections."""
+        """Close the ports and connections of a host whose process ended, as its kernel does."""
+        self.hosts.thaw(ip)
         for address in [address for address in self.listeners if address[0] == ip]:
             del self.listeners[address]
         for address in [address for address in self.endpoints if address[0] == ip]:
@@ -103,187 +111,8 @@
     def _deliver_datagram(self, data: bytes, sender: Address, receiver: Address) -> None:
         endpoint = self.endpoints.get(receiver)
         if endpoint is not None and not self.is_blocked(sender[0], receiver[0]):
-            endpoint.context.run(endpoint.protocol.datagram_received, data, sender)
-
-
-class _Stream(asyncio.Transport):
-    """Implement the transport of one end of a connection."""
-
-    def __init__(self, network: Network, ip: str, protocol: Any, peer_ip: str) -> None:
-        super().__init__()
-        self.ip = ip
-        self.peer_ip = peer_ip
-        self.protocol = protocol
-        self.context = contextvars.copy_context()
-        self.peer: _Stream | None = None
-        self._network = network
-        self._last_arrival_s = 0.0
-        self._is_closing = False
-        self._is_disconnected = False
-        self._is_paused = False
-        # Data that waits for a link of limited rate, with its size.
-        self._unsent: deque[tuple[int, Callable[[], None]]] = deque()
-        self._unread: deque[bytes] = deque()
-        self._unread_bytes = 0
-        # Bytes that the peer has written and that have not arrived here.
-        self._in_flight_bytes = 0
-        self._has_pending_eof = False
-        # Whether the peer's protocol was told to pause writing, as too much is in flight or unread.
-        self._is_peer_paused = False
-        network.streams.add(self)
-
-    # ---- asyncio.Transport ----
-
-    def get_extra_info(self, name: str, default: Any = None) -> Any:
-        return {"peername": (self.peer_ip, 0), "sockname": (self.ip, 0)}.get(name, default)
-
-    def is_closing(self) -> bool:
-        return self._is_closing
-
-    def is_reading(self) -> bool:
-        return not self._is_paused
-
-    def pause_reading(self) -> None:
-        self._is_paused = True
-
-    def resume_reading(self) -> None:
-        self._is_paused = False
-        self._read_pending()
-
-    def write(self, data: bytes | bytearray | memoryview) -> None:
-        if self._is_closing or not data:
-            return
-        peer, chunk = self._connected_peer(), bytes(data)
-        peer._in_flight_bytes += len(chunk)
-        is_limited = self._network.links.is_limited(self.ip, self.peer_ip)
-        step_bytes = SEGMENT_BYTES if is_limited else len(chunk)
-        for start in range(0, len(chunk), step_bytes):
-            segment = chunk[start : start + step_bytes]
-            self.transmit(partial(peer._receive, segment), len(segment))
-        if peer._in_flight_bytes + peer._unread_bytes > WINDOW_BYTES and not peer._is_peer_paused:
-            peer._is_peer_paused = True
-            self.protocol.pause_writing()
-
-    def get_write_buffer_size(self) -> int:
-        # Links of limited rate take what is written; a caller that does not read is not emulated.
-        return 0
-
-    def write_eof(self) -> None:
-        self.transmit(self._connected_peer()._receive_eof)
-
-    def can_write_eof(self) -> bool:
-        return True
-
-    def close(self) -> None:
-        if self._is_closing:
-            return
-        self._is_closing = True
-        self.transmit(self._connected_peer()._receive_close)
-        self._network.loop.call_soon(self._disconnect, None, context=self.context)
-
-    def abort(self) -> None:
-        if self._is_disconnected:
-            return
-        self._is_closing = True
-        self._discard_unsent()
-        self._network.drop_held(self)
-        self.transmit(self._connected_peer()._receive_reset)
-        self._network.loop.call_soon(self._disconnect, None, context=self.context)
-
-    # ---- transmission to the peer ----
-
-    def transmit(self, deliver: Callable[[], None], size_bytes: int = 0) -> None:
-        """Call `deliver` in order of transmission, after the delay and once no fault blocks it.
-
-        Over a link of limited rate, data is sent once what this stream sent before has arrived.
-        """
-        if not self._network.links.is_limited(self.ip, self.peer_ip):
-            self.deliver_at(self._network.loop.time(), deliver)
-            return
-        self._unsent.append((size_bytes, deliver))
-        if len(self._unsent) == 1:
-            self._send_next()
-
-    def _send_next(self) -> None:
-        size_bytes, deliver = self._unsent[0]
-        now_s = self._network.loop.time()
-        sent_s = self._network.links.reserve(self.ip, self.peer_ip, size_bytes, now_s)
-        self.deliver_at(sent_s, partial(self._deliver_and_send_next, deliver))
-
-    def _deliver_and_send_next(self, deliver: Callable[[], None]) -> None:
-        deliver()
-        self._unsent.popleft()
-        if self._unsent:
-            self._send_next()
-
-    def deliver_at(self, sent_s: float, deliver: Callable[[], None]) -> None:
-        """Call `deliver` when what was sent at a time arrives, once no fault blocks it."""
-        at_s = sent_s + self._network.delay_s(self.ip, self.peer_ip)
-        # The loop does not keep the order of timers with the same time.
-        self._last_arrival_s = max(self._last_arrival_s + ORDER_STEP_S, at_s)
-        self._network.loop.call_at(
-            self._last_arrival_s, self._deliver, deliver, context=self._connected_peer().context
-        )
-
-    def _deliver(self, deliver: Callable[[], None]) -> None:
-        if self._network.is_blocked(self.ip, self.peer_ip):
-            self._network.hold_back(self, deliver)
-        else:
-            deliver()
-
-    def _connected_peer(self) -> _Stream:
-        assert self.peer is not None
-        return self.peer
-
-    def _receive(self, data: bytes) -> None:
-        self._in_flight_bytes -= len(data)
-        if self._is_closing:
-            # Data for a closed connection is answered with a reset.
-            self.transmit(self._connected_peer()._receive_reset)
-            return
-        self._unread.append(data)
-        self._unread_bytes += len(data)
-        self._read_pending()
-
-    def _read_pending(self) -> None:
-        while self._unread and not self._is_paused and not self._is_closing:
-            data = self._unread.popleft()
-            self._unread_bytes -= len(data)
-            self.protocol.data_received(data)
-        if self._is_peer_paused and self._unread_bytes + self._in_flight_bytes <= WINDOW_BYTES // 2:
-            self._is_peer_paused = False
-            peer = self._connected_peer()
-            if not peer._is_disconnected:
-                peer.context.run(peer.protocol.resume_writing)
-        if self._has_pending_eof and not self._unread and not self._is_closing:
-            self._has_pending_eof = False
-            if not self.protocol.eof_received():
-                self.close()
-
-    def _receive_eof(self) -> None:
-        self._has_pending_eof = True
-        self._read_pending()
-
-    def _receive_close(self) -> None:
-        if not self._is_closing:
-            self._receive_eof()
-
-    def _discard_unsent(self) -> None:
-        # The first segment is on its way already.
-        while len(self._unsent) > 1:
-            self._unsent.pop()
-
-    def _receive_reset(self) -> None:
-        self._is_closing = True
-        self._discard_unsent()
-        self._disconnect(ConnectionResetError("Connection reset by peer"))
-
-    def _disconnect(self, error: Exception | None) -> None:
-        if self._is_disconnected:
-            return
-        self._is_disconnected = True
-        self._network.streams.discard(self)
-        self.protocol.connection_lost(error)
+            receive = partial(endpoint.protocol.datagram_received, data, sender)
+            self.hosts.run(receiver[0], endpoint.context, receive)
 
 
 class _Listener:
@@ -335,6 +164,24 @@
         super().__init__()
         self.network = Network(self, random.Random(seed))
 
+    def call_soon(  # type: ignore[override]
+        self, callback: Any, *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.Handle:
+        """Schedule a callback, which is postponed while its host is frozen."""
+        context = contextvars.copy_context() if context is None else context
+        scheduled = HostCallback(self.network.hosts, context, partial(callback, *args))
+        scheduled.handle = handle = super().call_soon(scheduled, context=context)
+        return handle
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Any, *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.TimerHandle:
+        """Schedule a callback for a time, which is postponed while its host is frozen."""
+        context = contextvars.copy_context() if context is None else context
+        scheduled = HostCallback(self.network.hosts, context, partial(callback, *args))
+        scheduled.handle = handle = super().call_at(when, scheduled, context=context)
+        return handle
+
     async def create_server(  # type: ignore[override]
         self, protocol_factory: Any, host: Any = None, port: Any = None, **_: Any
     ) -> Any:
@@ -358,7 +205,7 @@
         if listener is None:
             await asyncio.sleep(network.delay_s(peer_ip, own_ip))
             raise ConnectionRefusedError(f"Connection refused: {host}:{port}")
-        client = _Stream(network, own_ip, protocol_factory(), peer_ip)
+        client = Stream(network, own_ip, protocol_factory(), peer_ip)
         server = listener.context.run(_accept, network, peer_ip, listener.factory, own_ip)
         client.peer, server.peer = server, client
         server.context.run(server.protocol.connection_made, server)
@@ -377,5 +224,5 @@
         return endpoint, endpoint.protocol
 
 
-def _accept(network: Network, ip: str, factory: Callable[[], Any], peer_ip: str) -> _Stream:
-    return _Stream(network, ip, factory(), peer_ip)
+def _accept(network: Network, ip: str, factory: Callable[[], Any], peer_ip: str) -> Stream:
+    return Stream(network, ip, factory(), peer_ip)
--- a/nutmeglead/emulator/run.py
+++ b/nutmeglead/emulator/run.py
@@ -26,7 +26,8 @@
     ServiceOptions,
 )
 from nutmeglead.emulator.day import day_settings
-from nutmeglead.emulator.network import HOST, EmulatedLoop
+from nutmeglead.emulator.hosts import HOST
+from nutmeglead.emulator.network import EmulatedLoop
 from nutmeglead.emulator.server_host import ServerOptions
 from nutmeglead.emulator.troubles import TROUBLES
 from nutmeglead.emulator.virtual_time import run_virtual
--- a/nutmeglead/entry/tests/collected_events.py
+++ b/nutmeglead/entry/tests/collected_events.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from nutmeglead.emulator.network import HOST
+from nutmeglead.emulator.hosts import HOST
 
 
 class CollectedEvents(logging.Handler):
--- a/nutmeglead/entry/tests/steps/observability_steps.py
+++ b/nutmeglead/entry/tests/steps/observability_steps.py
@@ -13,7 +13,8 @@
 from nutmeglead.core.events import Event
 from nutmeglead.core.ids import ServiceName
 from nutmeglead.core.log_stream import NonBlockingStream
-from nutmeglead.emulator.network import HOST, EmulatedLoop
+from nutmeglead.emulator.hosts import HOST
+from nutmeglead.emulator.network import EmulatedLoop
 from nutmeglead.emulator.virtual_time import run_virtual
 from nutmeglead.entry.loop_monitor import LoopMonitor
 from nutmeglead.entry.metrics import NodeCollector
--- a/nutmeglead/entry/tests/stops.py
+++ b/nutmeglead/entry/tests/stops.py
@@ -6,7 +6,7 @@
 
 from nutmeglead.core.ids import NodeId, ServiceName
 from nutmeglead.emulator.cluster import FRONT_PORT, ClusterOptions, ServiceOptions
-from nutmeglead.emulator.network import HOST
+from nutmeglead.emulator.hosts import HOST
 from nutmeglead.emulator.pipelined_callers import PipelinedCallers
 from nutmeglead.emulator.server_host import ServerOptions
 from nutmeglead.entry.tests.deployment import ROUTE, SERVICE, SPEC, run_cluster
--- a/nutmeglead/peers/tests/steps/fetch_steps.py
+++ b/nutmeglead/peers/tests/steps/fetch_steps.py
@@ -4,7 +4,8 @@
 
 from nutmeglead._generated.peers.ttypes import CopiedRow, NodeRow, TableCopy
 from nutmeglead.core.codec import encode
-from nutmeglead.emulator.network import HOST, EmulatedLoop
+from nutmeglead.emulator.hosts import HOST
+from nutmeglead.emulator.network import EmulatedLoop
 from nutmeglead.emulator.virtual_time import run_virtual
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.exchange import CallerLimits
--- a/nutmeglead/platform/tests/steps/store_calls_steps.py
+++ b/nutmeglead/platform/tests/steps/store_calls_steps.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 from result import Err
 
-from nutmeglead.emulator.network import HOST, EmulatedLoop
+from nutmeglead.emulator.hosts import HOST
+from nutmeglead.emulator.network import EmulatedLoop
 from nutmeglead.emulator.virtual_time import run_virtual
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.exchange import CallerLimits
