--- a/nutmeglead/emulator/rows.py
+++ b/nutmeglead/emulator/rows.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, NamedTuple
@@ -221,6 +222,7 @@
         timeout_ms: int,
         progress: ProgressLimits | None = None,
         own_connection: bool = False,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[tuple[ResponseHead, bytes], HttpError]:
         """Return the store's response, a 503, or a timeout error, depending on the fault."""
         fault = self.fault
--- a/nutmeglead/entry/tests/steps/ownership_steps.py
+++ b/nutmeglead/entry/tests/steps/ownership_steps.py
@@ -16,6 +16,7 @@
 )
 from nutmeglead.entry.tests.deployment import HEARTBEAT_MS, MANIFEST, SERVICE, run_cluster
 from nutmeglead.forwarding.model import ServerState
+from nutmeglead.ranges.renewal import renewer_of
 
 # One-way delay between failure domains; an order may have to open a connection first.
 DELAY_MS = 4
@@ -23,6 +24,14 @@
 SLOW_STORE_MS = 1_200
 
 
+# Time from a new map to the fate of the node that renews an owner's grants: by then the others have
+# heard that it knows the map, and its last renewals under the map before are still in flight.
+HEARD_MS = 80
+# The keys have another owner by then, and the kernel's general limit on unacknowledged data, 3 s after
+# the last order, has not dropped what was held back.
+CUT_MS = 3_300
+
+
 class Troubles:
     """Hold a method per trouble, named as in the step text."""
 
@@ -51,6 +60,59 @@
     async def a_server_starts_again_under_its_id(self, cluster):
         await cluster.restart_server(cluster.server_with_most_keys())
 
+    async def an_owner_is_cut_off_and_its_renewer_lives_on(self, cluster):
+        await self._cut_owner_off(cluster)
+
+    async def an_owner_is_cut_off_and_its_renewer_is_killed(self, cluster):
+        async def kill(node_id):
+            cluster.kill_node(node_id)
+
+        await cluster.start_node(await self._cut_owner_off(cluster, kill))
+
+    async def an_owner_is_cut_off_and_its_renewer_is_restarted(self, cluster):
+        async def restart(node_id):
+            cluster.kill_node(node_id)
+            await cluster.start_node(node_id)
+
+        await self._cut_owner_off(cluster, restart)
+
+    async def an_owner_is_cut_off_and_its_renewer_is_stopped(self, cluster):
+        async def stop(node_id):
+            await cluster.stop_node(node_id)
+
+        await cluster.start_node(await self._cut_owner_off(cluster, stop))
+
+    async def an_owner_is_cut_off_and_its_renewer_is_frozen(self, cluster):
+        async def freeze(node_id):
+            cluster.network.hosts.freeze(cluster.node_ip(node_id))
+
+        node_id = await self._cut_owner_off(cluster, freeze)
+        await pause(1_000)
+        cluster.network.thaw_host(cluster.node_ip(node_id))
+
+    async def _cut_owner_off(self, cluster, strike=None):
+        """Cut off the server with most keys, and let `strike` end the node that renews its grants.
+
+        Return that node. It is struck when a new map has given its server's keys to another one.
+        """
+        server_id = cluster.server_with_most_keys()
+        controllers = [node.controllers[SERVICE] for node in cluster.nodes.values()]
+        ranges = controllers[0].ranges
+        renewer = renewer_of(server_id, ranges.witnesses)
+        cut_ms = cluster.clock.now_ms()
+        cluster.disconnect_host(cluster.servers[server_id].ip)
+        while any(controller.ranges.version == ranges.version for controller in controllers):
+            await pause(1)
+        await pause(HEARD_MS)
+        if strike is not None:
+            await strike(renewer)
+        await pause(cut_ms + 3 * HEARTBEAT_MS - cluster.clock.now_ms())
+        cluster.remove_entry(server_id)
+        await pause(cut_ms + CUT_MS - cluster.clock.now_ms())
+        cluster.reconnect_host(cluster.servers[server_id].ip)
+        cluster.write_entry(server_id)
+        return renewer
+
     async def the_acting_node_is_killed(self, cluster):
         cluster.kill_node(cluster.acting(SERVICE))
 
--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -156,6 +156,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    async def wait_closed(self) -> None:
+        """Wait until the socket of an aborted connection is closed; no other task may read."""
+        while not self._connection_lost:
+            await self._wait_for_data()
+
     def reset(self) -> None:
         """End the connection with a reset, which no peer takes for the end of a response."""
         reset_on_close(self.transport)
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -13,11 +13,16 @@
     HttpError,
     MalformedMessage,
     PeerClosed,
+    RequestWithdrawn,
     TimedOut,
 )
 from nutmeglead.http.messages import Body, RequestHead, ResponseHead
 from nutmeglead.http.parts import WRITE_PART_BYTES, body_events
-from nutmeglead.http.sockets import enable_dead_peer_detection
+from nutmeglead.http.sockets import (
+    enable_dead_peer_detection,
+    limit_unacknowledged_time,
+    reset_on_close,
+)
 
 __all__ = ["ClientConnection", "HttpFetcher", "ProgressLimits", "connect"]
 
@@ -35,12 +40,15 @@
 class ClientConnection:
     """One connection to a server, which carries one exchange at a time.
 
-    Methods that send or read raise an HttpError if the connection or the message is broken.
+    However the connection ends, its kernel drops what the server has not received by then, so that
+    a request that was given up does not arrive later. Methods that send or read raise an HttpError
+    if the connection or the message is broken.
     """
 
     def __init__(self, channel: ByteChannel) -> None:
         self.channel = channel
         self.exchange_count = 0
+        self._unacknowledged_limit_ms: int | None = None
         self._connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._bytes_written_at_start = 0
 
@@ -59,6 +67,12 @@
         trailing, _ = self._connection.trailing_data
         return idle and self.channel.is_open and not self.channel.unread_bytes and not trailing
 
+    def limit_unacknowledged_time(self, limit_ms: int) -> None:
+        """Make the kernel drop what the server has not acknowledged after a time."""
+        if limit_ms != self._unacknowledged_limit_ms:
+            self._unacknowledged_limit_ms = limit_ms
+            limit_unacknowledged_time(self.channel.transport, limit_ms)
+
     async def send_head(self, head: RequestHead) -> None:
         """Start an exchange by sending the request line and headers."""
         self._bytes_written_at_start = self.channel.bytes_written
@@ -145,7 +159,7 @@
         return False
 
     def abort(self) -> None:
-        """Close the connection at once, which cancels the exchange at the server."""
+        """Reset the connection, which cancels the exchange at the server."""
         self.channel.abort()
 
     async def _send(self, event: h11.Event) -> None:
@@ -208,6 +222,8 @@
     except OSError as error:
         return Err(ConnectFailed(f"{ip}:{port}", str(error)))
     enable_dead_peer_detection(channel.transport)
+    # Set before anything is written, since a process that is killed cannot set it.
+    reset_on_close(channel.transport)
     return Ok(ClientConnection(channel))
 
 
@@ -234,8 +250,10 @@
 class HttpFetcher:
     """Client that reads whole responses into memory and reuses a few idle connections per address.
 
-    ConnectFailed means that no byte of the request was written; after any other error the server
-    may have received it.
+    ConnectFailed and RequestWithdrawn mean that no byte of the request was written; after any other
+    error the server may have received it, but will not receive it any more: the connection is reset
+    before `fetch` returns. The same holds if `fetch` is cancelled or the process is killed. If the
+    process is frozen, the kernel drops the request by itself, at about its timeout.
     """
 
     def __init__(self, max_idle_count: int = 4, max_body_bytes: int = 64 * 1024 * 1024) -> None:
@@ -252,6 +270,7 @@
         timeout_ms: int,
         progress: ProgressLimits | None = None,
         own_connection: bool = False,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[tuple[ResponseHead, bytes], HttpError]:
         """Send a request and return the head and the whole body of its response, or the error.
 
@@ -259,7 +278,8 @@
         exchange separately, and connecting takes at most `CONNECT_TIMEOUT_MS`. With `progress`,
         its limits replace `timeout_ms` as soon as a part of the response's body has arrived. With
         `own_connection`, the exchange is the only one on its connection, where no late response to
-        an earlier request can arrive.
+        an earlier request can arrive. `may_send` is asked when there is a connection, right before
+        the request is written.
         """
         connection = None if own_connection else self._pop_idle(ip, port)
         if connection is None:
@@ -267,6 +287,10 @@
             if isinstance(opened, Err):
                 return opened
             connection = opened.ok_value
+        if not may_send():
+            connection.abort()
+            return Err(RequestWithdrawn(f"{ip}:{port}"))
+        connection.limit_unacknowledged_time(timeout_ms)
         finished = False
         received_before = connection.channel.bytes_received
         try:
@@ -282,6 +306,7 @@
         finally:
             if not finished:
                 connection.abort()
+                await connection.channel.wait_closed()
         if own_connection:
             connection.abort()
         else:
--- a/nutmeglead/http/errors.py
+++ b/nutmeglead/http/errors.py
@@ -10,6 +10,7 @@
     "MalformedMessage",
     "MemoryShort",
     "PeerClosed",
+    "RequestWithdrawn",
     "TimedOut",
 ]
 
@@ -60,6 +61,16 @@
         return f"expected room for the request, which may be there in {self.retry_after_ms} ms"
 
 
+@dataclass
+class RequestWithdrawn(HttpError):
+    """The caller no longer wanted the request, so no byte of it was written."""
+
+    address: str
+
+    def __str__(self) -> str:
+        return f"the request to {self.address} was withdrawn before it was sent"
+
+
 @dataclass
 class TimedOut(HttpError):
     """The exchange was not complete within its timeout."""
--- a/nutmeglead/http/sockets.py
+++ b/nutmeglead/http/sockets.py
@@ -8,6 +8,7 @@
 __all__ = [
     "ACCEPT_BATCH",
     "enable_dead_peer_detection",
+    "limit_unacknowledged_time",
     "read_arrivals",
     "reset_on_close",
     "set_listen_backlog",
@@ -50,10 +51,26 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def limit_unacknowledged_time(transport: asyncio.BaseTransport | None, limit_ms: int) -> None:
+    """Make the kernel drop what the peer has not acknowledged after a time.
+
+    The time is at most that of `enable_dead_peer_detection`. The kernel keeps the limit by itself,
+    also for a process that is frozen. It looks at it when it would send the data again, which it
+    does at least once, 200 ms and a round trip after it first sent them.
+    """
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None:
+        return
+    limit_ms = min(limit_ms, TCP_USER_TIMEOUT_MS)
+    # The connection may have ended already.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
 def reset_on_close(transport: asyncio.BaseTransport | None) -> None:
     """Make the kernel end the connection with a reset when it is closed, dropping unsent bytes.
 
-    Does nothing for a transport without a socket, such as a simulated one.
+    This includes a close by the end of the process. Does nothing for a transport without a socket.
     """
     sock = transport.get_extra_info("socket") if transport is not None else None
     if sock is None:
--- a/nutmeglead/platform/grants.py
+++ b/nutmeglead/platform/grants.py
@@ -15,7 +15,7 @@
     ServerRecord,
 )
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.errors import ConnectFailed
+from nutmeglead.http.errors import ConnectFailed, RequestWithdrawn
 from nutmeglead.http.messages import Headers, RequestHead, ResponseHead, header_value
 from nutmeglead.platform.notices import decode_notice
 from nutmeglead.platform.wire import (
@@ -31,6 +31,7 @@
     "GrantError",
     "GrantRefused",
     "KeyOrder",
+    "OrderNotPermitted",
     "OrderUnanswered",
     "ServerUnreachable",
     "decode_order",
@@ -112,9 +113,16 @@
         return f"no order was sent to server {self.server_id}: {self.reason}"
 
 
+class OrderNotPermitted(GrantError):
+    """An order was not sent, because this node may not send orders of its map."""
+
+    def __str__(self) -> str:
+        return "the order was not sent: the map is not confirmed to be the newest"
+
+
 @dataclass
 class OrderUnanswered(GrantError):
-    """No answer to an order arrived; the server may still carry it out seconds later."""
+    """No answer to an order arrived; a server that has received it may carry it out later."""
 
     server_id: ServerId
     reason: str
@@ -147,13 +155,15 @@
         hold_ms: int,
         handover: str | None,
         timeout_ms: int,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[None, GrantError]:
         """Grant a server the keys from the first to the last, both included, for `hold_ms`.
 
-        Granting them again under the same fence renews the hold.
+        Granting them again under the same fence renews the hold. `may_send` is asked right before
+        the grant is written, which may be `timeout_ms` later.
         """
         order = KeyOrder(*keys, fence, hold_ms, handover)
-        answered = await self._send_order(server, GRANT_TARGET, order, timeout_ms)
+        answered = await self._send_order(server, GRANT_TARGET, order, timeout_ms, may_send)
         return answered.map(lambda headers: None)
 
     async def release(
@@ -162,6 +172,7 @@
         keys: tuple[int, int],
         fence: int,
         timeout_ms: int,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[str | None, GrantError]:
         """Ask a server to release keys, from the first to the last, both included.
 
@@ -172,7 +183,7 @@
         """
         order = KeyOrder(*keys, fence)
         answered = await self._send_order(
-            server, RELEASE_TARGET, order, timeout_ms, own_connection=True
+            server, RELEASE_TARGET, order, timeout_ms, may_send, own_connection=True
         )
         return answered.map(_find_handover)
 
@@ -195,6 +206,7 @@
         target: bytes,
         order: KeyOrder,
         timeout_ms: int,
+        may_send: Callable[[], bool],
         own_connection: bool = False,
     ) -> Result[Headers, GrantError]:
         """Send an order and return the headers of the server's answer."""
@@ -212,9 +224,12 @@
             encode_order(order),
             timeout_ms,
             own_connection=own_connection,
+            may_send=may_send,
         )
         if isinstance(fetched, Err):
             error = fetched.err_value
+            if isinstance(error, RequestWithdrawn):
+                return Err(OrderNotPermitted())
             if isinstance(error, ConnectFailed):
                 return Err(ServerUnreachable(server_id, str(error)))
             return Err(OrderUnanswered(server_id, str(error)))
--- a/nutmeglead/ranges/era.py
+++ b/nutmeglead/ranges/era.py
@@ -4,13 +4,10 @@
 from nutmeglead.peers.membership import Membership
 from nutmeglead.ranges.expiry import CLOCK_DRIFT, RENEW_RIGHT_MS
 from nutmeglead.ranges.model import RangeMap
-from nutmeglead.ranges.rights import RenewalRights
+from nutmeglead.ranges.rights import DELIVERY_MARGIN_MS, GRANT_TRANSIT_MS, RenewalRights
 
 __all__ = ["EraStart"]
 
-# Covers the delivery of a last grant to its server.
-DELIVERY_MARGIN_MS = 100
-
 
 class EraStart:
     """Decide when a new acting node may write the first map of an era."""
@@ -37,7 +34,8 @@
         is_map_known = (
             was_acting and own is not None and rights.is_confirmed_by_witnesses(own, now_ms)
         )
-        hold_end_ms = RENEW_RIGHT_MS + round(hold_ms * (1 + CLOCK_DRIFT)) + DELIVERY_MARGIN_MS
+        last_arrival_ms = RENEW_RIGHT_MS + GRANT_TRANSIT_MS + DELIVERY_MARGIN_MS
+        hold_end_ms = last_arrival_ms + round(hold_ms * (1 + CLOCK_DRIFT))
         self._due_ms = now_ms if is_map_known else now_ms + hold_end_ms
 
     def is_due(self, map_version: int, now_ms: int) -> bool:
--- a/nutmeglead/ranges/expiry.py
+++ b/nutmeglead/ranges/expiry.py
@@ -37,8 +37,9 @@
 # The longest times, by this node's clock, for which another node's read of the store is valid.
 MAX_READ_VALID_MS = round(STORE_READ_VALID_MS * (1 + CLOCK_DRIFT))
 MAX_READ_VALID_FOR_ALL_MS = round(STORE_READ_VALID_FOR_ALL_MS * (1 + CLOCK_DRIFT))
-# Time for which a replaced set stays listed after its rights have ended, longer than any hold:
-# moves that begin then must still wait for the holds that it may have renewed last.
+# Time for which a replaced set stays listed after its rights have ended, longer than the transit of
+# a grant and any hold: moves that begin then must still wait for the holds that it may have renewed
+# last.
 EXPIRED_SET_LISTED_MS = 3_000
 # Number of map versions for which times are kept. Transfers begun under recent maps may still wait
 # for these times; older ones have ended.
--- a/nutmeglead/ranges/orders.py
+++ b/nutmeglead/ranges/orders.py
@@ -14,12 +14,18 @@
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord
 from nutmeglead.forwarding.registry import ServerRegistry
-from nutmeglead.platform.grants import GrantClient, GrantError, GrantRefused, ServerUnreachable
+from nutmeglead.platform.grants import (
+    GrantClient,
+    GrantError,
+    GrantRefused,
+    OrderNotPermitted,
+    ServerUnreachable,
+)
 from nutmeglead.ranges.health import HolderHealth
 from nutmeglead.ranges.model import KeyRange, RangeMap
 from nutmeglead.ranges.rights import RenewalRights
 
-__all__ = ["OrderNotPermitted", "OrderResults", "OrderSender"]
+__all__ = ["OrderResults", "OrderSender"]
 
 logger = logging.getLogger(__name__)
 
@@ -32,13 +38,6 @@
 RELEASE_TIMEOUT_MS = 1_500
 
 
-class OrderNotPermitted(GrantError):
-    """Report an order that was not sent, because this node may not send orders of its map."""
-
-    def __str__(self) -> str:
-        return "the order was not sent: the map is not confirmed to be the newest"
-
-
 @dataclass
 class OrderResults:
     """Collect the servers that answered grants, failed to, or refused them."""
@@ -100,13 +99,10 @@
                     "this incarnation is unknown or was superseded by a later one",
                 )
             )
-        # Read the clock right before the send: it counts suspended time, and the VM may have been
-        # suspended since the last check.
-        if current is None or not self._rights.may_send(current, self._clock.now_ms()):
+        if current is None or not self._may_grant(keys):
             return Err(OrderNotPermitted())
         self._rights.begin_grant(owner)
-        # True also after an exception or a cancellation: the order may arrive until its connection
-        # has ended.
+        # True also after an exception or a cancellation.
         may_have_arrived = True
         try:
             sent = await self._client.grant(
@@ -116,6 +112,7 @@
                 min(current.hold_ms, self._max_hold_ms),
                 handover,
                 GRANT_TIMEOUT_MS,
+                lambda: self._may_grant(keys),
             )
             may_have_arrived = not _is_unsent(sent)
         finally:
@@ -123,6 +120,27 @@
         self._record_result(owner, sent)
         return sent
 
+    def _may_grant(self, keys: KeyRange) -> bool:
+        """Return whether the newest map is known and still gives the range to its owner.
+
+        This reads the clock, which counts suspended time: while a connection was opened, the VM may
+        have been suspended, or a newer map may have come.
+        """
+        current = self._current_map()
+        if current is None or not self._rights.may_send(current, self._clock.now_ms()):
+            return False
+        entry = current.locate(keys.first)
+        return (entry.first, entry.last, entry.owner, entry.fence) == (
+            keys.first,
+            keys.last,
+            keys.owner,
+            keys.fence,
+        )
+
+    def _may_release(self) -> bool:
+        current = self._current_map()
+        return current is not None and self._rights.may_send(current, self._clock.now_ms())
+
     async def release(
         self, holder: ServerIncarnation, keys: KeyRange
     ) -> Result[str | None, GrantError]:
@@ -132,8 +150,7 @@
         address, a repeated grant may have reached that one. Servers never refuse a release, so a
         node that was replaced must not send one: the holder may own the range again by now.
         """
-        current = self._current_map()
-        if current is None or not self._rights.may_send(current, self._clock.now_ms()):
+        if not self._may_release():
             return Err(OrderNotPermitted())
         record = self._registry.newest_record(holder)
         if record is None:
@@ -143,6 +160,7 @@
             (keys.first, keys.last),
             keys.fence,
             RELEASE_TIMEOUT_MS,
+            self._may_release,
         )
         if isinstance(released, Ok):
             self._health.on_answer(holder, self._clock.now_ms())
@@ -246,4 +264,6 @@
 
 
 def _is_unsent(sent: Result[None, GrantError]) -> bool:
-    return isinstance(sent, Err) and isinstance(sent.err_value, ServerUnreachable)
+    return isinstance(sent, Err) and isinstance(
+        sent.err_value, ServerUnreachable | OrderNotPermitted
+    )
--- a/nutmeglead/ranges/rights.py
+++ b/nutmeglead/ranges/rights.py
@@ -6,6 +6,10 @@
 newer map; `expiry.py` states when this right ends. The writer of a newer version therefore knows
 the latest time at which another node can have sent a grant of the old version. When the witnesses
 change, a map also lists the earlier sets, until they have lost their rights.
+
+A hold begins when the grant arrives. A grant that was not answered can arrive until its connection
+is reset, which ends its exchange on a node that is alive and on one whose process is killed. If the
+process is frozen, its kernel drops the grant within GRANT_TRANSIT_MS of the send.
 """
 
 from collections import Counter
@@ -24,9 +28,13 @@
 )
 from nutmeglead.ranges.model import RangeMap, WitnessSets
 
-__all__ = ["GRANT_HISTORY_MS", "RenewalRights"]
+__all__ = ["DELIVERY_MARGIN_MS", "GRANT_HISTORY_MS", "GRANT_TRANSIT_MS", "RenewalRights"]
 
-# Covers the delivery of an order to the server and the rounding of both clocks.
+# Longest time after a grant was written for which its sender's kernel may send it. The kernel drops
+# it after GRANT_TIMEOUT_MS (160 ms) without an acknowledgement, but checks this only when it sends
+# again: 200 ms, the shortest retransmission timeout of TCP, and a round trip after the first time.
+GRANT_TRANSIT_MS = 250
+# Covers the time of a grant in the network and the rounding of both clocks.
 DELIVERY_MARGIN_MS = 100
 # Time after the witnesses' newest read of the store at which one of them reads it again. The others
 # learn of that read from its heartbeats, and wait longer by one step for each place in the list.
@@ -50,7 +58,8 @@
         self._store_version = -1
         self._store_confirmed_ms = -RENEW_RIGHT_MS
         self._expiry = RightsExpiry(service, membership)
-        # Number of grants in flight by server, and when the last one that may have arrived ended.
+        # Number of grants in flight by server, and when the last one that may have arrived ended:
+        # it was answered, or its connection was reset.
         self._grants_in_flight: Counter[ServerIncarnation] = Counter()
         self._last_sent_ms: dict[ServerIncarnation, int] = {}
 
@@ -131,11 +140,14 @@
     ) -> list[SentOrder]:
         """Return the servers that got a grant within `grant_history_ms`.
 
-        Each comes with the age of its last grant.
+        Each comes with the age of its last grant. While one is in flight the age is negative: if
+        this is the last report of this node, the grant may arrive within GRANT_TRANSIT_MS.
         """
         orders = []
         for incarnation in incarnations:
             ago_ms = now_ms - self._last_own_grant_ms(incarnation, now_ms)
+            if self._grants_in_flight[incarnation]:
+                ago_ms = -GRANT_TRANSIT_MS
             if ago_ms < self.grant_history_ms(now_ms):
                 orders.append(
                     SentOrder(Life(incarnation.server_id, incarnation.started_ms), ago_ms)
@@ -143,9 +155,10 @@
         return orders
 
     def _last_own_grant_ms(self, incarnation: ServerIncarnation, now_ms: int) -> int:
-        """Return when this node last sent a grant to a server.
+        """Return when a grant of this node can have arrived last at a server, until now.
 
-        That is now while one is in flight, and the start of the process if none is recorded.
+        That is now while one is in flight, and the start of the process if none is recorded: what
+        an earlier process of this node sent was dropped when that one ended.
         """
         return (
             now_ms
@@ -175,7 +188,7 @@
     def _last_grant_by_others_ms(
         self, incarnation: ServerIncarnation, ranges: RangeMap, map_version: int, now_ms: int
     ) -> int | None:
-        """Return the latest time at which another node may have sent a grant of an older map.
+        """Return the latest time at which a grant of an older map by another node may be sent on.
 
         Nodes that report `map_version` or a newer one also report their last grants. Return None
         while one of the others may still have the right to send grants.
@@ -193,7 +206,7 @@
         known_ends_ms = [end_ms for end_ms in ends_ms if end_ms is not None]
         if not ends_ms or len(known_ends_ms) < len(ends_ms):
             return None
-        return max([last_ms, *known_ends_ms])
+        return max([last_ms, *(end_ms + GRANT_TRANSIT_MS for end_ms in known_ends_ms)])
 
     def unexpired_witness_sets(self, ranges: RangeMap, now_ms: int) -> WitnessSets:
         """Return the witness sets without the earlier ones that may no longer send grants."""
@@ -201,7 +214,7 @@
 
 
 def _last_reported_grant_ms(view: PeerView, incarnation: ServerIncarnation) -> int:
-    """Return when a peer last sent a grant to a server, by this node's clock.
+    """Return when a grant of a peer may arrive last at a server, by this node's clock.
 
     For a server that the view does not name, return the earliest time that the view covers.
     """
--- a/nutmeglead/ranges/tests/orders.feature
+++ b/nutmeglead/ranges/tests/orders.feature
@@ -14,6 +14,21 @@
       | that was frozen for longer than its right     | grant   | 0     | a node that wakes up goes on where it stopped                  |
       | that was frozen for longer than its right     | release | 0     | a node that wakes up goes on where it stopped                  |
 
+  Scenario Outline: An order whose connection takes a while to open, at a node <state>
+    # Guards against an order that was permitted when its connection was begun, and is written up to its time
+    # limit later, when others have stopped to wait for the orders of this node.
+    Given a node with a map, <state> while a connection opens
+    When it sends a <order> to a server
+    Then the server has received <count> orders
+
+    Examples: each row names the failure it guards against
+      | state                                | order   | count | failure                                                 |
+      | whose map a majority confirms        | grant   | 1     | no order is sent at all                                 |
+      | that was frozen                      | grant   | 0     | a node that wakes up goes on where it stopped           |
+      | that was frozen                      | release | 0     | a node that wakes up goes on where it stopped           |
+      | whose map gives the range to another | grant   | 0     | a grant is written after the node has reported the map  |
+      | whose map splits the range           | grant   | 0     | a grant is written after the node has reported the map  |
+
   # Pattern "long work": servers end work that outlasts the hold which its keys had when it began.
   Scenario Outline: The hold covers the work of a service
     Given a map of a service with a target latency of <before_ms> ms
--- a/nutmeglead/ranges/tests/rights.feature
+++ b/nutmeglead/ranges/tests/rights.feature
@@ -51,7 +51,7 @@
     # hold of the first one.
     Given a hold of 1200 ms
     When three peers know map 2 at 5000 ms and one is silent
-    Then under map 2 the hold of a lost server ends at 7324 ms
+    Then under map 2 the hold of a lost server ends at 7574 ms
 
   Scenario: The hold of a lost server ends one hold after the last renewal if all witnesses report it
     # Guards against a longer wait than needed, until no witness may renew any more, although all of
@@ -60,13 +60,25 @@
     When all peers know map 2 at 5000 ms and one has renewed 900 ms before
     Then under map 2 the hold of a lost server ends at 5424 ms
 
+  Scenario Outline: A grant that a witness has in flight when it reports may arrive after the report
+    # Guards against a witness that is frozen after its last report, while its kernel goes on sending the
+    # grant: the server held the keys again after others had waited for the end of its hold.
+    Given a hold of 1200 ms
+    When all peers know map 2 at 5000 ms and one of them <state>
+    Then under map 2 the hold of a lost server ends at <end_ms> ms
+
+    Examples: each row names the failure it guards against
+      | state                                 | end_ms | failure                                                  |
+      | has a grant in flight                 | 6574   | the report counts as the last moment of the grant        |
+      | has given up a grant 60 ms before     | 6264   | a wait for a grant whose connection was reset            |
+
   Scenario: A newer map does not postpone the end of a hold under an older map
     # Guards against a range that gets no new holder for as long as moves of other ranges write new
     # maps, because the wait starts again with each of them.
     Given a hold of 1200 ms
     When three peers know map 2 at 5000 ms and one is silent
     And three peers know map 3 at 5500 ms
-    Then under map 2 the hold of a lost server ends at 7324 ms
+    Then under map 2 the hold of a lost server ends at 7574 ms
 
   Scenario: A majority of the replaced witnesses must know the newer map too
     # Guards against renewals of the older map that a majority of its own witnesses still permits
@@ -76,7 +88,7 @@
     When peers 3 and 4 know map 2 at 5000 ms
     Then under map 2 the end of a lost server's hold is not known
     When peers 1 and 3 know map 2 at 5500 ms
-    Then under map 2 the hold of a lost server ends at 7824 ms
+    Then under map 2 the hold of a lost server ends at 8074 ms
 
   Scenario: Half of an even number of witnesses ends the rights of the others
     # Guards against keys of a crashed server that never get an owner again after half of the
@@ -84,7 +96,7 @@
     Given 6 nodes that know map 1
     And a hold of 1200 ms
     When peers 1 and 2 know map 2 at 5000 ms
-    Then under map 2 the hold of a lost server ends at 7324 ms
+    Then under map 2 the hold of a lost server ends at 7574 ms
 
   Scenario: Less than half of an even number of witnesses ends no rights
     # Guards against a grant to a second server while the other witnesses are a majority that still
@@ -100,7 +112,7 @@
     Given a hold of 1200 ms
     When peer 1 knows map 2 at 5000 ms
     Then under map 2 the end of a lost server's hold is not known at 35599 ms
-    And under map 2 the hold of a lost server ends at 36924 ms
+    And under map 2 the hold of a lost server ends at 37174 ms
 
   Scenario: A majority without a recent read of the store permits no grants
     # Guards against witnesses that are cut off from the store and from the acting node, and renew
--- a/nutmeglead/ranges/tests/steps/orders_steps.py
+++ b/nutmeglead/ranges/tests/steps/orders_steps.py
@@ -3,13 +3,14 @@
 import asyncio
 
 from behave import given, then, when
-from result import Ok
+from result import Err, Ok
 
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.core.ids import FailureDomainName, NodeId, ServerId, ServiceName
 from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord, ServerState
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.peers.membership import Membership
+from nutmeglead.platform.grants import OrderNotPermitted
 from nutmeglead.ranges.expiry import RENEW_RIGHT_MS
 from nutmeglead.ranges.health import HolderHealth
 from nutmeglead.ranges.hold import hold_for
@@ -25,51 +26,105 @@
 
 
 class RecordingClient:
-    """Record the orders that a node sends, and accept them."""
+    """Record the orders that a node sends, and accept them; `on_open` runs as a connection opens."""
 
     def __init__(self):
         self.orders = []
+        self.on_open = lambda: None
 
     async def grant(self, *order):
-        self.orders.append(order)
-        return Ok(None)
+        return self._send(order, None)
 
     async def release(self, *order):
+        return self._send(order, "h-1")
+
+    def _send(self, order, answer):
+        self.on_open()
+        *_, may_send = order
+        if not may_send():
+            return Err(OrderNotPermitted())
         self.orders.append(order)
-        return Ok("h-1")
+        return Ok(answer)
+
+
+class Node:
+    """Hold the parts of a node that sends orders of a map."""
+
+    def __init__(self, newest_version=1):
+        self.clock = ManualClock(10_000)
+        registry = ServerRegistry()
+        domain = FailureDomainName("zone")
+        record = ServerRecord(OWNER, STOCK, "10.0.0.1", 80, domain, 4, ServerState.READY, 0)
+        registry.apply([record], [], self.clock.now_ms())
+        rights = RenewalRights(STOCK, Membership(OWN_ID, domain, 1.0, 0), 0)
+        self.ranges = self.map([ENTRY])
+        # The store's answer stands for the majority; either gives the right for the same time.
+        rights.confirm_by_store(newest_version, self.clock.now_ms())
+        self.client = RecordingClient()
+        self.sender = OrderSender(
+            self.client,
+            registry,
+            rights,
+            HolderHealth(),
+            self.clock,
+            10_000,
+            lambda: self.ranges,
+        )
+
+    def map(self, ranges):
+        return RangeMap(STOCK, ranges, 1, witness_sets=((OWN_ID, NodeId("n-1"), NodeId("n-2")),))
+
+
+def _freeze(node):
+    node.clock.advance(RENEW_RIGHT_MS + 1)
+
+
+def _move(node):
+    other = ServerIncarnation(ServerId("s-2"), 1)
+    node.ranges = node.map([KeyRange(0, KEY_COUNT - 1, other, 2)])
+
+
+def _split(node):
+    middle = KEY_COUNT // 2
+    other = ServerIncarnation(ServerId("s-2"), 1)
+    parts = [KeyRange(0, middle - 1, OWNER, 1), KeyRange(middle, KEY_COUNT - 1, other, 2)]
+    node.ranges = node.map(parts)
+
+
+CHANGES = {
+    "whose map a majority confirms": lambda node: None,
+    "that was frozen": _freeze,
+    "whose map gives the range to another": _move,
+    "whose map splits the range": _split,
+}
+
+
+@given("a node with a map, {state} while a connection opens")
+def step_node_opening(context, state):
+    node = context.node = Node()
+    node.client.on_open = lambda: CHANGES[state](node)
 
 
 @given("a node with a map, {state}")
 def step_node(context, state):
-    clock = ManualClock(10_000)
-    registry = ServerRegistry()
-    domain = FailureDomainName("zone")
-    record = ServerRecord(OWNER, STOCK, "10.0.0.1", 80, domain, 4, ServerState.READY, 0)
-    registry.apply([record], [], clock.now_ms())
-    rights = RenewalRights(STOCK, Membership(OWN_ID, domain, 1.0, 0), 0)
-    ranges = RangeMap(STOCK, [ENTRY], 1, witness_sets=((OWN_ID, NodeId("n-1"), NodeId("n-2")),))
-    newest_version = 2 if state == "that knows of a newer map" else 1
-    # The store's answer stands for the majority; either gives the right for the same time.
-    rights.confirm_by_store(newest_version, clock.now_ms())
-    context.client = RecordingClient()
-    context.sender = OrderSender(
-        context.client, registry, rights, HolderHealth(), clock, 10_000, lambda: ranges
-    )
+    context.node = Node(2 if state == "that knows of a newer map" else 1)
     if state == "that was frozen for longer than its right":
-        clock.advance(RENEW_RIGHT_MS + 1)
+        _freeze(context.node)
 
 
 @when("it sends a {order} to a server")
 def step_order(context, order):
+    sender = context.node.sender
     if order == "grant":
-        asyncio.run(context.sender.grant(OWNER, ENTRY, None))
+        asyncio.run(sender.grant(OWNER, ENTRY, None))
     else:
-        asyncio.run(context.sender.release(OWNER, ENTRY))
+        asyncio.run(sender.release(OWNER, ENTRY))
 
 
 @then("the server has received {count:d} orders")
 def step_received(context, count):
-    assert len(context.client.orders) == count, context.client.orders
+    orders = context.node.client.orders
+    assert len(orders) == count, orders
 
 
 @given("a map of a service with a target latency of {target_ms:d} ms")
--- a/nutmeglead/ranges/tests/steps/rights_steps.py
+++ b/nutmeglead/ranges/tests/steps/rights_steps.py
@@ -141,6 +141,30 @@
         context.rights.hear(peer, 1, echo_ms, echo_ms + 10, is_confirmed=False)
 
 
+@when("all peers know map 2 at {now_ms:d} ms and one of them has a grant in flight")
+def step_in_flight(context, now_ms):
+    _hear_grant_of_peer(context.rights, now_ms, [(now_ms - 40, None)])
+
+
+@when(
+    "all peers know map 2 at {now_ms:d} ms and one of them has given up a grant {ago_ms:d} ms before"
+)
+def step_given_up(context, now_ms, ago_ms):
+    _hear_grant_of_peer(context.rights, now_ms, [(now_ms - ago_ms - 160, now_ms - ago_ms)])
+
+
+def _hear_grant_of_peer(scenario, now_ms, grants):
+    """Let all peers report, of which one has sent grants that began and ended at these times."""
+    peer_rights = RenewalRights(STOCK, scenario.membership, 0)
+    for _, end_ms in grants:
+        peer_rights.begin_grant(INCARNATION)
+        if end_ms is not None:
+            peer_rights.end_grant(INCARNATION, True, end_ms)
+    for peer in scenario.peers:
+        sent = peer_rights.sent_orders([INCARNATION], now_ms) if peer == scenario.peers[0] else ()
+        scenario.hear(peer, 2, now_ms, now_ms, sent)
+
+
 @when("a third peer knows map 2")
 def step_third(context):
     context.rights.hear(context.rights.peers[2], 2, 0, 1_050)
--- a/nutmeglead/ranges/transfer.py
+++ b/nutmeglead/ranges/transfer.py
@@ -11,10 +11,10 @@
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.tasks import start_essential_task
 from nutmeglead.forwarding.model import ServerIncarnation
-from nutmeglead.platform.grants import GrantError, GrantRefused
+from nutmeglead.platform.grants import GrantError, GrantRefused, OrderNotPermitted
 from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.model import KeyRange, RangeMap
-from nutmeglead.ranges.orders import OrderNotPermitted, OrderSender
+from nutmeglead.ranges.orders import OrderSender
 from nutmeglead.ranges.rights import RenewalRights
 
 __all__ = ["Transfers"]
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -46,7 +46,8 @@
   5: required double cpu_cores,
 }
 
-// How long ago the sender last sent an order to a server that may still hold a range that another server waits for.
+// How long ago a grant of the sender can have arrived last at a server that may still hold a range that another server
+// waits for. Negative while a grant is in flight: it may still arrive for that long.
 struct SentOrder {
   1: required Life server,
   2: required i32 ago_ms,
