--- a/nutmeglead/emulator/network.py
+++ b/nutmeglead/emulator/network.py
@@ -86,7 +86,7 @@
 
     def close_host(self, ip: str) -> None:
         """Close the ports and connections of a host whose process ended, as its kernel does."""
-        self.hosts.thaw(ip)
+        self.thaw_host(ip)
         for address in [address for address in self.listeners if address[0] == ip]:
             del self.listeners[address]
         for address in [address for address in self.endpoints if address[0] == ip]:
--- a/nutmeglead/entry/tests/mix.py
+++ b/nutmeglead/entry/tests/mix.py
@@ -3,6 +3,7 @@
 Run by hand for many seeds:
 
 python -m nutmeglead.entry.tests.mix --first 1 --count 50 --nodes 12
+python -m nutmeglead.entry.tests.mix --first 1 --count 50 --cut-owners
 """
 
 import argparse
@@ -38,8 +39,10 @@
     `unheld_count` is the number of keys without a holder at the end.
     """
 
-    def __init__(self, seed, nodes=NODE_COUNT):
+    def __init__(self, seed, nodes=NODE_COUNT, cuts_owners=False):
+        """With `cuts_owners`, owners are mostly cut off while nodes that renew grants end or stand still."""
         self.seed = seed
+        self.cuts_owners = cuts_owners
         self.options = replace(OPTIONS, nodes=nodes)
         self.rng = random.Random(seed)
         self.log = []
@@ -71,6 +74,8 @@
             self.kill_all,
             self.forget_history,
         ]
+        if self.cuts_owners:
+            troubles += 6 * [self.cut_owner_and_strike] + 3 * [self.freeze_node]
         tasks = []
         while clock.now_ms() < self.start_ms + TROUBLE_S * 1_000:
             trouble = self.rng.choice(troubles)
@@ -100,6 +105,35 @@
         await pause(self.rng, 0.3, 4)
         await self._restart_nodes([node_id])
 
+    async def freeze_node(self):
+        node_id = self.choose_node()
+        if node_id not in self.cluster.nodes:
+            return
+        ip = self.cluster.node_ip(node_id)
+        self.cluster.network.hosts.freeze(ip)
+        await pause(self.rng, 0.1, 5)
+        self.cluster.network.thaw_host(ip)
+
+    async def cut_owner_and_strike(self):
+        """Cut an owner off, and soon after end or freeze nodes that may have grants in flight to it."""
+        server_id = self.choose_server()
+        if server_id is None:
+            return
+        cut = asyncio.ensure_future(self._cut_owner(server_id))
+        await pause(self.rng, 0.1, 1.5)
+        strikes = [self.rng.choice([self.kill_node, self.freeze_node]) for _ in range(2)]
+        await asyncio.gather(cut, *(strike() for strike in strikes))
+
+    async def _cut_owner(self, server_id):
+        ip = self.cluster.servers[server_id].ip
+        self.cluster.disconnect_host(ip)
+        if self.rng.random() < 0.5:
+            self.cluster.write_entry(server_id, ServerState.LEAVING)
+        await pause(self.rng, 0.3, 4)
+        self.cluster.reconnect_host(ip)
+        if self.cluster.is_up(server_id):
+            self.cluster.write_entry(server_id)
+
     async def kill_all(self):
         killed = list(self.cluster.nodes)
         for node_id in killed:
@@ -201,10 +235,11 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--count", type=int, default=50)
     parser.add_argument("--nodes", type=int, default=NODE_COUNT)
+    parser.add_argument("--cut-owners", action="store_true")
     options = parser.parse_args(arguments)
     failed = 0
     for seed in range(options.first, options.first + options.count):
-        mix = Mix(seed, options.nodes).run()
+        mix = Mix(seed, options.nodes, options.cut_owners).run()
         if mix.faults or mix.unheld_count:
             failed += 1
             print(
--- a/nutmeglead/entry/tests/steps/mix_steps.py
+++ b/nutmeglead/entry/tests/steps/mix_steps.py
@@ -10,6 +10,11 @@
     context.mix = Mix(seed).run()
 
 
+@when("random troubles run with seed {seed:d}, mostly cuts of owners")
+def step_run_cuts(context, seed):
+    context.mix = Mix(seed, cuts_owners=True).run()
+
+
 @when("random troubles run with seed {seed:d} on {nodes:d} nodes")
 def step_run_on(context, seed, nodes):
     context.mix = Mix(seed, nodes).run()
