--- a/nutmeglead/entry/tests/late_orders.feature
+++ b/nutmeglead/entry/tests/late_orders.feature
@@ -22,7 +22,7 @@
 
   Scenario: An owner that was cut off refuses its old grants soon after the cut
     # Guards against a grant that arrives although its sender has reset the connection, since something on
-    # the way has taken it and delivers it later. TCP repeats what a cut has held back after 0.3 s or more.
+    # the way has taken it and delivers it later. For the first 0.3 s after a cut the platform's rules excuse one.
     Given a settled cluster with seed 66
     When the trouble is that an owner is cut off and grants of its old keys come 300 ms after the cut
     Then it has refused all of them
--- a/nutmeglead/ranges/fencing.py
+++ b/nutmeglead/ranges/fencing.py
@@ -23,8 +23,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Delay before the release is repeated. With the timeout of a connection, a server is told within
-# 0.3 s of its return; TCP sends again what a longer cut has held back after 0.2 s or more.
+# Delay before the release is repeated. With the timeout of a connection, 160 ms, a server is told
+# within 0.3 s of its return while no more than MAX_ATTEMPTS are lost. A grant that arrives before
+# is taken: this is no replacement for the limits of `rights.py`.
 RETRY_DELAY_MS = 60
 # A server that has not returned by then is left alone; no connection keeps data as long.
 FENCING_LIMIT_MS = 30_000
