http: count and log the ends of callers' connections by cause

Cause: timeouts, errors of handlers, cut answers and the limit of connections all ended a connection without a line, or as caller-left. Change: each end has a cause; ANSWERS_MISSING names it with the ids of the requests and the delay of a timeout, nutmeglead_answers_missing_total counts it.

--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -163,6 +163,11 @@
         logging.WARNING,
         "connections of callers were closed because too many are open",
     )
+    ANSWERS_MISSING = (
+        5004,
+        logging.WARNING,
+        "a connection of a caller was closed while requests on it had no answer",
+    )
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
--- a/nutmeglead/entry/metrics.py
+++ b/nutmeglead/entry/metrics.py
@@ -263,6 +263,14 @@
             counter = self._core.CounterMetricFamily(f"nutmeglead_{name}", help_text)
             counter.add_metric([], value)
             yield counter
+        missing = self._core.CounterMetricFamily(
+            "nutmeglead_answers_missing",
+            "Connections that ended with requests unanswered, by cause.",
+            labels=["cause"],
+        )
+        for cause, count in process.front_server.ends.connections.items():
+            missing.add_metric([cause.value], count)
+        yield missing
 
     def _gauge(self, name: str, help_text: str) -> Any:
         return self._core.GaugeMetricFamily(name, help_text, labels=["service"])
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -36,6 +36,7 @@
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.connection_ends import ConnectionEnds
 from nutmeglead.http.exchange import CallerExchange, CallerLimits
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.pipeline import CutOff, PipelineServer
@@ -44,7 +45,7 @@
 from nutmeglead.platform.grants import GrantClient
 from nutmeglead.platform.node_settings import NodeSettings
 from nutmeglead.platform.store import StoreClient
-from nutmeglead.platform.wire import READY_TARGET
+from nutmeglead.platform.wire import READY_TARGET, REQUEST_ID_HEADER
 from nutmeglead.ranges.balance import BalanceSettings
 from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.controller import RangeController
@@ -118,7 +119,12 @@
         self._loop_monitor = LoopMonitor(clock)
         self.held_bytes = HeldBytes(settings.memory_bytes)
         self.front_server = PipelineServer(
-            self.forwarder.handle, self._caller_limits, clock, self.held_bytes, settings.max_callers
+            self.forwarder.handle,
+            self._caller_limits,
+            clock,
+            self.held_bytes,
+            settings.max_callers,
+            ConnectionEnds(clock, REQUEST_ID_HEADER),
         )
         self.readiness_server = PipelineServer(
             self._answer_readiness, self._caller_limits, clock, self.held_bytes
--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -14,9 +14,11 @@
 
 from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
 from nutmeglead.http.channel import ByteChannel
+from nutmeglead.http.connection_ends import EndCause
 from nutmeglead.http.errors import HttpError, MalformedMessage, MemoryShort, PeerClosed
 from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.http.held_bytes import HeldBytes
+from nutmeglead.http.messages import RequestHead
 from nutmeglead.http.request_reader import ReceivedRequest, RequestReader
 from nutmeglead.http.sockets import enable_dead_peer_detection
 
@@ -57,6 +59,10 @@
         self._is_lingering = False
         self.is_cut_off = False
         self._timer: asyncio.TimerHandle | None = None
+        # Why the connection ends, and the requests that had no whole answer then.
+        self._end_cause: EndCause | None = None
+        self._unanswered: list[RequestHead] = []
+        self._late_ms = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve the connection, unless too many are open."""
@@ -82,12 +88,21 @@
     def eof_received(self) -> bool:
         """Cancel the handlers of a caller that has left; keep our side open until they end."""
         super().eof_received()
+        self._begin_end(EndCause.CALLER_LEFT)
         self._cancel_handlers()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handlers and give back what counts as held."""
         super().connection_lost(exc)
+        self._begin_end(EndCause.CALLER_LEFT)
+        self._server.ends.record(
+            self._end_cause or EndCause.CALLER_LEFT,
+            self.peer_ip,
+            self._unanswered,
+            self.unread_bytes,
+            self._late_ms,
+        )
         self._server.slow_readers.remove(self)
         self._cancel_handlers()
         # What has arrived and was not read is dropped.
@@ -126,6 +141,13 @@
         """Return whether a handler is still running."""
         return bool(self._handlers)
 
+    def _begin_end(self, cause: EndCause) -> None:
+        """Record the first cause of the connection's end, and what is unanswered at that moment."""
+        if self._end_cause is None:
+            self._end_cause = cause
+            exchanges = self._handlers.values()
+            self._unanswered = [each.head for each in exchanges if not each.finished.done()]
+
     def closes_after(self, exchange: CallerExchange) -> bool:
         """Return whether the connection is closed after the response of this exchange.
 
@@ -165,17 +187,25 @@
     def give_way(self) -> None:
         """Close the connection unless an answer is in progress."""
         if self.waiting_since_ms is not None:
+            self._begin_end(EndCause.CONNECTION_LIMIT)
             self._accepts_requests = False
             self.close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive, or the peer is to close it."""
         if self.is_idle:
+            self._begin_end(EndCause.STOP)
             self._accepts_requests = False
             self.close()
 
+    def end_slow_reader(self) -> None:
+        """End the connection with a reset, as its caller reads nothing."""
+        self._begin_end(EndCause.SLOW_READER)
+        self.reset()
+
     def cut_off(self) -> int:
         """Abort the connection, and return how many exchanges were in progress."""
+        self._begin_end(EndCause.STOP)
         self.is_cut_off = True
         # A close would look like the end of a response whose length is not known.
         if self._handlers:
@@ -285,6 +315,7 @@
     async def _handle(self, exchange: CallerExchange) -> None:
         """Run the handler; end the connection if it must not carry another request."""
         complete = False
+        cause = EndCause.ANSWER_CUT
         try:
             await self._server.handler(exchange)
             complete = exchange.finished.done()
@@ -292,9 +323,13 @@
             logger.debug(
                 "request from %s ended before its response was complete: %s", self.peer_ip, error
             )
+        except Exception:
+            cause = EndCause.HANDLER_FAILED
+            logger.exception("the handler of a request from %s raised an error", self.peer_ip)
         finally:
             # After an incomplete response, the later requests cannot be answered either.
             if not complete:
+                self._begin_end(cause)
                 self._accepts_requests = False
                 self.abort()
             elif exchange.must_close and exchange is self._latest_exchange:
@@ -332,6 +367,7 @@
 
     async def _linger(self) -> None:
         """End our stream and discard what arrives until the peer closes or LINGER_MS is over."""
+        self._begin_end(EndCause.LAST_ANSWER)
         if not self.is_open or self.transport is None:
             return
         self._is_lingering = True
@@ -345,16 +381,20 @@
         """Replace the running timeout, if any, by one of `timeout_ms`."""
         self._stop_timer()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(timeout_ms / 1000, self._on_timeout)
+        due_s = loop.time() + timeout_ms / 1000
+        self._timer = loop.call_at(due_s, self._on_timeout, due_s)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _on_timeout(self) -> None:
+    def _on_timeout(self, due_s: float) -> None:
         """End a connection whose caller is slow or idle, after the answers in progress."""
         if not self.is_busy:
+            self._late_ms = round((asyncio.get_running_loop().time() - due_s) * 1000)
+            is_between = self._reader.is_between_requests
+            self._begin_end(EndCause.IDLE_TIMEOUT if is_between else EndCause.HEAD_TIMEOUT)
             self.close()
         elif not self._reader.is_between_requests:
             self._accepts_requests = False
--- /dev/null
+++ b/nutmeglead/http/connection_ends.py
@@ -0,0 +1,91 @@
+"""Count and log the connections of callers that end with requests unanswered."""
+
+import logging
+from collections import Counter
+from collections.abc import Collection
+from enum import Enum
+
+from nutmeglead.core.clock import Clock
+from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.rate import RateBudget
+from nutmeglead.http.messages import RequestHead, header_value
+
+__all__ = ["ConnectionEnds", "EndCause"]
+
+logger = logging.getLogger(__name__)
+
+# Above this rate, ends are only counted, and the next line tells how many.
+LINES_PER_S = 10.0
+# A line names at most this many requests.
+MAX_LOGGED_REQUESTS = 16
+
+
+class EndCause(Enum):
+    """Why a connection of a caller has ended; the value is the one in logs and metrics."""
+
+    CALLER_LEFT = "caller-left"
+    IDLE_TIMEOUT = "idle-timeout"
+    HEAD_TIMEOUT = "head-timeout"
+    CONNECTION_LIMIT = "connection-limit"
+    REQUEST_REFUSED = "request-refused"
+    ANSWER_CUT = "answer-cut"
+    HANDLER_FAILED = "handler-failed"
+    SLOW_READER = "slow-reader"
+    STOP = "stop"
+    LAST_ANSWER = "last-answer"
+
+
+class ConnectionEnds:
+    """Own the counts of ended connections that left requests unanswered, by cause.
+
+    `connections` counts the connections, and `requests` the requests that had been read whole.
+    """
+
+    def __init__(self, clock: Clock, id_header: bytes | None = None) -> None:
+        """`id_header` names the header with a request's id; without one, the target is logged."""
+        self.connections: Counter[EndCause] = Counter()
+        self.requests: Counter[EndCause] = Counter()
+        self._clock = clock
+        self._id_header = id_header
+        self._budget = RateBudget(LINES_PER_S)
+        self._unlogged_count = 0
+
+    def record(
+        self,
+        cause: EndCause,
+        peer_ip: str,
+        unanswered: Collection[RequestHead],
+        unread_bytes: int,
+        late_ms: int,
+    ) -> None:
+        """Count an end, and log it unless the caller has left or the rate limit is reached.
+
+        `unanswered` holds the heads of the requests that were read, `unread_bytes` what had arrived
+        and was not read, and `late_ms` how late a timeout was handled.
+        """
+        if not unanswered and not unread_bytes:
+            return
+        self.connections[cause] += 1
+        self.requests[cause] += len(unanswered)
+        # The request log has a line for each request whose caller has left.
+        if cause is EndCause.CALLER_LEFT:
+            return
+        if not self._budget.try_consume(self._clock.now_ms()):
+            self._unlogged_count += 1
+            return
+        log_event(
+            logger,
+            Event.ANSWERS_MISSING,
+            caller=peer_ip,
+            cause=cause.value,
+            requests=[self._request_id(head) for head in list(unanswered)[:MAX_LOGGED_REQUESTS]],
+            count=len(unanswered),
+            unread_bytes=unread_bytes,
+            late_ms=late_ms,
+            unlogged=self._unlogged_count,
+        )
+        self._unlogged_count = 0
+
+    def _request_id(self, head: RequestHead) -> str:
+        value = header_value(head.headers, self._id_header) if self._id_header else None
+        return (head.target if value is None else value).decode("latin-1")
--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -10,6 +10,7 @@
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.http.caller_connection import CallerConnection
+from nutmeglead.http.connection_ends import ConnectionEnds
 from nutmeglead.http.connection_limit import ConnectionLimit
 from nutmeglead.http.exchange import CallerExchange, CallerLimits
 from nutmeglead.http.held_bytes import HeldBytes
@@ -45,12 +46,14 @@
         clock: Clock,
         held: HeldBytes | None = None,
         max_connections: int | None = None,
+        ends: ConnectionEnds | None = None,
     ) -> None:
         """`held` is shared by the servers of a process; None bounds this server alone."""
         self.handler = handler
         self.limits = limits
         self.clock = clock
         self.held = held or HeldBytes()
+        self.ends = ends or ConnectionEnds(clock)
         self.slow_readers = SlowReaderWatch(self.held, clock)
         self.connection_limit = ConnectionLimit(self.held, clock, max_connections)
         self.is_stopping = False
--- a/nutmeglead/http/slow_readers.py
+++ b/nutmeglead/http/slow_readers.py
@@ -31,8 +31,8 @@
     def peer_ip(self) -> str:
         """Return the IP address of the caller."""
 
-    def reset(self) -> None:
-        """End the connection with a reset."""
+    def end_slow_reader(self) -> None:
+        """End the connection with a reset, as its caller reads nothing."""
 
 
 class _Progress:
@@ -93,6 +93,6 @@
             elif now_ms - progress.moved_ms >= limit_ms:
                 self._held.record_slow_reader(source.peer_ip, progress.unsent_bytes)
                 self.remove(source)
-                source.reset()
+                source.end_slow_reader()
         if self._watched:
             self._start_timer()
--- /dev/null
+++ b/nutmeglead/http/tests/steps/connection_ends_steps.py
@@ -0,0 +1,98 @@
+"""Steps for the log of connections that end with requests unanswered."""
+
+import asyncio
+
+from behave import given, then, when
+
+from nutmeglead.core.events import Event
+from nutmeglead.emulator.network import EmulatedLoop
+from nutmeglead.emulator.virtual_time import run_virtual
+from nutmeglead.entry.tests.collected_events import collect
+from nutmeglead.http.channel import ByteChannel
+from nutmeglead.http.connection_ends import ConnectionEnds, EndCause
+from nutmeglead.http.exchange import CallerLimits
+from nutmeglead.http.pipeline import PipelineServer
+
+ADDRESS = ("10.1.0.1", 80)
+LIMITS = CallerLimits(16_384, 65_536, 3_000, 15_000)
+WORK_S = 1.0
+ID_HEADER = b"x-id"
+REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\nx-id: %s\r\n\r\n"
+
+
+async def handle(exchange):
+    if exchange.head.target == b"/fails":
+        raise ValueError("a handler's error")
+    if exchange.head.target == b"/breaks":
+        await exchange.start_response(200, [(b"content-length", b"5")])
+        await asyncio.sleep(WORK_S / 2)
+        exchange.abort()
+        return
+    await asyncio.sleep(WORK_S)
+    await exchange.respond(200, [], b"whole")
+
+
+def cut_off(server, channel):
+    for connection in list(server.connections):
+        connection.cut_off()
+
+
+def end_slow_reader(server, channel):
+    for connection in list(server.connections):
+        connection.end_slow_reader()
+
+
+# The paths and ids of the requests that are sent, and what happens after them.
+EVENTS = {
+    "the handler of a request raises an error": ([(b"fails", b"one")], None),
+    "an answer breaks off before another request": (
+        [(b"breaks", b"one"), (b"slow", b"two")],
+        None,
+    ),
+    "the connection is cut off by a stop": ([(b"slow", b"one")], cut_off),
+    "the caller reads no answer": ([(b"slow", b"one")], end_slow_reader),
+    "the caller leaves": ([(b"slow", b"one")], lambda server, channel: channel.abort()),
+}
+
+
+class LoggedEnds:
+    """Serve one caller, and hold the lines that its end leaves."""
+
+    async def run(self, clock, event):
+        requests, happens = EVENTS[event]
+        self.ends = ConnectionEnds(clock, ID_HEADER)
+        server = PipelineServer(handle, lambda: LIMITS, clock, ends=self.ends)
+        await server.start(*ADDRESS)
+        _, channel = await asyncio.get_running_loop().create_connection(ByteChannel, *ADDRESS)
+        await channel.write(b"".join(REQUEST % request for request in requests))
+        await asyncio.sleep(WORK_S / 4)
+        if happens is not None:
+            happens(server, channel)
+        await asyncio.sleep(2 * WORK_S)
+        await server.close()
+
+
+@given("a server that logs the ends of its callers' connections")
+def step_server(context):
+    context.logged = LoggedEnds()
+
+
+@when("its connection ends since {event}")
+def step_event(context, event):
+    context.collected = collect(context, "nutmeglead.http.connection_ends")
+    run_virtual(lambda clock: context.logged.run(clock, event), EmulatedLoop(1))
+
+
+@then("the end is logged with cause {cause}, requests {requests} and {unread:d} unread bytes")
+def step_logged(context, cause, requests, unread):
+    lines = context.collected.fields_of(Event.ANSWERS_MISSING)
+    assert len(lines) == 1, lines
+    assert lines[0]["cause"] == cause, lines
+    assert lines[0]["requests"] == requests.split(), lines
+    assert lines[0]["unread_bytes"] == unread, lines
+
+
+@then("1 end with cause caller-left is counted and none is logged")
+def step_counted(context):
+    assert context.logged.ends.connections == {EndCause.CALLER_LEFT: 1}
+    assert not context.collected.fields_of(Event.ANSWERS_MISSING)
--- a/nutmeglead/http/tests/steps/held_bytes_steps.py
+++ b/nutmeglead/http/tests/steps/held_bytes_steps.py
@@ -155,7 +155,7 @@
         self.bytes_written = self.unsent_bytes = 100_000
         self.is_closed = False
 
-    def reset(self):
+    def end_slow_reader(self):
         self.is_closed = True
 
 
