http: judge a caller's timeout by what has arrived

Cause: callers whose request arrived while one pass of the event loop lasted across the idle or head timeout got the end of their connection and no answer. The timer closed a connection without a running handler, though the request waited in its buffer, where the reader's task finds it a pass later. Change: a timer only wakes the reader. The reader, which knows what has arrived, lets the loop poll the socket once more and ends the wait only if nothing came. Measured: late_timers.feature, 5 of 5 rows of the first outline failed before and pass now; http/tests 69 passed.

--- a/nutmeglead/emulator/virtual_time.py
+++ b/nutmeglead/emulator/virtual_time.py
@@ -42,6 +42,10 @@
         """Return the virtual time in seconds."""
         return self._virtual_selector.now_s
 
+    def stand_still(self, duration_s: float) -> None:
+        """Let time pass within a callback, as one that takes long does."""
+        self._virtual_selector.now_s += duration_s
+
 
 class VirtualClock:
     """Read the time of a virtual loop; `offset_ms` is added to the wall clock only."""
--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -20,7 +20,8 @@
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.messages import RequestHead
 from nutmeglead.http.request_reader import ReceivedRequest, RequestReader
-from nutmeglead.http.sockets import enable_dead_peer_detection
+from nutmeglead.http.sockets import enable_dead_peer_detection, read_arrived_bytes
+from nutmeglead.http.wait_timer import WaitTimer
 
 if TYPE_CHECKING:
     from nutmeglead.http.pipeline import PipelineServer
@@ -58,11 +59,10 @@
         # Whether the last response is sent and the peer is to close the connection.
         self._is_lingering = False
         self.is_cut_off = False
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = WaitTimer(self.wake_reader)
         # Why the connection ends, and the requests that had no whole answer then.
         self._end_cause: EndCause | None = None
         self._unanswered: list[RequestHead] = []
-        self._late_ms = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve the connection, unless too many are open."""
@@ -101,7 +101,7 @@
             self.peer_ip,
             self._unanswered,
             self.unread_bytes,
-            self._late_ms,
+            self._timer.late_ms,
         )
         self._server.slow_readers.remove(self)
         self._cancel_handlers()
@@ -231,7 +231,7 @@
             logger.debug("connection from %s ended: %s", self.peer_ip, error)
         finally:
             self._cancel_handlers()
-            self._stop_timer()
+            self._timer.stop()
             self.close()
             self._server.connections.discard(self)
 
@@ -257,7 +257,7 @@
             if not self._takes_requests():
                 self.held.add(-request.counted_bytes)
                 return
-            self._stop_timer()
+            self._timer.stop()
             self._start_exchange(parser, request)
             if parser.their_state is not h11.DONE:
                 return
@@ -341,9 +341,28 @@
         while self._takes_requests() and not self.unread_bytes and not self._reader.is_given_up:
             if self.peer_closed.is_set():
                 return b""
+            if self._timer.is_due and await self._has_timed_out():
+                self._end_waiting()
+                return b""
             await self._wait_for_data()
         return self.read_nowait() if self._takes_requests() else b""
 
+    async def _has_timed_out(self) -> bool:
+        """Return whether the time is over and nothing has arrived that was not read."""
+        await read_arrived_bytes()
+        is_waiting = not self.unread_bytes and not self.peer_closed.is_set()
+        # Between requests, an answer in progress keeps the connection.
+        is_kept = self.is_busy and self._reader.is_between_requests
+        return self._timer.is_due and is_waiting and not is_kept
+
+    def _end_waiting(self) -> None:
+        """End a connection whose caller is slow or idle, after the answers in progress."""
+        is_idle = self._reader.is_between_requests
+        self._begin_end(EndCause.IDLE_TIMEOUT if is_idle else EndCause.HEAD_TIMEOUT)
+        self._accepts_requests = False
+        if not self.is_busy:
+            self.close()
+
     async def _reject_request(
         self, parser: h11.Connection, error: MalformedMessage | MemoryShort
     ) -> None:
@@ -374,28 +393,12 @@
         self.transport.write_eof()
         self.start_timer(LINGER_MS)
         while not self.peer_closed.is_set():
+            if self._timer.is_due:
+                # What is not sent yet goes out first.
+                self.close()
             self.read_nowait()
             await self._wait_for_data()
 
     def start_timer(self, timeout_ms: int) -> None:
         """Replace the running timeout, if any, by one of `timeout_ms`."""
-        self._stop_timer()
-        loop = asyncio.get_running_loop()
-        due_s = loop.time() + timeout_ms / 1000
-        self._timer = loop.call_at(due_s, self._on_timeout, due_s)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _on_timeout(self, due_s: float) -> None:
-        """End a connection whose caller is slow or idle, after the answers in progress."""
-        if not self.is_busy:
-            self._late_ms = round((asyncio.get_running_loop().time() - due_s) * 1000)
-            is_between = self._reader.is_between_requests
-            self._begin_end(EndCause.IDLE_TIMEOUT if is_between else EndCause.HEAD_TIMEOUT)
-            self.close()
-        elif not self._reader.is_between_requests:
-            self._accepts_requests = False
-            self.wake_reader()
+        self._timer.start(timeout_ms)
--- a/nutmeglead/http/sockets.py
+++ b/nutmeglead/http/sockets.py
@@ -10,6 +10,7 @@
     "enable_dead_peer_detection",
     "limit_unacknowledged_time",
     "read_arrivals",
+    "read_arrived_bytes",
     "reset_on_close",
     "set_listen_backlog",
 ]
@@ -28,6 +29,8 @@
 ACCEPT_BATCH = 64
 LISTEN_BACKLOG = 1_024
 ACCEPT_PASSES = 4 + LISTEN_BACKLOG // ACCEPT_BATCH
+# The same for bytes alone: a pass that was under way, and the one that polls the sockets.
+READ_PASSES = 2
 
 
 def enable_dead_peer_detection(
@@ -97,3 +100,9 @@
     """Let the event loop accept the waiting connections and read what has arrived."""
     for _ in range(ACCEPT_PASSES):
         await asyncio.sleep(0)
+
+
+async def read_arrived_bytes() -> None:
+    """Let the event loop read what has arrived on its open connections."""
+    for _ in range(READ_PASSES):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/nutmeglead/http/tests/late_timers.feature
@@ -0,0 +1,22 @@
+Feature: A timeout is judged by what has arrived, not by the moment at which its timer runs
+
+  The server's idle timeout is 300 ms and that of a request 400 ms. One pass of its event loop lasts 200 ms, in which a timeout becomes due.
+
+  Scenario Outline: A request that arrives while the event loop stands still is answered
+    Given a server whose event loop stands still across a timeout
+    When <sending> arrives meanwhile
+    Then the caller gets a whole answer to each of its <count> requests
+
+    Examples: each row names the failure it guards against
+      | sending                                         | count | failure                                                               |
+      | a request on an idle connection                 | 2     | a request that waits in the buffer is closed with its idle connection |
+      | the rest of a body                              | 1     | a whole request is closed by the timeout of its head                  |
+      | the rest of a body in chunks                    | 1     | the same for a body whose chunks are read in several passes           |
+      | the rest of a body behind a request in progress | 2     | a whole request is dropped behind an answer in progress               |
+      | a request and half of another one               | 2     | the idle timeout ends a request that has just begun to arrive         |
+
+  Scenario: An idle connection is closed without an answer
+    # Guards against an answer to no request, which a caller takes for the answer to its next one.
+    Given a server whose event loop runs in time
+    When nothing arrives
+    Then the connection ends without a byte
--- /dev/null
+++ b/nutmeglead/http/tests/steps/late_timers_steps.py
@@ -0,0 +1,153 @@
+"""Steps for timeouts that become due while the event loop stands still, on virtual time."""
+
+import asyncio
+import socket
+
+from behave import given, then, when
+
+from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
+from nutmeglead.emulator.virtual_time import VirtualLoop, run_virtual
+from nutmeglead.http.exchange import CallerLimits
+from nutmeglead.http.pipeline import PipelineServer
+
+IDLE_MS, HEAD_MS = 300, 400
+LIMITS = CallerLimits(16_384, 65_536, HEAD_MS, IDLE_MS)
+STALL_MS = 200
+# Time between the start of a wait and the long pass, which then lasts beyond the timeout.
+BEFORE_IDLE_STALL_MS, BEFORE_HEAD_STALL_MS = 200, 300
+WORK_MS = 1_000
+END_MS = 3_000
+# More passes of the event loop than it takes to accept a connection and to answer a request.
+PASSES = 20
+GET = b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n"
+CHUNK_COUNT = 1_000
+CHUNKED = b"POST /1 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+WITH_LENGTH = b"POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
+SLOW = b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n"
+
+# Sent before the long pass, how long before it, and what arrives within it.
+STALLED_SENDINGS = {
+    "a request on an idle connection": (GET % 1, BEFORE_IDLE_STALL_MS, GET % 2),
+    "the rest of a body": (WITH_LENGTH % 1, BEFORE_HEAD_STALL_MS, b"body"),
+    "the rest of a body in chunks": (
+        CHUNKED,
+        BEFORE_HEAD_STALL_MS,
+        b"1\r\nx\r\n" * CHUNK_COUNT + b"0\r\n\r\n",
+    ),
+    "the rest of a body behind a request in progress": (
+        SLOW + WITH_LENGTH % 2,
+        BEFORE_HEAD_STALL_MS,
+        b"body",
+    ),
+    "a request and half of another one": (
+        GET % 1,
+        BEFORE_IDLE_STALL_MS,
+        GET % 2 + WITH_LENGTH % 3,
+    ),
+}
+UNFINISHED_SENDINGS = {
+    "half a head": b"GET / HTTP/1.1\r\nhost",
+    "a head without its body": WITH_LENGTH % 1,
+    "a head behind a request in progress": SLOW + WITH_LENGTH % 2,
+}
+
+
+async def answer(exchange):
+    if exchange.head.target == b"/slow":
+        await asyncio.sleep(WORK_MS / 1000)
+    await exchange.respond(200, [], b"whole")
+
+
+class Caller:
+    """Send bytes on one connection to a server, and collect what it answers."""
+
+    def __init__(self):
+        self.received = b""
+        self.is_closed = False
+
+    async def connect(self, clock):
+        server = PipelineServer(answer, lambda: LIMITS, clock)
+        port = await server.start("127.0.0.1", 0)
+        self._socket = socket.create_connection(("127.0.0.1", port))
+        self._socket.setblocking(False)
+        await self._run_passes()
+
+    async def run_stalled(self, clock, sending):
+        before, wait_ms, meanwhile = STALLED_SENDINGS[sending]
+        await self.connect(clock)
+        self._socket.sendall(before)
+        await self._run_passes()
+        await asyncio.sleep(wait_ms / 1000)
+        self._socket.sendall(meanwhile)
+        asyncio.get_running_loop().stand_still(STALL_MS / 1000)
+        await self._read_to_end()
+
+    async def run_unfinished(self, clock, sent):
+        await self.connect(clock)
+        self._socket.sendall(sent)
+        await self._read_to_end()
+
+    async def _read_to_end(self):
+        await self._run_passes()
+        self._read_arrived()
+        await asyncio.sleep(END_MS / 1000)
+        self._read_arrived()
+        self._socket.close()
+
+    def _read_arrived(self):
+        try:
+            while data := self._socket.recv(65_536):
+                self.received += data
+            self.is_closed = True
+        except BlockingIOError:
+            return
+        except ConnectionResetError:
+            self.is_closed = True
+
+    async def _run_passes(self):
+        for _ in range(PASSES):
+            await asyncio.sleep(0)
+
+
+@given("a server whose event loop stands still across a timeout")
+@given("a server whose event loop runs in time")
+def step_server(context):
+    context.caller = Caller()
+
+
+@when("{sending} arrives meanwhile")
+def step_stalled(context, sending):
+    run_virtual(lambda clock: context.caller.run_stalled(clock, sending), VirtualLoop())
+
+
+@when("{sending} arrives and nothing more")
+def step_unfinished(context, sending):
+    sent = UNFINISHED_SENDINGS[sending]
+    run_virtual(lambda clock: context.caller.run_unfinished(clock, sent), VirtualLoop())
+
+
+@when("nothing arrives")
+def step_nothing(context):
+    run_virtual(lambda clock: context.caller.run_unfinished(clock, b""), VirtualLoop())
+
+
+@then("the caller gets a whole answer to each of its {count:d} requests")
+def step_answered(context, count):
+    received = context.caller.received
+    assert received.count(b"HTTP/1.1 200") == count, received
+    assert received.count(b"whole") == count, received
+
+
+@then("the last answer has status 408 and says that the request has not run")
+def step_refused(context):
+    head = context.caller.received.rpartition(b"HTTP/1.1 ")[2]
+    assert head.startswith(b"408 "), context.caller.received
+    assert OUTCOME_HEADER + b": " + Outcome.NOT_RUN.value.encode() in head, head
+    assert b"connection: close" in head, head
+    assert context.caller.is_closed
+
+
+@then("the connection ends without a byte")
+def step_no_byte(context):
+    assert context.caller.is_closed
+    assert context.caller.received == b"", context.caller.received
