http: refuse a request that does not arrive whole in time

Cause: callers whose request was still arriving at the timeout of its head got the end of the connection, which promises nothing, although the request had not run and never would. Change: the reader raises RequestTimedOut, which is answered with 408 (not run) after the answers in progress. Measured: late_timers.feature, 3 of 3 rows of the second outline failed before and pass now; http/tests 72 passed.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -15,7 +15,13 @@
 from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.connection_ends import EndCause
-from nutmeglead.http.errors import HttpError, MalformedMessage, MemoryShort, PeerClosed
+from nutmeglead.http.errors import (
+    HttpError,
+    MalformedMessage,
+    MemoryShort,
+    PeerClosed,
+    RequestTimedOut,
+)
 from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.messages import RequestHead
@@ -244,7 +250,7 @@
             )
             try:
                 request = await self._reader.read(parser, unread)
-            except (MalformedMessage, MemoryShort) as error:
+            except (MalformedMessage, MemoryShort, RequestTimedOut) as error:
                 await self._reject_request(parser, error)
                 return
             except PeerClosed as error:
@@ -356,15 +362,15 @@
         return self._timer.is_due and is_waiting and not is_kept
 
     def _end_waiting(self) -> None:
-        """End a connection whose caller is slow or idle, after the answers in progress."""
-        is_idle = self._reader.is_between_requests
-        self._begin_end(EndCause.IDLE_TIMEOUT if is_idle else EndCause.HEAD_TIMEOUT)
+        """Close an idle connection, or raise RequestTimedOut if a request has begun to arrive."""
         self._accepts_requests = False
-        if not self.is_busy:
-            self.close()
+        if not self._reader.is_between_requests:
+            raise RequestTimedOut(self._server.limits().head_timeout_ms)
+        self._begin_end(EndCause.IDLE_TIMEOUT)
+        self.close()
 
     async def _reject_request(
-        self, parser: h11.Connection, error: MalformedMessage | MemoryShort
+        self, parser: h11.Connection, error: MalformedMessage | MemoryShort | RequestTimedOut
     ) -> None:
         """Send an error response without a body, marked as not run, after the earlier responses."""
         self._accepts_requests = False
@@ -379,6 +385,8 @@
         if isinstance(error, MemoryShort):
             self.held.record_refusal(self.peer_ip, self._server.clock.now_ms())
             headers.append((b"retry-after", b"%.3f" % (error.retry_after_ms / 1000)))
+        elif isinstance(error, RequestTimedOut):
+            status = 408
         else:
             status = error.status
         data = parser.send(h11.Response(status_code=status, headers=headers))
--- a/nutmeglead/http/connection_ends.py
+++ b/nutmeglead/http/connection_ends.py
@@ -25,9 +25,7 @@
 
     CALLER_LEFT = "caller-left"
     IDLE_TIMEOUT = "idle-timeout"
-    HEAD_TIMEOUT = "head-timeout"
     CONNECTION_LIMIT = "connection-limit"
-    REQUEST_REFUSED = "request-refused"
     ANSWER_CUT = "answer-cut"
     HANDLER_FAILED = "handler-failed"
     SLOW_READER = "slow-reader"
--- a/nutmeglead/http/errors.py
+++ b/nutmeglead/http/errors.py
@@ -10,6 +10,7 @@
     "MalformedMessage",
     "MemoryShort",
     "PeerClosed",
+    "RequestTimedOut",
     "RequestWithdrawn",
     "TimedOut",
 ]
@@ -61,6 +62,16 @@
         return f"expected room for the request, which may be there in {self.retry_after_ms} ms"
 
 
+@dataclass
+class RequestTimedOut(HttpError):
+    """A request did not arrive whole in time, so it has not run."""
+
+    timeout_ms: int
+
+    def __str__(self) -> str:
+        return f"expected the whole request within {self.timeout_ms} ms"
+
+
 @dataclass
 class RequestWithdrawn(HttpError):
     """The caller no longer wanted the request, so no byte of it was written."""
--- a/nutmeglead/http/request_reader.py
+++ b/nutmeglead/http/request_reader.py
@@ -40,7 +40,7 @@
         """Return whether both directions of the connection are open."""
 
     async def read_more(self) -> bytes:
-        """Wait for data and return it, or b"" once no more is read."""
+        """Wait for data and return it, or b"" once no more is read; may raise RequestTimedOut."""
 
     async def write(self, data: bytes) -> None:
         """Send bytes to the caller."""
@@ -55,8 +55,9 @@
 class RequestReader:
     """Read one request after another.
 
-    A request that is not accepted raises MalformedMessage or MemoryShort, and one that is not whole
-    PeerClosed. In each case nothing of it is kept.
+    A request that is not accepted raises MalformedMessage or MemoryShort, one that is not whole in
+    time RequestTimedOut, and one whose caller has left PeerClosed. In each case nothing of it is
+    kept.
     """
 
     def __init__(
--- a/nutmeglead/http/tests/late_timers.feature
+++ b/nutmeglead/http/tests/late_timers.feature
@@ -15,6 +15,17 @@
       | the rest of a body behind a request in progress | 2     | a whole request is dropped behind an answer in progress               |
       | a request and half of another one               | 2     | the idle timeout ends a request that has just begun to arrive         |
 
+  Scenario Outline: A request that does not arrive whole in time is refused as not run
+    Given a server whose event loop runs in time
+    When <sending> arrives and nothing more
+    Then the last answer has status 408 and says that the request has not run
+
+    Examples: each row names the failure it guards against
+      | sending                              | failure                                                         |
+      | half a head                          | a caller whose request is dropped is not told that it may retry |
+      | a head without its body              | the same for a body                                             |
+      | a head behind a request in progress  | the same for a request that was sent ahead                      |
+
   Scenario: An idle connection is closed without an answer
     # Guards against an answer to no request, which a caller takes for the answer to its next one.
     Given a server whose event loop runs in time
