forwarding: log the callers' timeouts of a manifest that is put in force

Cause: whether a change of the manifest changes how long connections may be idle could not be read from the log. Change: MANIFEST_APPLIED has idle_timeout_ms and head_timeout_ms.

--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -131,6 +131,8 @@
             version=manifest.version,
             routes=len(manifest.routes),
             services=len(manifest.services),
+            idle_timeout_ms=manifest.limits.idle_timeout_ms,
+            head_timeout_ms=manifest.limits.head_timeout_ms,
             **log_fields,
         )
         return True
