http: let a raised timeout hold for callers that wait already

Cause: a connection that began to wait under a short idle or head limit was closed by it, although the manifest in force by then allowed more and its caller relied on that. The timer kept the number with which it was started. Change: a timer asks for the limit in force when it becomes due, and waits on if that is higher.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import h11
@@ -316,7 +317,7 @@
         self._handlers.pop(task).release()
         if not self._handlers and self._accepts_requests and self._reader.is_between_requests:
             self.idle_since_ms = self._server.clock.now_ms()
-            self.start_timer(self._server.limits().idle_timeout_ms)
+            self.start_timer(lambda: self._server.limits().idle_timeout_ms)
 
     async def _handle(self, exchange: CallerExchange) -> None:
         """Run the handler; end the connection if it must not carry another request."""
@@ -399,7 +400,7 @@
             return
         self._is_lingering = True
         self.transport.write_eof()
-        self.start_timer(LINGER_MS)
+        self.start_timer(lambda: LINGER_MS)
         while not self.peer_closed.is_set():
             if self._timer.is_due:
                 # What is not sent yet goes out first.
@@ -407,6 +408,6 @@
             self.read_nowait()
             await self._wait_for_data()
 
-    def start_timer(self, timeout_ms: int) -> None:
-        """Replace the running timeout, if any, by one of `timeout_ms`."""
-        self._timer.start(timeout_ms)
+    def start_timer(self, limit_ms: Callable[[], int]) -> None:
+        """Replace the running timeout, if any, by one of `limit_ms`, which may change."""
+        self._timer.start(limit_ms)
--- a/nutmeglead/http/request_reader.py
+++ b/nutmeglead/http/request_reader.py
@@ -45,8 +45,8 @@
     async def write(self, data: bytes) -> None:
         """Send bytes to the caller."""
 
-    def start_timer(self, timeout_ms: int) -> None:
-        """Replace the running timeout, if any, by one of `timeout_ms`."""
+    def start_timer(self, limit_ms: Callable[[], int]) -> None:
+        """Replace the running timeout, if any, by one of `limit_ms`, which may change."""
 
     def wake_reader(self) -> None:
         """Make `read_more` return."""
@@ -98,8 +98,8 @@
             self._events_in_a_row = 0
         self._parsed_bytes = len(unread)
         self.is_between_requests = not unread
-        self._source.start_timer(limits.head_timeout_ms if unread else limits.idle_timeout_ms)
-        event = await self._next_event(parser, limits.head_timeout_ms)
+        self._source.start_timer(self._head_timeout_ms if unread else self._idle_timeout_ms)
+        event = await self._next_event(parser)
         if not isinstance(event, h11.Request):
             return None
         head = RequestHead(event.method, event.target, list(event.headers))
@@ -108,7 +108,7 @@
             head_bytes -= len(parser.trailing_data[0])
         length_bytes = _announced_length(head)
         if length_bytes == 0:
-            event = await self._next_event(parser, limits.head_timeout_ms)
+            event = await self._next_event(parser)
             if not isinstance(event, h11.EndOfMessage):
                 raise PeerClosed("in the middle of the request")
             empty: Body = b""
@@ -125,10 +125,10 @@
         is_awaited = parser.they_are_waiting_for_100_continue
         first: object = None
         if length_bytes is not None and length_bytes <= SMALL_BYTES and not is_awaited:
-            first = await self._next_event(parser, limits.head_timeout_ms)
+            first = await self._next_event(parser)
             if self._is_whole(first, length_bytes, limits):
                 assert isinstance(first, h11.Data)
-                await self._next_event(parser, limits.head_timeout_ms)
+                await self._next_event(parser)
                 return bytes(first.data), length_bytes
         body = self._held.begin_body(self._clock, limits.body_size_bytes, self._source.wake_reader)
         self._body = body
@@ -139,7 +139,7 @@
                 interim = h11.InformationalResponse(status_code=100, headers=[])
                 await self._source.write(parser.send(interim) or b"")
             while True:
-                event = first or await self._next_event(parser, limits.head_timeout_ms)
+                event = first or await self._next_event(parser)
                 first = None
                 body.check()
                 if isinstance(event, h11.EndOfMessage):
@@ -160,7 +160,13 @@
             and self._held.try_add(length_bytes, False)
         )
 
-    async def _next_event(self, parser: h11.Connection, timeout_ms: int) -> object:
+    def _head_timeout_ms(self) -> int:
+        return self._limits().head_timeout_ms
+
+    def _idle_timeout_ms(self) -> int:
+        return self._limits().idle_timeout_ms
+
+    async def _next_event(self, parser: h11.Connection) -> object:
         """Wait for the next h11 event; the first byte of a request starts the timeout."""
         while True:
             self._events_in_a_row += 1
@@ -184,7 +190,7 @@
             elif self.is_between_requests:
                 self.is_between_requests = False
                 self.begun_ms = self._clock.now_ms()
-                self._source.start_timer(timeout_ms)
+                self._source.start_timer(self._head_timeout_ms)
             parser.receive_data(data)
 
 
--- a/nutmeglead/http/tests/late_timers.feature
+++ b/nutmeglead/http/tests/late_timers.feature
@@ -31,3 +31,13 @@
     Given a server whose event loop runs in time
     When nothing arrives
     Then the connection ends without a byte
+
+  Scenario Outline: A limit that is raised holds for callers that wait already
+    Given a server whose limits are raised to 900 ms after 100 ms
+    When <sending> arrives 700 ms later
+    Then the caller gets a whole answer to each of its <count> requests
+
+    Examples: each row names the failure it guards against
+      | sending                         | count | failure                                                                             |
+      | a request on an idle connection | 2     | a connection is closed before the idle time that the manifest in force allows is over |
+      | the rest of a body              | 1     | the same for the time in which a request has to arrive                              |
--- a/nutmeglead/http/tests/steps/late_timers_steps.py
+++ b/nutmeglead/http/tests/steps/late_timers_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -62,11 +63,12 @@
     """Send bytes on one connection to a server, and collect what it answers."""
 
     def __init__(self):
+        self.limits = LIMITS
         self.received = b""
         self.is_closed = False
 
     async def connect(self, clock):
-        server = PipelineServer(answer, lambda: LIMITS, clock)
+        server = PipelineServer(answer, lambda: self.limits, clock)
         port = await server.start("127.0.0.1", 0)
         self._socket = socket.create_connection(("127.0.0.1", port))
         self._socket.setblocking(False)
@@ -82,6 +84,16 @@
         asyncio.get_running_loop().stand_still(STALL_MS / 1000)
         await self._read_to_end()
 
+    async def run_raised(self, clock, sending, timeout_ms, raised_ms, arrival_ms):
+        before, _, later = STALLED_SENDINGS[sending]
+        await self.connect(clock)
+        self._socket.sendall(before)
+        await asyncio.sleep(raised_ms / 1000)
+        self.limits = replace(LIMITS, head_timeout_ms=timeout_ms, idle_timeout_ms=timeout_ms)
+        await asyncio.sleep((arrival_ms - raised_ms) / 1000)
+        self._socket.sendall(later)
+        await self._read_to_end()
+
     async def run_unfinished(self, clock, sent):
         await self.connect(clock)
         self._socket.sendall(sent)
@@ -115,6 +127,18 @@
     context.caller = Caller()
 
 
+@given("a server whose limits are raised to {timeout_ms:d} ms after {raised_ms:d} ms")
+def step_raised(context, timeout_ms, raised_ms):
+    context.caller = Caller()
+    context.timeout_ms, context.raised_ms = timeout_ms, raised_ms
+
+
+@when("{sending} arrives {arrival_ms:d} ms later")
+def step_later(context, sending, arrival_ms):
+    times_ms = context.timeout_ms, context.raised_ms, arrival_ms
+    run_virtual(lambda clock: context.caller.run_raised(clock, sending, *times_ms), VirtualLoop())
+
+
 @when("{sending} arrives meanwhile")
 def step_stalled(context, sending):
     run_virtual(lambda clock: context.caller.run_stalled(clock, sending), VirtualLoop())
