http: close no connection whose request has arrived unread

Cause: at the limit of connections and in a stop, idle connections were closed at the moment at which they were looked at. A request that had arrived and waited in the kernel was dropped with a reset, and an unfinished one ended without being told that it had not run. Change: such a connection is dismissed; its reader polls the socket first and goes on if something has arrived. An unfinished request gets 408 (not run).

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -67,6 +67,8 @@
         self._is_lingering = False
         self.is_cut_off = False
         self._timer = WaitTimer(self.wake_reader)
+        # Why the connection is to end if its caller goes on sending nothing.
+        self._dismissal: EndCause | None = None
         # Why the connection ends, and the requests that had no whole answer then.
         self._end_cause: EndCause | None = None
         self._unanswered: list[RequestHead] = []
@@ -187,23 +189,23 @@
     @property
     def waiting_since_ms(self) -> int | None:
         """Return since when the connection waits for its caller, or None if it is in use."""
-        if self.is_busy or self._is_lingering:
+        if self.is_busy or self._is_lingering or self.unread_bytes:
             return None
         return self.idle_since_ms if self.is_idle else self._reader.begun_ms
 
     def give_way(self) -> None:
-        """Close the connection unless an answer is in progress."""
+        """End the connection unless its caller uses it; an unfinished request is refused."""
         if self.waiting_since_ms is not None:
-            self._begin_end(EndCause.CONNECTION_LIMIT)
-            self._accepts_requests = False
-            self.close()
+            self._dismiss(EndCause.CONNECTION_LIMIT)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive, or the peer is to close it."""
         if self.is_idle:
-            self._begin_end(EndCause.STOP)
-            self._accepts_requests = False
-            self.close()
+            self._dismiss(EndCause.STOP)
+
+    def _dismiss(self, cause: EndCause) -> None:
+        self._dismissal = cause
+        self.wake_reader()
 
     def end_slow_reader(self) -> None:
         """End the connection with a reset, as its caller reads nothing."""
@@ -348,26 +350,30 @@
         while self._takes_requests() and not self.unread_bytes and not self._reader.is_given_up:
             if self.peer_closed.is_set():
                 return b""
-            if self._timer.is_due and await self._has_timed_out():
+            if await self._is_to_end():
                 self._end_waiting()
                 return b""
             await self._wait_for_data()
+        self._dismissal = None
         return self.read_nowait() if self._takes_requests() else b""
 
-    async def _has_timed_out(self) -> bool:
-        """Return whether the time is over and nothing has arrived that was not read."""
+    async def _is_to_end(self) -> bool:
+        """Return whether the caller has to go, and nothing of it has arrived that was not read."""
+        if not self._timer.is_due and self._dismissal is None:
+            return False
         await read_arrived_bytes()
-        is_waiting = not self.unread_bytes and not self.peer_closed.is_set()
+        if self.unread_bytes or self.peer_closed.is_set():
+            return False
         # Between requests, an answer in progress keeps the connection.
         is_kept = self.is_busy and self._reader.is_between_requests
-        return self._timer.is_due and is_waiting and not is_kept
+        return self._dismissal is not None or (self._timer.is_due and not is_kept)
 
     def _end_waiting(self) -> None:
         """Close an idle connection, or raise RequestTimedOut if a request has begun to arrive."""
         self._accepts_requests = False
         if not self._reader.is_between_requests:
             raise RequestTimedOut(self._server.limits().head_timeout_ms)
-        self._begin_end(EndCause.IDLE_TIMEOUT)
+        self._begin_end(self._dismissal or EndCause.IDLE_TIMEOUT)
         self.close()
 
     async def _reject_request(
@@ -396,7 +402,7 @@
     async def _linger(self) -> None:
         """End our stream and discard what arrives until the peer closes or LINGER_MS is over."""
         self._begin_end(EndCause.LAST_ANSWER)
-        if not self.is_open or self.transport is None:
+        if not self.is_open or self.transport is None or self._dismissal is not None:
             return
         self._is_lingering = True
         self.transport.write_eof()
--- a/nutmeglead/http/connection_limit.py
+++ b/nutmeglead/http/connection_limit.py
@@ -34,7 +34,7 @@
         """Return since when the connection waits for its caller, or None if it is in use."""
 
     def give_way(self) -> None:
-        """Close the connection unless an answer is in progress."""
+        """End the connection unless its caller uses it."""
 
 
 class ConnectionLimit:
@@ -63,7 +63,7 @@
         if self._looked_ms is None or now_ms - self._looked_ms >= LOOK_INTERVAL_MS:
             self._looked_ms = now_ms
             if self._close_waiting(connections, now_ms):
-                # They leave the set in the next pass of the event loop.
+                # They leave the set some passes of the event loop later.
                 return True
         self.closed_count += 1
         self._log(len(connections), peer_ip, now_ms)
--- a/nutmeglead/http/tests/late_timers.feature
+++ b/nutmeglead/http/tests/late_timers.feature
@@ -41,3 +41,19 @@
       | sending                         | count | failure                                                                             |
       | a request on an idle connection | 2     | a connection is closed before the idle time that the manifest in force allows is over |
       | the rest of a body              | 1     | the same for the time in which a request has to arrive                              |
+
+  Scenario Outline: A request that arrives while its connection is to be closed is answered
+    Given a server whose event loop runs in time
+    When a request arrives on an idle connection and, before it is read, <event>
+    Then the caller gets a whole answer to each of its 2 requests
+
+    Examples: each row names the failure it guards against
+      | event                                 | failure                                                            |
+      | the connection has to make way        | the limit of connections closes one that has just got a request    |
+      | the server closes its idle connections | a stop closes a connection that has just got a request             |
+
+  Scenario: An unfinished request whose connection has to make way is refused as not run
+    # Guards against a caller that is closed for others without being told that it may retry.
+    Given a server whose event loop runs in time
+    When half a head arrives and the connection has to make way
+    Then the last answer has status 408 and says that the request has not run
--- a/nutmeglead/http/tests/steps/late_timers_steps.py
+++ b/nutmeglead/http/tests/steps/late_timers_steps.py
@@ -8,6 +8,7 @@
 
 from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
 from nutmeglead.emulator.virtual_time import VirtualLoop, run_virtual
+from nutmeglead.http.caller_connection import CallerConnection
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.pipeline import PipelineServer
 
@@ -52,6 +53,11 @@
     "a head behind a request in progress": SLOW + WITH_LENGTH % 2,
 }
 
+EVENTS = {
+    "the connection has to make way": CallerConnection.give_way,
+    "the server closes its idle connections": CallerConnection.close_if_idle,
+}
+
 
 async def answer(exchange):
     if exchange.head.target == b"/slow":
@@ -68,8 +74,8 @@
         self.is_closed = False
 
     async def connect(self, clock):
-        server = PipelineServer(answer, lambda: self.limits, clock)
-        port = await server.start("127.0.0.1", 0)
+        self._server = PipelineServer(answer, lambda: self.limits, clock)
+        port = await self._server.start("127.0.0.1", 0)
         self._socket = socket.create_connection(("127.0.0.1", port))
         self._socket.setblocking(False)
         await self._run_passes()
@@ -94,6 +100,15 @@
         self._socket.sendall(later)
         await self._read_to_end()
 
+    async def run_ended(self, clock, before, meanwhile, event):
+        await self.connect(clock)
+        self._socket.sendall(before)
+        await self._run_passes()
+        (connection,) = self._server.connections
+        self._socket.sendall(meanwhile)
+        EVENTS[event](connection)
+        await self._read_to_end()
+
     async def run_unfinished(self, clock, sent):
         await self.connect(clock)
         self._socket.sendall(sent)
@@ -150,6 +165,19 @@
     run_virtual(lambda clock: context.caller.run_unfinished(clock, sent), VirtualLoop())
 
 
+@when("a request arrives on an idle connection and, before it is read, {event}")
+def step_ended(context, event):
+    run_virtual(
+        lambda clock: context.caller.run_ended(clock, GET % 1, GET % 2, event), VirtualLoop()
+    )
+
+
+@when("half a head arrives and {event}")
+def step_unfinished_ended(context, event):
+    sent = UNFINISHED_SENDINGS["half a head"]
+    run_virtual(lambda clock: context.caller.run_ended(clock, sent, b"", event), VirtualLoop())
+
+
 @when("nothing arrives")
 def step_nothing(context):
     run_virtual(lambda clock: context.caller.run_unfinished(clock, b""), VirtualLoop())
