http: answer a request whose handler fails

Cause: an unexpected error in a handler, or an answer that the parser refuses, aborted the connection: the caller got no answer to a whole request, and those behind it lost theirs. The error was printed without the request's id, when the task was collected. Change: such a request gets 502 (unknown) if nothing of an answer was sent, and the requests behind it go on. HANDLER_FAILED has the id.

--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
-__all__ = ["Event", "configure_logging", "log_event"]
+__all__ = ["Event", "configure_logging", "log_event", "log_failure"]
 
 
 class Event(Enum):
@@ -168,6 +168,11 @@
         logging.WARNING,
         "a connection of a caller was closed while requests on it had no answer",
     )
+    HANDLER_FAILED = (
+        5005,
+        logging.ERROR,
+        "an unexpected error ended the handling of a request",
+    )
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
@@ -193,6 +198,14 @@
         logger.log(event.level, event.meaning, extra={"event": event, "fields": fields})
 
 
+def log_failure(
+    logger: logging.Logger, event: Event, error: BaseException, **fields: object
+) -> None:
+    """Log an event with the traceback of the error behind it."""
+    extra = {"event": event, "fields": {**fields, "error": repr(error)}}
+    logger.log(event.level, event.meaning, extra=extra, exc_info=error)
+
+
 class _JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object, with the event's fields at its top level."""
 
--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -332,9 +332,11 @@
             logger.debug(
                 "request from %s ended before its response was complete: %s", self.peer_ip, error
             )
-        except Exception:
+            complete = await exchange.refuse_unanswered()
+        except Exception as error:
             cause = EndCause.HANDLER_FAILED
-            logger.exception("the handler of a request from %s raised an error", self.peer_ip)
+            self._server.ends.record_failed_handler(exchange.head, self.peer_ip, error)
+            complete = await exchange.refuse_unanswered()
         finally:
             # After an incomplete response, the later requests cannot be answered either.
             if not complete:
--- a/nutmeglead/http/connection_ends.py
+++ b/nutmeglead/http/connection_ends.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from nutmeglead.core.clock import Clock
-from nutmeglead.core.events import Event, log_event
+from nutmeglead.core.events import Event, log_event, log_failure
 from nutmeglead.core.rate import RateBudget
 from nutmeglead.http.messages import RequestHead, header_value
 
@@ -84,6 +84,11 @@
         )
         self._unlogged_count = 0
 
+    def record_failed_handler(self, head: RequestHead, peer_ip: str, error: Exception) -> None:
+        """Log an unexpected error in the handling of a request."""
+        request = self._request_id(head)
+        log_failure(logger, Event.HANDLER_FAILED, error, caller=peer_ip, request=request)
+
     def _request_id(self, head: RequestHead) -> str:
         value = header_value(head.headers, self._id_header) if self._id_header else None
         return (head.target if value is None else value).decode("latin-1")
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -6,7 +6,8 @@
 
 import h11
 
-from nutmeglead.http.errors import MalformedMessage
+from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
+from nutmeglead.http.errors import HttpError, MalformedMessage
 from nutmeglead.http.held_bytes import SMALL_BYTES, HeldBytes
 from nutmeglead.http.messages import Body, Headers, RequestHead
 from nutmeglead.http.parts import WRITE_PART_BYTES, body_events
@@ -120,6 +121,19 @@
             await self._connection.write(data)
         self._mark_finished()
 
+    async def refuse_unanswered(self) -> bool:
+        """Send 502, which promises nothing, if no response has begun; return whether it was sent.
+
+        For a request whose handler has failed, so that it is not known whether it has run.
+        """
+        if self._parser.our_state is not h11.SEND_RESPONSE:
+            return False
+        try:
+            await self.respond(502, [(OUTCOME_HEADER, Outcome.UNKNOWN.value.encode())], b"")
+        except HttpError:
+            return False
+        return True
+
     def try_hold(self, size_bytes: int) -> bool:
         """Count bytes of an answer as held until the exchange ends; return whether they fit."""
         counted_bytes = self.counted_bytes + size_bytes
--- a/nutmeglead/http/tests/connection_ends.feature
+++ b/nutmeglead/http/tests/connection_ends.feature
@@ -7,7 +7,7 @@
 
     Examples: each row names the failure it guards against
       | event                                        | cause            | requests | unread | failure                                            |
-      | the handler of a request raises an error     | handler-failed   | one      | 0      | an error of the product looks like a caller's end  |
+      | a handler fails in the middle of its answer  | handler-failed   | one      | 0      | an error of the product looks like a caller's end  |
       | an answer breaks off before another request  | answer-cut       | one two  | 0      | the requests behind a cut answer are not named     |
       | the connection is cut off by a stop          | stop             | one      | 0      | a stop's cuts are only counted                     |
       | the caller reads no answer                   | slow-reader      | one      | 0      | a slow caller's requests are not named             |
@@ -17,3 +17,16 @@
     Given a server that logs the ends of its callers' connections
     When its connection ends since the caller leaves
     Then 1 end with cause caller-left is counted and none is logged
+
+  Scenario Outline: A request whose handler fails gets an answer that promises nothing
+    Given a server that logs the ends of its callers' connections
+    When its connection ends since <event>
+    Then the answers have the statuses <statuses>, and no end is logged
+    And HANDLER_FAILED names <named>
+
+    Examples: each row names the failure it guards against
+      | event                                            | statuses | named   | failure                                                            |
+      | the handler of a request raises an error         | 502      | one     | a whole request is closed without an answer                        |
+      | a handler fails ahead of another request         | 502 200  | one     | the request behind it loses its answer too                         |
+      | a handler answers with an impossible header      | 502      | one     | an answer that cannot be sent closes the connection                |
+      | a handler ends with an error of HTTP             | 502      | nothing | the same for an answer that the parser refuses                     |
--- a/nutmeglead/http/tests/steps/connection_ends_steps.py
+++ b/nutmeglead/http/tests/steps/connection_ends_steps.py
@@ -1,6 +1,7 @@
 """Steps for the log of connections that end with requests unanswered."""
 
 import asyncio
+import re
 
 from behave import given, then, when
 
@@ -10,6 +11,7 @@
 from nutmeglead.entry.tests.collected_events import collect
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.connection_ends import ConnectionEnds, EndCause
+from nutmeglead.http.errors import MalformedMessage
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.pipeline import PipelineServer
 
@@ -23,6 +25,13 @@
 async def handle(exchange):
     if exchange.head.target == b"/fails":
         raise ValueError("a handler's error")
+    if exchange.head.target == b"/fails-late":
+        await exchange.start_response(200, [(b"content-length", b"5")])
+        raise ValueError("a handler's error")
+    if exchange.head.target == b"/header":
+        await exchange.respond(200, [(b"x-bad", b"a\nb")], b"whole")
+    if exchange.head.target == b"/http":
+        raise MalformedMessage("an answer that cannot be encoded")
     if exchange.head.target == b"/breaks":
         await exchange.start_response(200, [(b"content-length", b"5")])
         await asyncio.sleep(WORK_S / 2)
@@ -45,6 +54,10 @@
 # The paths and ids of the requests that are sent, and what happens after them.
 EVENTS = {
     "the handler of a request raises an error": ([(b"fails", b"one")], None),
+    "a handler fails in the middle of its answer": ([(b"fails-late", b"one")], None),
+    "a handler fails ahead of another request": ([(b"fails", b"one"), (b"slow", b"two")], None),
+    "a handler answers with an impossible header": ([(b"header", b"one")], None),
+    "a handler ends with an error of HTTP": ([(b"http", b"one")], None),
     "an answer breaks off before another request": (
         [(b"breaks", b"one"), (b"slow", b"two")],
         None,
@@ -69,6 +82,7 @@
         if happens is not None:
             happens(server, channel)
         await asyncio.sleep(2 * WORK_S)
+        self.received = channel.read_nowait()
         await server.close()
 
 
@@ -96,3 +110,17 @@
 def step_counted(context):
     assert context.logged.ends.connections == {EndCause.CALLER_LEFT: 1}
     assert not context.collected.fields_of(Event.ANSWERS_MISSING)
+
+
+@then("the answers have the statuses {statuses}, and no end is logged")
+def step_statuses(context, statuses):
+    found = re.findall(rb"HTTP/1.1 (\d+)", context.logged.received)
+    assert found == statuses.encode().split(), context.logged.received
+    assert not context.collected.fields_of(Event.ANSWERS_MISSING)
+
+
+@then("HANDLER_FAILED names {named}")
+def step_failed(context, named):
+    lines = context.collected.fields_of(Event.HANDLER_FAILED)
+    expected = [] if named == "nothing" else [named]
+    assert [line["request"] for line in lines] == expected, lines
