crowd tests: requests of many short headers, answers in small chunks, and all kinds at once

Cause: the scenarios played one kind of crowd at a time, with heads of one size, and none whose parsed form is larger than its bytes.

--- a/nutmeglead/programs/crowd_tests/crowd.py
+++ b/nutmeglead/programs/crowd_tests/crowd.py
@@ -12,6 +12,8 @@
 SETTLED_ROUNDS = 40
 ROUND_INTERVAL_S = 0.02
 OVER_LIMIT_BYTES = 24 * MIB
+# Headers of 6 bytes each, which make a head of 15,000 bytes; the manifest allows 16,384.
+SHORT_HEADERS = ["x: v"] * 2_480
 
 
 def head(path, *headers, method="POST"):
@@ -26,7 +28,7 @@
         self._deployment = deployment
         self._count = count
         self._client = client
-        self._writers = []
+        self.writers = []
         self.received_bytes = 0
 
     async def run(self):
@@ -34,7 +36,7 @@
         await self._settle(tasks)
         for task in tasks:
             task.cancel()
-        for writer in self._writers:
+        for writer in self.writers:
             writer.transport.abort()
         self._deployment.server.released.set()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -42,7 +44,7 @@
     async def _run_client(self):
         try:
             reader, writer = await self._deployment.connect()
-            self._writers.append(writer)
+            self.writers.append(writer)
             await self._client(self, reader, writer)
             # The connection stays open until the process ends it.
             while await reader.read(4_096):
@@ -51,9 +53,9 @@
             return
 
     def _progress(self):
-        unsent = sum(writer.transport.get_write_buffer_size() for writer in self._writers)
+        unsent = sum(writer.transport.get_write_buffer_size() for writer in self.writers)
         return (
-            len(self._writers),
+            len(self.writers),
             unsent,
             self._deployment.server.request_count,
             self.received_bytes,
@@ -132,6 +134,28 @@
     await read_no_answer(writer, "/app/500000", 400)
 
 
+async def send_short_headers_ahead(crowd, reader, writer):
+    await send_unread(writer, [head("/app/20000", *SHORT_HEADERS, method="GET")] * 20)
+
+
+async def send_ahead_for_small_chunks(crowd, reader, writer):
+    await send_unread(writer, [head("/app/chunks-590000", method="GET")] * 8)
+
+
+async def send_unread(writer, requests):
+    writer.transport.pause_reading()
+    for request in requests:
+        writer.write(request)
+        await writer.drain()
+    # Nothing is read until the crowd leaves.
+    await asyncio.get_running_loop().create_future()
+
+
+async def mix_kinds(crowd, reader, writer):
+    """Behave like the next one of the kinds that hold the most."""
+    await MIXED_KINDS[len(crowd.writers) % len(MIXED_KINDS)](crowd, reader, writer)
+
+
 async def read_beginning(crowd, reader, writer):
     writer.write(head("/app/8000000", method="GET"))
     # After the first bytes, the kernel's buffers are all that goes on reading.
@@ -165,6 +189,15 @@
         writer.close()
 
 
+MIXED_KINDS = [
+    stop_short_in_large_chunks,
+    send_short_headers_ahead,
+    send_ahead_for_large_answers,
+    send_ahead_for_small_chunks,
+    read_beginning,
+    stop_short_in_one_byte_chunks,
+    send_whole_body,
+]
 CROWDS = {
     "send bodies in large chunks and stop short": stop_short_in_large_chunks,
     "send bodies in one-byte chunks and stop short": stop_short_in_one_byte_chunks,
@@ -174,5 +207,10 @@
     "send 400 requests for 500 kB ahead and read no answer": send_ahead_for_large_answers,
     "read only the beginning of an answer of 8 MB": read_beginning,
     "send whole bodies to a server that reads none of it": send_whole_body,
+    "send 20 requests with 2480 headers ahead and read no answer": send_short_headers_ahead,
+    "send 8 requests ahead for 590 kB in chunks of 16 bytes and read no answer": (
+        send_ahead_for_small_chunks
+    ),
+    "do all of these at once": mix_kinds,
     "connect and send nothing": lambda crowd, reader, writer: asyncio.sleep(0),
 }
--- a/nutmeglead/programs/crowd_tests/deployment.py
+++ b/nutmeglead/programs/crowd_tests/deployment.py
@@ -30,6 +30,9 @@
 # A run that hangs fails instead of blocking; no step judges durations.
 GUARD_S = 240
 HOST = "crowd.example"
+CHUNK_BYTES = 16
+CHUNK = b"%x\r\n%b\r\n" % (CHUNK_BYTES, b"x" * CHUNK_BYTES)
+LAST_CHUNK = b"0\r\n\r\n"
 STORE_IP = "127.0.0.1"
 # An address of its own, as the port of the metrics is fixed.
 ENTRY_IP = "127.0.94.1"
@@ -78,7 +81,10 @@
 
 
 class Server:
-    """Answer requests for `/app/N` with N bytes; `/app/unread` is answered only after `released`."""
+    """Answer requests for `/app/N` with N bytes, and for `/app/chunks-N` in chunks of 16 bytes.
+
+    `/app/unread` is answered only after `released`.
+    """
 
     def __init__(self):
         self.released = asyncio.Event()
@@ -113,10 +119,17 @@
             if not data:
                 raise ConnectionResetError
             remaining -= len(data)
-        size = int(name) if name.isdigit() else 2
+        in_chunks = name.startswith("chunks-")
+        digits = name.removeprefix("chunks-")
+        size = int(digits) if digits.isdigit() else 2
         answer_id, signature = ANSWER_ID_HEADER.decode(), SIGNATURE_HEADER.decode()
         request_id = headers[answer_id]
         answer = f"HTTP/1.1 200 OK\r\n{answer_id}: {request_id}\r\n{signature}: s\r\n"
+        if in_chunks:
+            writer.write(f"{answer}transfer-encoding: chunked\r\n\r\n".encode())
+            writer.write(CHUNK * (size // CHUNK_BYTES) + LAST_CHUNK)
+            await writer.drain()
+            return
         writer.write(f"{answer}content-length: {size}\r\n\r\n".encode())
         while size:
             part = min(size, 65_536)
