tools: run the features of the longest suite side by side

Change: run_tests.py gives each feature of entry/tests to the pool; what is run and counted stays the same.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,6 +18,9 @@
 SUITE_TIMEOUT_S = 900
 # Suites in directories of this name load whole processes; each runs alone, after all others.
 SOLITARY_DIRECTORY = "crowd_tests"
+# Suites whose features run side by side: they take minutes, run on virtual time and share no
+# address.
+DIVIDED_SUITES = frozenset(("nutmeglead/entry/tests",))
 
 
 @dataclass(frozen=True)
@@ -65,9 +68,9 @@
     return passed, failed
 
 
-def run_behave(directory: Path, tags: str) -> SuiteResult:
-    """Run the features of a directory and return the counts of its scenarios."""
-    name = str(directory.relative_to(ROOT))
+def run_behave(path: Path, tags: str) -> SuiteResult:
+    """Run one feature, or those of a directory, and return the counts of the scenarios."""
+    name = str(path.relative_to(ROOT))
     report = ROOT / "build" / (name.replace("/", "-") + ".json")
     report.parent.mkdir(exist_ok=True)
     report.unlink(missing_ok=True)
@@ -96,6 +99,14 @@
     return sorted({path.parent for path in (ROOT / "nutmeglead").rglob(pattern)})
 
 
+def divide(suites: Sequence[Path]) -> list[Path]:
+    """Replace the suites of DIVIDED_SUITES by their features, the largest first."""
+    divided = [suite for suite in suites if str(suite.relative_to(ROOT)) in DIVIDED_SUITES]
+    features = [feature for suite in divided for feature in suite.glob("*.feature")]
+    features.sort(key=lambda feature: -feature.stat().st_size)
+    return features + [suite for suite in suites if suite not in divided]
+
+
 def static_checks() -> list[tuple[str, list[str]]]:
     """Return the names and commands of the checkers."""
     return [
@@ -124,7 +135,8 @@
         if not options.known_red:
             checks = [check for check in static_checks() if options.only in check[0]]
             futures += [pool.submit(run_tool, *check) for check in checks]
-        futures += [pool.submit(run_behave, suite, tags) for suite in chosen_suites("tests")]
+        suites = divide(chosen_suites("tests"))
+        futures += [pool.submit(run_behave, suite, tags) for suite in suites]
         results = [future.result() for future in futures]
     # Beside other work, a process under load would share its core, and a scenario its memory.
     results += [run_behave(suite, tags) for suite in chosen_suites(SOLITARY_DIRECTORY)]
