--- a/nutmeglead/http/held_bytes.py
+++ b/nutmeglead/http/held_bytes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Callable
 
@@ -10,6 +9,7 @@
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.http.errors import MalformedMessage, MemoryShort
 from nutmeglead.http.messages import Body
+from nutmeglead.http.turns import Turns
 
 __all__ = ["SMALL_BYTES", "HeldBytes", "IncomingBody"]
 
@@ -52,7 +52,7 @@
         self.refused_count = 0
         self.slow_reader_count = 0
         self._unfinished: set[IncomingBody] = set()
-        self._turn = asyncio.Lock()
+        self.turns = Turns()
         self._logged_ms: int | None = None
 
     @property
@@ -133,11 +133,6 @@
         self.slow_reader_count += 1
         log_event(logger, Event.SLOW_READER_CLOSED, caller=peer_ip, unsent_bytes=unsent_bytes)
 
-    async def take_turn(self) -> None:
-        """Let the event loop run; callers of this method go on one by one, a pass each."""
-        async with self._turn:
-            await asyncio.sleep(0)
-
 
 class IncomingBody:
     """Body of a request that is being received; it is kept once and counted as held bytes."""
--- a/nutmeglead/http/request_reader.py
+++ b/nutmeglead/http/request_reader.py
@@ -12,6 +12,7 @@
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.held_bytes import SMALL_BYTES, HeldBytes, IncomingBody
 from nutmeglead.http.messages import Body, RequestHead, header_value
+from nutmeglead.http.turns import TurnTaker
 
 __all__ = ["ReceivedRequest", "RequestReader", "RequestSource"]
 
@@ -80,6 +81,7 @@
         self._clock = clock
         self._body: IncomingBody | None = None
         self._events_in_a_row = 0
+        self._turns = TurnTaker()
         # Whether the head has not been parsed, and what the parser holds of the request.
         self._is_in_head = True
         self._fed_bytes = 0
@@ -200,13 +202,18 @@
     def _idle_timeout_ms(self) -> int:
         return self._limits().idle_timeout_ms
 
+    async def _take_turn(self) -> None:
+        """Wait for a turn if the next step is a large head, or one of many parts in a row."""
+        self._events_in_a_row += 1
+        is_large_head = self._is_in_head and self._fed_bytes > EXACT_HEAD_BYTES
+        if is_large_head or self._events_in_a_row >= MAX_EVENTS_IN_A_ROW:
+            self._events_in_a_row = 0
+            await self._held.turns.take(self._turns)
+
     async def _next_event(self, parser: h11.Connection) -> object:
         """Wait for the next h11 event; the first byte of a request starts the timeout."""
         while True:
-            self._events_in_a_row += 1
-            if self._events_in_a_row >= MAX_EVENTS_IN_A_ROW:
-                self._events_in_a_row = 0
-                await self._held.take_turn()
+            await self._take_turn()
             try:
                 event = parser.next_event()
             except h11.RemoteProtocolError as error:
