--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -36,7 +36,6 @@
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.connection_ends import ConnectionEnds
 from nutmeglead.http.exchange import CallerExchange, CallerLimits
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.pipeline import CutOff, PipelineServer
@@ -119,13 +118,9 @@
         self._loop_monitor = LoopMonitor(clock)
         self.held_bytes = HeldBytes(settings.memory_bytes)
         self.front_server = PipelineServer(
-            self.forwarder.handle,
-            self._caller_limits,
-            clock,
-            self.held_bytes,
-            settings.max_callers,
-            ConnectionEnds(clock, REQUEST_ID_HEADER),
+            self.forwarder.handle, self._caller_limits, clock, self.held_bytes, settings.max_callers
         )
+        self.front_server.ends.identify_by(REQUEST_ID_HEADER)
         self.readiness_server = PipelineServer(
             self._answer_readiness, self._caller_limits, clock, self.held_bytes
         )
--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -13,19 +13,18 @@
 
 import h11
 
-from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
 from nutmeglead.http.channel import ByteChannel
-from nutmeglead.http.connection_ends import EndCause
+from nutmeglead.http.connection_ends import ConnectionEnd, EndCause
 from nutmeglead.http.errors import (
     HttpError,
-    MalformedMessage,
     MemoryShort,
     PeerClosed,
+    RequestRefused,
     RequestTimedOut,
 )
 from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.http.held_bytes import HeldBytes
-from nutmeglead.http.messages import RequestHead
+from nutmeglead.http.refusals import encode_refusal
 from nutmeglead.http.request_reader import ReceivedRequest, RequestReader
 from nutmeglead.http.response_parser import response_parser
 from nutmeglead.http.sockets import enable_dead_peer_detection, read_arrived_bytes
@@ -70,9 +69,7 @@
         self._timer = WaitTimer(self.wake_reader)
         # Why the connection is to end if its caller goes on sending nothing.
         self._dismissal: EndCause | None = None
-        # Why the connection ends, and the requests that had no whole answer then.
-        self._end_cause: EndCause | None = None
-        self._unanswered: list[RequestHead] = []
+        self._end = ConnectionEnd()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve the connection, unless too many are open."""
@@ -106,13 +103,8 @@
         """Cancel the handlers and give back what counts as held."""
         super().connection_lost(exc)
         self._begin_end(EndCause.CALLER_LEFT)
-        self._server.ends.record(
-            self._end_cause or EndCause.CALLER_LEFT,
-            self.peer_ip,
-            self._unanswered,
-            self.unread_bytes,
-            self._timer.late_ms,
-        )
+        late_ms = self._timer.late_ms
+        self._server.ends.record(self._end, self.peer_ip, self.unread_bytes, late_ms)
         self._server.slow_readers.remove(self)
         self._cancel_handlers()
         # What has arrived and was not read is dropped.
@@ -152,11 +144,8 @@
         return bool(self._handlers)
 
     def _begin_end(self, cause: EndCause) -> None:
-        """Record the first cause of the connection's end, and what is unanswered at that moment."""
-        if self._end_cause is None:
-            self._end_cause = cause
-            exchanges = self._handlers.values()
-            self._unanswered = [each.head for each in exchanges if not each.finished.done()]
+        exchanges = self._handlers.values()
+        self._end.begin(cause, [each.head for each in exchanges if not each.finished.done()])
 
     def closes_after(self, exchange: CallerExchange) -> bool:
         """Return whether the connection is closed after the response of this exchange.
@@ -254,7 +243,7 @@
             )
             try:
                 request = await self._reader.read(parser, unread)
-            except (MalformedMessage, MemoryShort, RequestTimedOut) as error:
+            except RequestRefused as error:
                 await self._reject_request(parser, error)
                 return
             except PeerClosed as error:
@@ -380,28 +369,16 @@
         self._begin_end(self._dismissal or EndCause.IDLE_TIMEOUT)
         self.close()
 
-    async def _reject_request(
-        self, parser: h11.Connection, error: MalformedMessage | MemoryShort | RequestTimedOut
-    ) -> None:
+    async def _reject_request(self, parser: h11.Connection, error: RequestRefused) -> None:
         """Send an error response without a body, marked as not run, after the earlier responses."""
         self._accepts_requests = False
         # The handlers end also if their responses are never finished, as when the caller has left.
         while self._handlers:
             await asyncio.wait(self._handlers)
-        if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        outcome = (OUTCOME_HEADER, Outcome.NOT_RUN.value.encode())
-        headers = [outcome, (b"content-length", b"0"), (b"connection", b"close")]
-        status = 503
         if isinstance(error, MemoryShort):
             self.held.record_refusal(self.peer_ip, self._server.clock.now_ms())
-            headers.append((b"retry-after", b"%.3f" % (error.retry_after_ms / 1000)))
-        elif isinstance(error, RequestTimedOut):
-            status = 408
-        else:
-            status = error.status
-        data = parser.send(h11.Response(status_code=status, headers=headers))
-        await self.write(data or b"")
+        if data := encode_refusal(parser, error):
+            await self.write(data)
 
     async def _linger(self) -> None:
         """End our stream and discard what arrives until the peer closes or LINGER_MS is over."""
--- a/nutmeglead/http/connection_ends.py
+++ b/nutmeglead/http/connection_ends.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections import Counter
-from collections.abc import Collection
 from enum import Enum
 
 from nutmeglead.core.clock import Clock
@@ -10,7 +9,7 @@
 from nutmeglead.core.rate import RateBudget
 from nutmeglead.http.messages import RequestHead, header_value
 
-__all__ = ["ConnectionEnds", "EndCause"]
+__all__ = ["ConnectionEnd", "ConnectionEnds", "EndCause"]
 
 logger = logging.getLogger(__name__)
 
@@ -33,34 +32,46 @@
     LAST_ANSWER = "last-answer"
 
 
+class ConnectionEnd:
+    """Remember the first cause of one connection's end, and which requests it left unanswered."""
+
+    def __init__(self) -> None:
+        self.cause = EndCause.CALLER_LEFT
+        self.unanswered: list[RequestHead] = []
+        self._has_begun = False
+
+    def begin(self, cause: EndCause, unanswered: list[RequestHead]) -> None:
+        """Record a cause and the requests without a whole answer, unless there is a cause."""
+        if not self._has_begun:
+            self._has_begun = True
+            self.cause, self.unanswered = cause, unanswered
+
+
 class ConnectionEnds:
     """Own the counts of ended connections that left requests unanswered, by cause.
 
     `connections` counts the connections, and `requests` the requests that had been read whole.
     """
 
-    def __init__(self, clock: Clock, id_header: bytes | None = None) -> None:
-        """`id_header` names the header with a request's id; without one, the target is logged."""
+    def __init__(self, clock: Clock) -> None:
         self.connections: Counter[EndCause] = Counter()
         self.requests: Counter[EndCause] = Counter()
         self._clock = clock
-        self._id_header = id_header
+        self._id_header: bytes | None = None
         self._budget = RateBudget(LINES_PER_S)
         self._unlogged_count = 0
 
-    def record(
-        self,
-        cause: EndCause,
-        peer_ip: str,
-        unanswered: Collection[RequestHead],
-        unread_bytes: int,
-        late_ms: int,
-    ) -> None:
+    def identify_by(self, id_header: bytes) -> None:
+        """Name requests by the value of a header; without it, by their target."""
+        self._id_header = id_header
+
+    def record(self, end: ConnectionEnd, peer_ip: str, unread_bytes: int, late_ms: int) -> None:
         """Count an end, and log it unless the caller has left or the rate limit is reached.
 
-        `unanswered` holds the heads of the requests that were read, `unread_bytes` what had arrived
-        and was not read, and `late_ms` how late a timeout was handled.
+        `unread_bytes` had arrived and were not read, and `late_ms` is how late a timeout was
+        handled.
         """
+        cause, unanswered = end.cause, end.unanswered
         if not unanswered and not unread_bytes:
             return
         self.connections[cause] += 1
@@ -76,7 +87,7 @@
             Event.ANSWERS_MISSING,
             caller=peer_ip,
             cause=cause.value,
-            requests=[self._request_id(head) for head in list(unanswered)[:MAX_LOGGED_REQUESTS]],
+            requests=[self._request_id(head) for head in unanswered[:MAX_LOGGED_REQUESTS]],
             count=len(unanswered),
             unread_bytes=unread_bytes,
             late_ms=late_ms,
--- a/nutmeglead/http/errors.py
+++ b/nutmeglead/http/errors.py
@@ -10,6 +10,7 @@
     "MalformedMessage",
     "MemoryShort",
     "PeerClosed",
+    "RequestRefused",
     "RequestTimedOut",
     "RequestWithdrawn",
     "TimedOut",
@@ -41,9 +42,15 @@
         return f"the peer closed the connection {self.stage}"
 
 
+class RequestRefused(HttpError):
+    """A request is not handled; `status` is the response status for it."""
+
+    status: int
+
+
 @dataclass
-class MalformedMessage(HttpError):
-    """A message violates HTTP/1.1 or a size limit; `status` is the response status for it."""
+class MalformedMessage(RequestRefused):
+    """A message violates HTTP/1.1 or a size limit."""
 
     reason: str
     status: int = 400
@@ -53,20 +60,22 @@
 
 
 @dataclass
-class MemoryShort(HttpError):
+class MemoryShort(RequestRefused):
     """The process has no room for a request, which has not run."""
 
     retry_after_ms: int
+    status: int = 503
 
     def __str__(self) -> str:
         return f"expected room for the request, which may be there in {self.retry_after_ms} ms"
 
 
 @dataclass
-class RequestTimedOut(HttpError):
+class RequestTimedOut(RequestRefused):
     """A request did not arrive whole in time, so it has not run."""
 
     timeout_ms: int
+    status: int = 408
 
     def __str__(self) -> str:
         return f"expected the whole request within {self.timeout_ms} ms"
--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -46,14 +46,13 @@
         clock: Clock,
         held: HeldBytes | None = None,
         max_connections: int | None = None,
-        ends: ConnectionEnds | None = None,
     ) -> None:
         """`held` is shared by the servers of a process; None bounds this server alone."""
         self.handler = handler
         self.limits = limits
         self.clock = clock
         self.held = held or HeldBytes()
-        self.ends = ends or ConnectionEnds(clock)
+        self.ends = ConnectionEnds(clock)
         self.slow_readers = SlowReaderWatch(self.held, clock)
         self.connection_limit = ConnectionLimit(self.held, clock, max_connections)
         self.is_stopping = False
