http: send interim responses in their turn

Change: it is written after the responses to all earlier requests, and the time for the body begins then.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -223,8 +223,7 @@
         """Serve requests until the connection ends; then cancel its handlers and deregister it."""
         try:
             await self._read_requests()
-            while self._handlers:
-                await asyncio.wait(self._handlers)
+            await self._wait_for_handlers()
             await self._linger()
         except HttpError as error:
             logger.debug("connection from %s ended: %s", self.peer_ip, error)
@@ -369,12 +368,23 @@
         self._begin_end(self._dismissal or EndCause.IDLE_TIMEOUT)
         self.close()
 
+    async def _wait_for_handlers(self) -> None:
+        """Wait until no request is in progress.
+
+        The handlers end also if their responses are never finished, as when the caller has left.
+        """
+        while self._handlers:
+            await asyncio.wait(self._handlers)
+
+    async def write_in_turn(self, data: bytes) -> None:
+        """Send bytes after the responses to all earlier requests."""
+        await self._wait_for_handlers()
+        await self.write(data)
+
     async def _reject_request(self, parser: h11.Connection, error: RequestRefused) -> None:
         """Send an error response without a body, marked as not run, after the earlier responses."""
         self._accepts_requests = False
-        # The handlers end also if their responses are never finished, as when the caller has left.
-        while self._handlers:
-            await asyncio.wait(self._handlers)
+        await self._wait_for_handlers()
         if isinstance(error, MemoryShort):
             self.held.record_refusal(self.peer_ip, self._server.clock.now_ms())
         if data := encode_refusal(parser, error):
--- a/nutmeglead/http/request_reader.py
+++ b/nutmeglead/http/request_reader.py
@@ -46,8 +46,8 @@
     async def read_more(self) -> bytes:
         """Wait for data and return it, or b"" once no more is read; may raise RequestTimedOut."""
 
-    async def write(self, data: bytes) -> None:
-        """Send bytes to the caller."""
+    async def write_in_turn(self, data: bytes) -> None:
+        """Send bytes to the caller after the responses to the requests before."""
 
     def start_timer(self, limit_ms: Callable[[], int]) -> None:
         """Replace the running timeout, if any, by one of `limit_ms`, which may change."""
@@ -173,7 +173,9 @@
                 body.announce(length_bytes)
             if is_awaited:
                 interim = h11.InformationalResponse(status_code=100, headers=[])
-                await self._source.write(parser.send(interim) or b"")
+                await self._source.write_in_turn(parser.send(interim) or b"")
+                # The caller has waited for its turn.
+                self._source.start_timer(self._head_timeout_ms)
             while True:
                 event = first or await self._next_event(parser)
                 first = None
