forwarding: count what is held of an answer, and join its parts as they arrive

Cause: the parts of an answer were kept as objects of their own, of which only the bytes were counted, and were copied when the last one had arrived. An answer in chunks of 16 bytes held ten times what was counted. A fetch copied the whole body to return it. Change: the parts are joined in one buffer, which is returned as it is; its allocated size counts as held.

--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import io
+import sys
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -20,7 +22,7 @@
 from nutmeglead.forwarding.upstream import Upstream
 from nutmeglead.http.client import ClientConnection
 from nutmeglead.http.errors import HttpError, MalformedMessage
-from nutmeglead.http.messages import Headers, RequestHead, ResponseHead, header_value
+from nutmeglead.http.messages import Body, Headers, RequestHead, ResponseHead, header_value
 from nutmeglead.platform.notices import decode_notice
 from nutmeglead.platform.wire import (
     ANSWER_ID_HEADER,
@@ -176,18 +178,26 @@
     async def _read_answer(
         self, connection: ClientConnection, head: ResponseHead
     ) -> Result[Answer, AttemptError]:
-        """Read the body, up to `MAX_BUFFERED_BODY_BYTES`, and return the validated answer."""
-        parts: list[bytes] = []
-        size_bytes = 0
+        """Read the body, up to `MAX_BUFFERED_BODY_BYTES`, and return the validated answer.
+
+        The parts are joined as they arrive, and the whole buffer counts as held.
+        """
+        # `getvalue` returns the buffer itself, where a bytearray would have to be copied.
+        buffer = io.BytesIO()
+        counted_bytes = 0
         has_room = True
-        while size_bytes <= MAX_BUFFERED_BODY_BYTES and has_room:
+        while buffer.tell() <= MAX_BUFFERED_BODY_BYTES and has_room:
             part = await connection.read_body()
             if not part:
-                return self._validate_answer(head, b"".join(parts), None)
-            parts.append(part)
-            size_bytes += len(part)
-            has_room = self._request.try_hold(len(part))
-        return self._validate_answer(head, b"".join(parts), self)
+                return self._validate_answer(head, buffer.getvalue(), None)
+            buffer.write(part)
+            # The next part may be long in coming.
+            del part
+            held_bytes = sys.getsizeof(buffer)
+            if held_bytes > counted_bytes:
+                has_room = self._request.try_hold(held_bytes - counted_bytes)
+                counted_bytes = held_bytes
+        return self._validate_answer(head, buffer.getvalue(), self)
 
     def _validate_answer(
         self, head: ResponseHead, body: bytes, body_source: Attempt | None
@@ -216,7 +226,7 @@
         ]
         return Ok(Answer(head.status, headers, body, body_source))
 
-    async def read_body_part(self) -> Result[bytes, AttemptError]:
+    async def read_body_part(self) -> Result[Body, AttemptError]:
         """Return the next part of a body that is not buffered whole, or b"" at its end."""
         assert self._connection is not None
         try:
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -29,6 +29,7 @@
 from nutmeglead.forwarding.upstream import Upstream
 from nutmeglead.http.client import ClientConnection
 from nutmeglead.http.exchange import CallerExchange
+from nutmeglead.http.messages import Body
 
 if TYPE_CHECKING:
     from nutmeglead.forwarding.forwarder import Forwarder
@@ -304,7 +305,7 @@
         self, exchange: CallerExchange, answer: Answer, source: Attempt
     ) -> AttemptError | None:
         """Send the caller the rest of a body as it arrives; return why it was cut short, if so."""
-        data = answer.body
+        data: Body = answer.body
         while data:
             await exchange.send_body(data)
             part = await source.read_body_part()
--- a/nutmeglead/forwarding/tests/attempts.feature
+++ b/nutmeglead/forwarding/tests/attempts.feature
@@ -7,3 +7,17 @@
     When the attempt runs
     Then nothing was sent and the error says that the server is leaving
     And the request may be tried again without a retry from the budget
+
+  Scenario Outline: An attempt holds no more of an answer than it counts
+    # Parts of a body are objects of their own, which take several times their bytes if these are few.
+    Given an attempt at a server that answers with <count> parts of <size> bytes
+    When the attempt reads the answer
+    Then its body has <total> bytes
+    And at most <transit> bytes more than it has counted were held at any time
+
+    Examples: each row names the failure it guards against
+      | count | size   | total  | transit | failure                                                  |
+      | 36875 | 16     | 590000 | 65536   | the objects of the parts are not counted                 |
+      | 9000  | 65     | 585000 | 65536   | the parts are copied once more when they are joined      |
+      | 18    | 32768  | 589824 | 65536   | the same, for parts that are as large as a read          |
+      | 200   | 1      | 200    | 65536   | the buffer of a small answer is not counted              |
--- a/nutmeglead/forwarding/tests/steps/attempts_steps.py
+++ b/nutmeglead/forwarding/tests/steps/attempts_steps.py
@@ -1,6 +1,7 @@
 """Steps for single attempts, with a connection that records what is sent on it."""
 
 import asyncio
+import tracemalloc
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
@@ -12,7 +13,10 @@
 from nutmeglead.forwarding.model import Backend, RequestKind, Route
 from nutmeglead.forwarding.request import CallerRequest
 from nutmeglead.http.errors import PeerClosed
-from nutmeglead.http.messages import RequestHead
+from nutmeglead.http.messages import RequestHead, ResponseHead
+from nutmeglead.platform.wire import ANSWER_ID_HEADER, SIGNATURE_HEADER
+
+ROUTE = Route("r", "h", "/s/", RequestKind.IDEMPOTENT, 800, 300, 1, 2, (Backend("stock", 1.0),))
 
 
 @dataclass
@@ -46,8 +50,7 @@
 
 @given("an attempt at a server that begins to leave while the connection is opened")
 def step_attempt(context):
-    route = Route("r", "h", "/s/", RequestKind.IDEMPOTENT, 800, 300, 1, 2, (Backend("stock", 1.0),))
-    request = CallerRequest(RequestHead(b"GET", b"/s/"), b"", b"r1", route, 1, 7, 0, 800)
+    request = CallerRequest(RequestHead(b"GET", b"/s/"), b"", b"r1", ROUTE, 1, 7, 0, 800)
     context.upstream = LeavingUpstream()
     policy = SimpleNamespace(may_send_to=lambda upstream: not upstream.is_leaving)
     context.attempt = Attempt(context.upstream, request, policy, 2, [])
@@ -67,3 +70,70 @@
 @then("the request may be tried again without a retry from the budget")
 def step_unsent(context):
     assert not context.result.err_value.reached_server
+
+
+class AnsweringConnection:
+    """A connection with an answer in equal parts."""
+
+    def __init__(self, count, size_bytes):
+        self.channel = SimpleNamespace(bytes_received=0)
+        self._left_count = count
+        self._size_bytes = size_bytes
+
+    async def send_request(self, head, body):
+        pass
+
+    async def read_head(self):
+        return ResponseHead(200, [(ANSWER_ID_HEADER, b"r1"), (SIGNATURE_HEADER, b"s")])
+
+    async def read_body(self):
+        if not self._left_count:
+            return b""
+        self._left_count -= 1
+        return bytes(self._size_bytes)
+
+
+@given("an attempt at a server that answers with {count:d} parts of {size_bytes:d} bytes")
+def step_answering(context, count, size_bytes):
+    context.counted = []
+
+    def try_hold(added_bytes):
+        context.counted.append(added_bytes)
+        return True
+
+    upstream = LeavingUpstream()
+    upstream.connection = AnsweringConnection(count, size_bytes)
+    policy = SimpleNamespace(may_send_to=lambda upstream: True)
+    context.attempt = Attempt(upstream, request_to_hold(try_hold), policy, 2, [])
+
+
+def request_to_hold(try_hold):
+    head = RequestHead(b"GET", b"/s/")
+    return CallerRequest(head, b"", b"r1", ROUTE, 1, 7, 0, 800, try_hold)
+
+
+@when("the attempt reads the answer")
+def step_reads(context):
+    async def read():
+        tracemalloc.start()
+        try:
+            before_bytes, _ = tracemalloc.get_traced_memory()
+            context.result = await context.attempt.run()
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        context.held_bytes = peak_bytes - before_bytes
+
+    asyncio.run(read())
+
+
+@then("its body has {size_bytes:d} bytes")
+def step_body(context, size_bytes):
+    assert len(context.result.ok_value.body) == size_bytes, context.result
+
+
+@then("at most {transit_bytes:d} bytes more than it has counted were held at any time")
+def step_held(context, transit_bytes):
+    counted_bytes = sum(context.counted)
+    assert counted_bytes >= len(context.result.ok_value.body)
+    assert context.held_bytes <= counted_bytes + transit_bytes, (context.held_bytes, counted_bytes)
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client: single connections and a fetcher that keeps idle ones for reuse."""
 
 import asyncio
+import io
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -128,7 +129,7 @@
             f"expected at most {MAX_INFORMATIONAL_COUNT} informational responses, got more", 502
         )
 
-    async def read_body(self) -> bytes:
+    async def read_body(self) -> Body:
         """Return the next part of the response body, or b"" at its end."""
         return _body_part(await self._next_event())
 
@@ -202,12 +203,13 @@
             self._connection.receive_data(data)
 
 
-def _body_part(event: object) -> bytes:
+def _body_part(event: object) -> Body:
     """Return the data of a body event, or b"" for the end of the message."""
     if isinstance(event, h11.Data):
-        return bytes(event.data)
+        return event.data
     if isinstance(event, h11.EndOfMessage):
-        return b""
+        empty: Body = b""
+        return empty
     raise PeerClosed("in the middle of the response")
 
 
@@ -356,10 +358,11 @@
         full_head = RequestHead(head.method, head.target, framing + head.headers)
         await connection.send_request(full_head, body)
         response_head = await connection.read_head()
-        received = bytearray()
+        # `getvalue` returns the buffer itself, where a bytearray would have to be copied.
+        received = io.BytesIO()
         while data := await connection.read_body():
-            received += data
+            received.write(data)
             on_progress()
-            if len(received) > self._max_body_bytes:
+            if received.tell() > self._max_body_bytes:
                 raise MalformedMessage(f"the body exceeds {self._max_body_bytes} bytes", 502)
-        return response_head, bytes(received)
+        return response_head, received.getvalue()
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -109,7 +109,7 @@
         await self._wait_for_turn()
         await self._connection.write(self._encode(self._response_head(status, headers)))
 
-    async def send_body(self, data: bytes) -> None:
+    async def send_body(self, data: Body) -> None:
         """Send the next part of the response body, or hold it for a caller that reads slowly."""
         for event in body_events(data):
             await self._connection.write_ahead(self._encode(event))
