http: let others run while an answer in small chunks is read

Cause: all parts of an answer that had arrived were read in one pass of the event loop. A buffer of 32 KB in chunks of 16 bytes has 1,500, and many servers' answers may be read in the same pass. Change: after 64 parts that had arrived, a connection to a server takes a turn, one connection per pass, as those of callers do. Requests share the turns of HeldBytes; a fetch lets other tasks run.

--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -124,6 +124,7 @@
         if isinstance(acquired, Err):
             return acquired
         self._connection, idle_ms = acquired.ok_value
+        self._connection.take_turn = self._request.take_turn
         received_before = self._connection.channel.bytes_received
         try:
             return await self._exchange(self._connection)
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -247,6 +247,7 @@
             exchange.received_ms,
             self._route_table,
             exchange.try_hold,
+            exchange.take_turn,
         )
         if isinstance(parsed, Err):
             await self._reject(exchange, parsed.err_value)
--- a/nutmeglead/forwarding/request.py
+++ b/nutmeglead/forwarding/request.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -46,6 +47,10 @@
     return True
 
 
+async def _let_others_run() -> None:
+    await asyncio.sleep(0)
+
+
 @dataclass
 class BadRequest(NutmegleadError):
     """Report a request that cannot be forwarded, with the status of the answer."""
@@ -71,6 +76,8 @@
     deadline_ms: int
     # Counts bytes of its answer as held, and returns whether there is room for them.
     try_hold: Callable[[int], bool] = _hold_any
+    # Lets the event loop run after many parts of its answer that had all arrived.
+    take_turn: Callable[[], Awaitable[None]] = _let_others_run
 
     @property
     def may_repeat(self) -> bool:
@@ -107,6 +114,7 @@
     received_ms: int,
     table: RouteTable,
     try_hold: Callable[[int], bool] = _hold_any,
+    take_turn: Callable[[], Awaitable[None]] = _let_others_run,
 ) -> Result[CallerRequest, BadRequest]:
     """Return the request with its route, key and deadline, or why it cannot be forwarded.
 
@@ -148,6 +156,7 @@
             received_ms,
             received_ms + allowed_ms,
             try_hold,
+            take_turn,
         )
     )
 
--- a/nutmeglead/forwarding/tests/attempts.feature
+++ b/nutmeglead/forwarding/tests/attempts.feature
@@ -8,6 +8,12 @@
     Then nothing was sent and the error says that the server is leaving
     And the request may be tried again without a retry from the budget
 
+  Scenario: An attempt reads its answer in turn with the other connections of the process
+    # Guards against one pass of the event loop that takes as long as all answers in small chunks together.
+    Given an attempt at a server that answers with 1 parts of 16 bytes
+    When the attempt reads the answer
+    Then its connection takes turns with those of other requests
+
   Scenario Outline: An attempt holds no more of an answer than it counts
     # Parts of a body are objects of their own, which take several times their bytes if these are few.
     Given an attempt at a server that answers with <count> parts of <size> bytes
--- a/nutmeglead/forwarding/tests/steps/attempts_steps.py
+++ b/nutmeglead/forwarding/tests/steps/attempts_steps.py
@@ -101,7 +101,7 @@
         context.counted.append(added_bytes)
         return True
 
-    upstream = LeavingUpstream()
+    context.upstream = upstream = LeavingUpstream()
     upstream.connection = AnsweringConnection(count, size_bytes)
     policy = SimpleNamespace(may_send_to=lambda upstream: True)
     context.attempt = Attempt(upstream, request_to_hold(try_hold), policy, 2, [])
@@ -109,7 +109,11 @@
 
 def request_to_hold(try_hold):
     head = RequestHead(b"GET", b"/s/")
-    return CallerRequest(head, b"", b"r1", ROUTE, 1, 7, 0, 800, try_hold)
+    return CallerRequest(head, b"", b"r1", ROUTE, 1, 7, 0, 800, try_hold, take_turn)
+
+
+async def take_turn():
+    """Stand for the turns that all requests of the process share."""
 
 
 @when("the attempt reads the answer")
@@ -127,6 +131,11 @@
     asyncio.run(read())
 
 
+@then("its connection takes turns with those of other requests")
+def step_turns(context):
+    assert context.upstream.connection.take_turn is take_turn
+
+
 @then("its body has {size_bytes:d} bytes")
 def step_body(context, size_bytes):
     assert len(context.result.ok_value.body) == size_bytes, context.result
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import io
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import h11
@@ -33,14 +33,24 @@
 MAX_INFORMATIONAL_COUNT = 8
 # A response with a higher status is no HTTP response: its server is in trouble.
 MAX_STATUS = 599
+# Parts of a response that are read before other tasks run. Chunks of a few bytes would otherwise
+# stop all other connections for as long as a whole buffer of them takes.
+MAX_EVENTS_IN_A_ROW = 64
 # Limit for connecting, however long the response may take: a reachable peer accepts a connection
 # at once.
 CONNECT_TIMEOUT_MS = 600
 
 
+async def _let_others_run() -> None:
+    await asyncio.sleep(0)
+
+
 class ClientConnection:
     """One connection to a server, which carries one exchange at a time.
 
+    `take_turn` is awaited after `MAX_EVENTS_IN_A_ROW` parts of a response that had all arrived; the
+    connections of a process may share one that lets them go on one by one.
+
     However the connection ends, its kernel drops what the server has not received by then, so that
     a request that was given up does not arrive later. Methods that send or read raise an HttpError
     if the connection or the message is broken.
@@ -49,6 +59,8 @@
     def __init__(self, channel: ByteChannel) -> None:
         self.channel = channel
         self.exchange_count = 0
+        self.take_turn: Callable[[], Awaitable[None]] = _let_others_run
+        self._events_in_a_row = 0
         self._unacknowledged_limit_ms: int | None = None
         self._connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._bytes_written_at_start = 0
@@ -113,6 +125,7 @@
         """Return the status and headers of the response, skipping informational (1xx) responses."""
         # The response has rarely begun to arrive; asking h11 first costs more than this check.
         if not self._connection.trailing_data[0]:
+            self._events_in_a_row = 0
             self._connection.receive_data(await self.channel.read())
         for _ in range(MAX_INFORMATIONAL_COUNT + 1):
             event = await self._next_event()
@@ -178,7 +191,12 @@
 
     async def _next_event(self) -> object:
         """Wait for the next h11 event; raise PeerClosed if the response ends early."""
+        self._events_in_a_row += 1
+        if self._events_in_a_row > MAX_EVENTS_IN_A_ROW:
+            self._events_in_a_row = 1
+            await self.take_turn()
         while (event := self._next_buffered_event()) is None:
+            self._events_in_a_row = 1
             data = await self.channel.read()
             # The end of the stream completes a body without a length; a reset must not.
             if not data and self.channel.was_reset:
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -142,6 +142,10 @@
         self.counted_bytes = counted_bytes
         return True
 
+    async def take_turn(self) -> None:
+        """Let the event loop run after many parts of an answer that had all arrived."""
+        await self._connection.held.take_turn()
+
     def release(self) -> None:
         """Drop the request's body, and give back what is held for the exchange."""
         self.body = b""
--- a/nutmeglead/http/tests/answers.feature
+++ b/nutmeglead/http/tests/answers.feature
@@ -1,5 +1,15 @@
 Feature: Answers of servers and peers cost no more than their bytes
 
+  Scenario Outline: Answers in small chunks that have all arrived
+    Given <count> connections with answers of 1500 chunks of 16 bytes that have arrived
+    When each of them reads its answer
+    Then the first pass of the event loop takes at most <first> parts, and each later one at most 64
+
+    Examples: each row names the failure it guards against
+      | count | first | failure                                                              |
+      | 1     | 64    | an answer occupies the event loop until all that has arrived is read |
+      | 20    | 1280  | connections that have arrived together share each pass               |
+
   Scenario Outline: A fetched body is kept once
     # Guards against a second copy of a body when its last part has arrived. A buffer grows by an eighth of its size at a time.
     Given a server whose answer has <count> parts of <size> bytes
--- a/nutmeglead/http/tests/steps/answers_steps.py
+++ b/nutmeglead/http/tests/steps/answers_steps.py
@@ -3,11 +3,17 @@
 import asyncio
 import tracemalloc
 
+import h11
 from behave import given, then, when
 
-from nutmeglead.http.client import HttpFetcher
+from nutmeglead.http.channel import ByteChannel
+from nutmeglead.http.client import ClientConnection, HttpFetcher
+from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.messages import RequestHead, ResponseHead
 
+CHUNK_BYTES = 16
+CHUNK = b"%x\r\n%b\r\n" % (CHUNK_BYTES, b"x" * CHUNK_BYTES)
+
 
 class AnsweringConnection:
     """A connection with an answer in equal parts."""
@@ -29,6 +35,67 @@
         return bytes(self._size_bytes)
 
 
+class CountedConnection(ClientConnection):
+    """A connection whose answer has arrived; it counts the parts of it that are taken."""
+
+    def __init__(self, passes, take_turn, chunk_count):
+        super().__init__(ByteChannel())
+        self.take_turn = take_turn
+        self._passes = passes
+        self._connection.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+        self._connection.send(h11.EndOfMessage())
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        self.channel.data_received(head + CHUNK * chunk_count + b"0\r\n\r\n")
+
+    def _next_buffered_event(self):
+        self._passes[-1] += 1
+        return super()._next_buffered_event()
+
+    async def read_whole(self):
+        await self.read_head()
+        received_bytes = 0
+        while part := await self.read_body():
+            received_bytes += len(part)
+        return received_bytes
+
+
+@given("{count:d} connections with answers of {chunk_count:d} chunks of 16 bytes that have arrived")
+def step_arrived(context, count, chunk_count):
+    context.answer_bytes = chunk_count * CHUNK_BYTES
+    # Parts that were taken in each pass of the event loop.
+    context.passes = []
+
+    def make_connections():
+        take_turn = HeldBytes().take_turn
+        return [CountedConnection(context.passes, take_turn, chunk_count) for _ in range(count)]
+
+    context.make_connections = make_connections
+
+
+@when("each of them reads its answer")
+def step_read_all(context):
+    def count_pass():
+        context.passes.append(0)
+        asyncio.get_running_loop().call_soon(count_pass)
+
+    async def read():
+        count_pass()
+        reading = [connection.read_whole() for connection in context.make_connections()]
+        assert set(await asyncio.gather(*reading)) == {context.answer_bytes}
+
+    asyncio.run(read())
+
+
+@then(
+    "the first pass of the event loop takes at most {first_count:d} parts, and each later one at "
+    "most {count:d}"
+)
+def step_passes(context, first_count, count):
+    first, *later = [taken for taken in context.passes if taken]
+    assert first <= first_count, first
+    assert max(later, default=0) <= count, max(later)
+
+
 @given("a server whose answer has {count:d} parts of {size_bytes:d} bytes")
 def step_answer(context, count, size_bytes):
     context.body_bytes = count * size_bytes
