--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -27,6 +27,7 @@
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.messages import RequestHead
 from nutmeglead.http.request_reader import ReceivedRequest, RequestReader
+from nutmeglead.http.response_parser import response_parser
 from nutmeglead.http.sockets import enable_dead_peer_detection, read_arrived_bytes
 from nutmeglead.http.wait_timer import WaitTimer
 
@@ -265,20 +266,32 @@
                 return
             if request is None:
                 return
-            self._waits_to_begin = True
-            await self._server.ahead_limit.wait_for_room(self._handlers)
-            self._waits_to_begin = False
+            await self._wait_to_begin(parser)
             # An answer that closes the connection may have been begun while the body arrived.
             if not self._takes_requests():
                 self.held.add(-request.counted_bytes)
                 return
             self._timer.stop()
-            self._start_exchange(parser, request)
             if parser.their_state is not h11.DONE:
+                self._start_exchange(parser, request)
                 return
             unread = parser.trailing_data[0]
+            self._start_exchange(response_parser(parser, request.head, unread), request)
             await self._wait_to_read_ahead(len(unread))
 
+    async def _wait_to_begin(self, parser: h11.Connection) -> None:
+        """Wait until a request that was read may begin beside those in progress."""
+        if not self._handlers or self._server.ahead_limit.has_room:
+            return
+        unread_bytes = len(parser.trailing_data[0])
+        self._waits_to_begin = True
+        self.held.add(unread_bytes)
+        try:
+            await self._server.ahead_limit.wait_for_room(self._handlers)
+        finally:
+            self.held.add(-unread_bytes)
+            self._waits_to_begin = False
+
     async def _wait_to_read_ahead(self, unread_bytes: int) -> None:
         """Wait until another request may be begun beside those in progress."""
         if self._may_read_ahead():
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -11,6 +11,7 @@
 from nutmeglead.http.held_bytes import SMALL_BYTES, HeldBytes
 from nutmeglead.http.messages import Body, Headers, RequestHead
 from nutmeglead.http.parts import WRITE_PART_BYTES, body_events
+from nutmeglead.http.turns import TurnTaker
 
 __all__ = ["CallerExchange", "CallerLimits", "ExchangeConnection"]
 
@@ -84,6 +85,7 @@
         self._connection = connection
         self._parser = parser
         self._previous_finished = previous_finished
+        self._turns = TurnTaker()
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole response with its `content-length`, a large body in parts."""
@@ -144,7 +146,8 @@
 
     async def take_turn(self) -> None:
         """Let the event loop run after many parts of an answer that had all arrived."""
-        await self._connection.held.take_turn()
+        await asyncio.sleep(0)
+        await self._connection.held.turns.take(self._turns)
 
     def release(self) -> None:
         """Drop the request's body, and give back what is held for the exchange."""
--- a/nutmeglead/http/tests/steps/answers_steps.py
+++ b/nutmeglead/http/tests/steps/answers_steps.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import tracemalloc
+from types import SimpleNamespace
 
 import h11
 from behave import given, then, when
 
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.client import ClientConnection, HttpFetcher
+from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.messages import RequestHead, ResponseHead
 
@@ -66,8 +68,13 @@
     context.passes = []
 
     def make_connections():
-        take_turn = HeldBytes().take_turn
-        return [CountedConnection(context.passes, take_turn, chunk_count) for _ in range(count)]
+        caller = SimpleNamespace(held=HeldBytes())
+        head = RequestHead(b"GET", b"/")
+        exchanges = [CallerExchange(caller, None, head, b"", 0, 0, None) for _ in range(count)]
+        return [
+            CountedConnection(context.passes, exchange.take_turn, chunk_count)
+            for exchange in exchanges
+        ]
 
     context.make_connections = make_connections
 
