forwarding: count the header fields of an answer as what they hold

Cause: the head of a server's answer, which may have 5,400 fields in 32 KB, was not counted while the answer waited for its turn, and its fields were kept twice. Change: a head counts with its text and 256 bytes for each field, as that of a request does; the caller's headers share the fields.

--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -23,6 +23,7 @@
 from nutmeglead.http.client import ClientConnection
 from nutmeglead.http.errors import HttpError, MalformedMessage
 from nutmeglead.http.messages import Body, Headers, RequestHead, ResponseHead, header_value
+from nutmeglead.http.request_reader import HEADER_FIELD_BYTES
 from nutmeglead.platform.notices import decode_notice
 from nutmeglead.platform.wire import (
     ANSWER_ID_HEADER,
@@ -185,6 +186,8 @@
         """
         # `getvalue` returns the buffer itself, where a bytearray would have to be copied.
         buffer = io.BytesIO()
+        # Without room for the head, there is none for the body either.
+        self._request.try_hold(_head_bytes(head))
         counted_bytes = 0
         has_room = True
         while buffer.tell() <= MAX_BUFFERED_BODY_BYTES and has_room:
@@ -218,12 +221,12 @@
         if header_value(head.headers, b"content-encoding") is not None:
             return Err(AnswerSpoiled("the body is encoded"))
         headers = [
-            (name, value)
-            for name, value in without_hop_by_hop_headers(head.headers)
-            if name not in NOTICE_HEADERS
+            header
+            for header in without_hop_by_hop_headers(head.headers)
+            if header[0] not in NOTICE_HEADERS
             # A buffered body gets its length when it is sent; a streamed one keeps the server's, by
             # which a caller of HTTP/1.0 notices a cut.
-            and (name != b"content-length" or body_source is not None)
+            and (header[0] != b"content-length" or body_source is not None)
         ]
         return Ok(Answer(head.status, headers, body, body_source))
 
@@ -252,3 +255,9 @@
             if name == b"timeout" and value.isdigit() and len(value) <= MAX_KEEP_ALIVE_DIGITS:
                 # Stop 500 ms early: the next request must arrive before the server closes.
                 self._keep_alive_ms = int(value) * 1000 - 500
+
+
+def _head_bytes(head: ResponseHead) -> int:
+    """Return how many bytes are held for a head."""
+    text_bytes = sum(len(name) + len(value) for name, value in head.headers)
+    return text_bytes + HEADER_FIELD_BYTES * len(head.headers)
--- a/nutmeglead/forwarding/tests/attempts.feature
+++ b/nutmeglead/forwarding/tests/attempts.feature
@@ -17,13 +17,22 @@
   Scenario Outline: An attempt holds no more of an answer than it counts
     # Parts of a body are objects of their own, which take several times their bytes if these are few.
     Given an attempt at a server that answers with <count> parts of <size> bytes
+    And its head has <fields> fields of 4 bytes
     When the attempt reads the answer
     Then its body has <total> bytes
     And at most <transit> bytes more than it has counted were held at any time
 
     Examples: each row names the failure it guards against
-      | count | size   | total  | transit | failure                                                  |
-      | 36875 | 16     | 590000 | 65536   | the objects of the parts are not counted                 |
-      | 9000  | 65     | 585000 | 65536   | the parts are copied once more when they are joined      |
-      | 18    | 32768  | 589824 | 65536   | the same, for parts that are as large as a read          |
-      | 200   | 1      | 200    | 65536   | the buffer of a small answer is not counted              |
+      | count | size   | fields | total  | transit | failure                                                  |
+      | 36875 | 16     | 2      | 590000 | 65536   | the objects of the parts are not counted                 |
+      | 9000  | 65     | 2      | 585000 | 65536   | the parts are copied once more when they are joined      |
+      | 18    | 32768  | 2      | 589824 | 65536   | the same, for parts that are as large as a read          |
+      | 200   | 1      | 2      | 200    | 65536   | the buffer of a small answer is not counted              |
+      | 1     | 200    | 5000   | 200    | 65536   | the fields of a head are not counted                     |
+
+  Scenario: An answer that finds no room is passed on as it arrives
+    # Guards against an answer without its body, where already the head finds no room.
+    Given an attempt at a server that answers with 2 parts of 16 bytes
+    And there is no room
+    When the attempt reads the answer
+    Then its body begins with 16 bytes and the rest can be read
--- a/nutmeglead/forwarding/tests/steps/attempts_steps.py
+++ b/nutmeglead/forwarding/tests/steps/attempts_steps.py
@@ -79,12 +79,16 @@
         self.channel = SimpleNamespace(bytes_received=0)
         self._left_count = count
         self._size_bytes = size_bytes
+        self.field_count = 0
 
     async def send_request(self, head, body):
         pass
 
     async def read_head(self):
-        return ResponseHead(200, [(ANSWER_ID_HEADER, b"r1"), (SIGNATURE_HEADER, b"s")])
+        headers = [(ANSWER_ID_HEADER, b"r1"), (SIGNATURE_HEADER, b"s")]
+        # Objects of their own, as a parser makes them.
+        headers += [(b"x" + b"%d" % n, b"%d" % n) for n in range(100, 100 + self.field_count)]
+        return ResponseHead(200, headers)
 
     async def read_body(self):
         if not self._left_count:
@@ -96,10 +100,11 @@
 @given("an attempt at a server that answers with {count:d} parts of {size_bytes:d} bytes")
 def step_answering(context, count, size_bytes):
     context.counted = []
+    context.has_room = True
 
     def try_hold(added_bytes):
         context.counted.append(added_bytes)
-        return True
+        return context.has_room
 
     context.upstream = upstream = LeavingUpstream()
     upstream.connection = AnsweringConnection(count, size_bytes)
@@ -107,6 +112,16 @@
     context.attempt = Attempt(upstream, request_to_hold(try_hold), policy, 2, [])
 
 
+@given("its head has {count:d} fields of 4 bytes")
+def step_fields(context, count):
+    context.upstream.connection.field_count = count
+
+
+@given("there is no room")
+def step_no_room(context):
+    context.has_room = False
+
+
 def request_to_hold(try_hold):
     head = RequestHead(b"GET", b"/s/")
     return CallerRequest(head, b"", b"r1", ROUTE, 1, 7, 0, 800, try_hold, take_turn)
@@ -146,3 +161,10 @@
     counted_bytes = sum(context.counted)
     assert counted_bytes >= len(context.result.ok_value.body)
     assert context.held_bytes <= counted_bytes + transit_bytes, (context.held_bytes, counted_bytes)
+
+
+@then("its body begins with {size_bytes:d} bytes and the rest can be read")
+def step_begins(context, size_bytes):
+    answer = context.result.ok_value
+    assert len(answer.body) == size_bytes and answer.body_source is context.attempt, answer
+    assert len(asyncio.run(context.attempt.read_body_part()).ok_value) == size_bytes
