--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -118,7 +118,7 @@
         self._loop_monitor = LoopMonitor(clock)
         self.held_bytes = HeldBytes(settings.memory_bytes)
         self.front_server = PipelineServer(
-            self.forwarder.handle, self._caller_limits, clock, self.held_bytes, settings.max_callers
+            self.forwarder.handle, self._caller_limits, clock, self.held_bytes, settings.sockets
         )
         self.front_server.ends.identify_by(REQUEST_ID_HEADER)
         self.readiness_server = PipelineServer(
--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import io
+import sys
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -20,7 +22,8 @@
 from nutmeglead.forwarding.upstream import Upstream
 from nutmeglead.http.client import ClientConnection
 from nutmeglead.http.errors import HttpError, MalformedMessage
-from nutmeglead.http.messages import Headers, RequestHead, ResponseHead, header_value
+from nutmeglead.http.messages import Body, Headers, RequestHead, ResponseHead, header_value
+from nutmeglead.http.request_reader import HEADER_FIELD_BYTES
 from nutmeglead.platform.notices import decode_notice
 from nutmeglead.platform.wire import (
     ANSWER_ID_HEADER,
@@ -122,6 +125,7 @@
         if isinstance(acquired, Err):
             return acquired
         self._connection, idle_ms = acquired.ok_value
+        self._connection.take_turn = self._request.take_turn
         received_before = self._connection.channel.bytes_received
         try:
             return await self._exchange(self._connection)
@@ -176,18 +180,28 @@
     async def _read_answer(
         self, connection: ClientConnection, head: ResponseHead
     ) -> Result[Answer, AttemptError]:
-        """Read the body, up to `MAX_BUFFERED_BODY_BYTES`, and return the validated answer."""
-        parts: list[bytes] = []
-        size_bytes = 0
+        """Read the body, up to `MAX_BUFFERED_BODY_BYTES`, and return the validated answer.
+
+        The parts are joined as they arrive, and the whole buffer counts as held.
+        """
+        # `getvalue` returns the buffer itself, where a bytearray would have to be copied.
+        buffer = io.BytesIO()
+        # Without room for the head, there is none for the body either.
+        self._request.try_hold(_head_bytes(head))
+        counted_bytes = 0
         has_room = True
-        while size_bytes <= MAX_BUFFERED_BODY_BYTES and has_room:
+        while buffer.tell() <= MAX_BUFFERED_BODY_BYTES and has_room:
             part = await connection.read_body()
             if not part:
-                return self._validate_answer(head, b"".join(parts), None)
-            parts.append(part)
-            size_bytes += len(part)
-            has_room = self._request.try_hold(len(part))
-        return self._validate_answer(head, b"".join(parts), self)
+                return self._validate_answer(head, buffer.getvalue(), None)
+            buffer.write(part)
+            # The next part may be long in coming.
+            del part
+            held_bytes = sys.getsizeof(buffer)
+            if held_bytes > counted_bytes:
+                has_room = self._request.try_hold(held_bytes - counted_bytes)
+                counted_bytes = held_bytes
+        return self._validate_answer(head, buffer.getvalue(), self)
 
     def _validate_answer(
         self, head: ResponseHead, body: bytes, body_source: Attempt | None
@@ -207,16 +221,16 @@
         if header_value(head.headers, b"content-encoding") is not None:
             return Err(AnswerSpoiled("the body is encoded"))
         headers = [
-            (name, value)
-            for name, value in without_hop_by_hop_headers(head.headers)
-            if name not in NOTICE_HEADERS
+            header
+            for header in without_hop_by_hop_headers(head.headers)
+            if header[0] not in NOTICE_HEADERS
             # A buffered body gets its length when it is sent; a streamed one keeps the server's, by
             # which a caller of HTTP/1.0 notices a cut.
-            and (name != b"content-length" or body_source is not None)
+            and (header[0] != b"content-length" or body_source is not None)
         ]
         return Ok(Answer(head.status, headers, body, body_source))
 
-    async def read_body_part(self) -> Result[bytes, AttemptError]:
+    async def read_body_part(self) -> Result[Body, AttemptError]:
         """Return the next part of a body that is not buffered whole, or b"" at its end."""
         assert self._connection is not None
         try:
@@ -241,3 +255,9 @@
             if name == b"timeout" and value.isdigit() and len(value) <= MAX_KEEP_ALIVE_DIGITS:
                 # Stop 500 ms early: the next request must arrive before the server closes.
                 self._keep_alive_ms = int(value) * 1000 - 500
+
+
+def _head_bytes(head: ResponseHead) -> int:
+    """Return how many bytes are held for a head."""
+    text_bytes = sum(len(name) + len(value) for name, value in head.headers)
+    return text_bytes + HEADER_FIELD_BYTES * len(head.headers)
--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -24,6 +24,7 @@
 )
 from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.http.held_bytes import HeldBytes
+from nutmeglead.http.read_ahead import ReadAhead
 from nutmeglead.http.refusals import encode_refusal
 from nutmeglead.http.request_reader import ReceivedRequest, RequestReader
 from nutmeglead.http.response_parser import response_parser
@@ -37,11 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Requests of one connection that are handled concurrently; at this number reading pauses.
-MAX_PIPELINE_DEPTH = 16
-# No further request is begun while more than this is held for those in progress: one answer that is
-# read whole, and one body of an ordinary request each.
-MAX_HELD_AHEAD_BYTES = 1_048_576
 # After the last response, the server waits up to this long for the peer to close first. Closing a
 # socket with unread bytes resets the connection, and the peer may lose the response.
 LINGER_MS = 1_000
@@ -59,6 +55,7 @@
         self.task: asyncio.Task[None] | None = None
         self._server = server
         self._handlers: dict[asyncio.Task[None], CallerExchange] = {}
+        self._read_ahead = ReadAhead(self, self._handlers, server.ahead_limit)
         self._latest_exchange: CallerExchange | None = None
         self._accepts_requests = True
         self._reader = RequestReader(self, server.limits, server.held, server.clock)
@@ -157,7 +154,8 @@
         if exchange is not self._latest_exchange:
             return False
         server = self._server
-        if server.has_stopped_listening or (server.is_stopping and not self.unread_bytes):
+        has_arrived = self.unread_bytes or self._read_ahead.waits_to_begin
+        if server.has_stopped_listening or (server.is_stopping and not has_arrived):
             self._accepts_requests = False
         return not self._accepts_requests
 
@@ -251,6 +249,7 @@
                 return
             if request is None:
                 return
+            await self._read_ahead.wait_to_begin(parser)
             # An answer that closes the connection may have been begun while the body arrived.
             if not self._takes_requests():
                 self.held.add(-request.counted_bytes)
@@ -261,27 +260,7 @@
                 return
             unread = parser.trailing_data[0]
             self._start_exchange(response_parser(parser, request.head, unread), request)
-            await self._wait_to_read_ahead(len(unread))
-
-    async def _wait_to_read_ahead(self, unread_bytes: int) -> None:
-        """Wait until another request may be begun beside those in progress."""
-        if self._may_read_ahead():
-            return
-        self.held.add(unread_bytes)
-        try:
-            while self._handlers and not self._may_read_ahead():
-                await asyncio.wait(self._handlers, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            self.held.add(-unread_bytes)
-
-    def _may_read_ahead(self) -> bool:
-        """Return whether the caller reads its answers and little is held for its requests."""
-        if self.is_writing_paused or len(self._handlers) >= MAX_PIPELINE_DEPTH:
-            return False
-        held_bytes = 0
-        for exchange in self._handlers.values():
-            held_bytes += exchange.counted_bytes
-        return held_bytes <= MAX_HELD_AHEAD_BYTES
+            await self._read_ahead.wait_to_read(len(unread))
 
     def _start_exchange(self, parser: h11.Connection, request: ReceivedRequest) -> None:
         """Start a handler task, whose response waits for the one to the previous request."""
@@ -301,12 +280,14 @@
         self._latest_exchange = exchange
         task = asyncio.get_running_loop().create_task(self._handle(exchange))
         self._handlers[task] = exchange
+        self._server.ahead_limit.begin_request()
         task.add_done_callback(self._on_handler_done)
 
     def _on_handler_done(self, task: asyncio.Task[None]) -> None:
         """Give back what is held; start the idle timeout if no request is in progress."""
         # A handler that is cancelled before its first step runs none of its own code.
         self._handlers.pop(task).release()
+        self._server.ahead_limit.end_request()
         if not self._handlers and self._accepts_requests and self._reader.is_between_requests:
             self.idle_since_ms = self._server.clock.now_ms()
             self.start_timer(lambda: self._server.limits().idle_timeout_ms)
--- a/nutmeglead/http/connection_limit.py
+++ b/nutmeglead/http/connection_limit.py
@@ -2,13 +2,14 @@
 
 import logging
 from collections.abc import Collection
+from dataclasses import dataclass
 from typing import Protocol
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.http.held_bytes import SMALL_BYTES, HeldBytes
 
-__all__ = ["ConnectionLimit"]
+__all__ = ["ConnectionLimit", "SocketBounds"]
 
 logger = logging.getLogger(__name__)
 
@@ -22,6 +23,17 @@
 LOG_INTERVAL_MS = 1_000
 
 
+@dataclass(frozen=True)
+class SocketBounds:
+    """Most connections of callers, and most of callers and to servers; None for no bound.
+
+    The memory bounds them too.
+    """
+
+    max_callers: int | None = None
+    max_total: int | None = None
+
+
 class LimitedConnection(Protocol):
     """A connection of a caller."""
 
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -11,6 +11,7 @@
 from nutmeglead.http.held_bytes import SMALL_BYTES, HeldBytes
 from nutmeglead.http.messages import Body, Headers, RequestHead
 from nutmeglead.http.parts import WRITE_PART_BYTES, body_events
+from nutmeglead.http.turns import TurnTaker
 
 __all__ = ["CallerExchange", "CallerLimits", "ExchangeConnection"]
 
@@ -84,6 +85,7 @@
         self._connection = connection
         self._parser = parser
         self._previous_finished = previous_finished
+        self._turns = TurnTaker()
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole response with its `content-length`, a large body in parts."""
@@ -109,7 +111,7 @@
         await self._wait_for_turn()
         await self._connection.write(self._encode(self._response_head(status, headers)))
 
-    async def send_body(self, data: bytes) -> None:
+    async def send_body(self, data: Body) -> None:
         """Send the next part of the response body, or hold it for a caller that reads slowly."""
         for event in body_events(data):
             await self._connection.write_ahead(self._encode(event))
@@ -142,6 +144,11 @@
         self.counted_bytes = counted_bytes
         return True
 
+    async def take_turn(self) -> None:
+        """Let the event loop run after many parts of an answer that had all arrived."""
+        await asyncio.sleep(0)
+        await self._connection.held.turns.take(self._turns)
+
     def release(self) -> None:
         """Drop the request's body, and give back what is held for the exchange."""
         self.body = b""
--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass
 
 from nutmeglead.core.clock import Clock
+from nutmeglead.http.ahead_limit import AheadLimit
 from nutmeglead.http.caller_connection import CallerConnection
 from nutmeglead.http.connection_ends import ConnectionEnds
-from nutmeglead.http.connection_limit import ConnectionLimit
+from nutmeglead.http.connection_limit import ConnectionLimit, SocketBounds
 from nutmeglead.http.exchange import CallerExchange, CallerLimits
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.slow_readers import SlowReaderWatch
@@ -45,20 +46,22 @@
         limits: Callable[[], CallerLimits],
         clock: Clock,
         held: HeldBytes | None = None,
-        max_connections: int | None = None,
+        sockets: SocketBounds | None = None,
     ) -> None:
         """`held` is shared by the servers of a process; None bounds this server alone."""
+        sockets = sockets or SocketBounds()
         self.handler = handler
         self.limits = limits
         self.clock = clock
         self.held = held or HeldBytes()
         self.ends = ConnectionEnds(clock)
         self.slow_readers = SlowReaderWatch(self.held, clock)
-        self.connection_limit = ConnectionLimit(self.held, clock, max_connections)
+        self.connection_limit = ConnectionLimit(self.held, clock, sockets.max_callers)
         self.is_stopping = False
         # From then on, a connection with an exchange in progress takes no further request.
         self.has_stopped_listening = False
         self.connections: set[CallerConnection] = set()
+        self.ahead_limit = AheadLimit(self.held, self.connections, sockets.max_total)
         self._server: asyncio.Server | None = None
 
     async def start(self, ip: str, port: int) -> int:
--- /dev/null
+++ b/nutmeglead/http/read_ahead.py
@@ -0,0 +1,84 @@
+"""Decide when another request of a connection may be read and begun beside those in progress."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Protocol
+
+import h11
+
+from nutmeglead.http.ahead_limit import AheadLimit
+from nutmeglead.http.exchange import CallerExchange
+from nutmeglead.http.held_bytes import HeldBytes
+
+__all__ = ["ReadAhead"]
+
+# Requests of one connection that are handled concurrently; at this number reading pauses.
+MAX_PIPELINE_DEPTH = 16
+# No further request is begun while more than this is held for those in progress: one answer that is
+# read whole, and one body of an ordinary request each.
+MAX_HELD_AHEAD_BYTES = 1_048_576
+
+
+class AnsweredConnection(Protocol):
+    """A connection whose caller may send requests ahead."""
+
+    @property
+    def held(self) -> HeldBytes:
+        """Return the owner of the bytes that the process holds."""
+
+    @property
+    def is_writing_paused(self) -> bool:
+        """Return whether the caller leaves its answers unread."""
+
+
+class ReadAhead:
+    """Hold back the requests of one connection that are sent ahead.
+
+    `waits_to_begin` tells whether one that was read waits for room.
+    """
+
+    def __init__(
+        self,
+        connection: AnsweredConnection,
+        handlers: Mapping[asyncio.Task[None], CallerExchange],
+        limit: AheadLimit,
+    ) -> None:
+        """`handlers` are those of the connection; the mapping changes as requests begin and end."""
+        self.waits_to_begin = False
+        self._connection = connection
+        self._handlers = handlers
+        self._limit = limit
+
+    async def wait_to_begin(self, parser: h11.Connection) -> None:
+        """Wait until a request that was read may begin."""
+        if not self._handlers or self._limit.has_room:
+            return
+        held, unread_bytes = self._connection.held, len(parser.trailing_data[0])
+        self.waits_to_begin = True
+        held.add(unread_bytes)
+        try:
+            await self._limit.wait_for_room(self._handlers)
+        finally:
+            held.add(-unread_bytes)
+            self.waits_to_begin = False
+
+    async def wait_to_read(self, unread_bytes: int) -> None:
+        """Wait until another request may be read, with bytes of it that have arrived."""
+        if self._may_read():
+            return
+        held = self._connection.held
+        held.add(unread_bytes)
+        try:
+            while self._handlers and not self._may_read():
+                await self._limit.wait(self._handlers)
+        finally:
+            held.add(-unread_bytes)
+
+    def _may_read(self) -> bool:
+        """Return whether there is room, the caller reads its answers, and little is held for it."""
+        if not self._limit.has_room:
+            return False
+        if self._connection.is_writing_paused or len(self._handlers) >= MAX_PIPELINE_DEPTH:
+            return False
+        held_bytes = sum(exchange.counted_bytes for exchange in self._handlers.values())
+        return held_bytes <= MAX_HELD_AHEAD_BYTES
--- /dev/null
+++ b/nutmeglead/http/tests/steps/answers_steps.py
@@ -0,0 +1,132 @@
+"""Steps for the answers of servers, with connections that need no socket."""
+
+import asyncio
+import tracemalloc
+from types import SimpleNamespace
+
+import h11
+from behave import given, then, when
+
+from nutmeglead.http.channel import ByteChannel
+from nutmeglead.http.client import ClientConnection, HttpFetcher
+from nutmeglead.http.exchange import CallerExchange
+from nutmeglead.http.held_bytes import HeldBytes
+from nutmeglead.http.messages import RequestHead, ResponseHead
+
+CHUNK_BYTES = 16
+CHUNK = b"%x\r\n%b\r\n" % (CHUNK_BYTES, b"x" * CHUNK_BYTES)
+
+
+class AnsweringConnection:
+    """A connection with an answer in equal parts."""
+
+    def __init__(self, count, size_bytes):
+        self._left_count = count
+        self._size_bytes = size_bytes
+
+    async def send_request(self, head, body):
+        pass
+
+    async def read_head(self):
+        return ResponseHead(200)
+
+    async def read_body(self):
+        if not self._left_count:
+            return b""
+        self._left_count -= 1
+        return bytes(self._size_bytes)
+
+
+class CountedConnection(ClientConnection):
+    """A connection whose answer has arrived; it counts the parts of it that are taken."""
+
+    def __init__(self, passes, take_turn, chunk_count):
+        super().__init__(ByteChannel())
+        self.take_turn = take_turn
+        self._passes = passes
+        self._connection.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+        self._connection.send(h11.EndOfMessage())
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        self.channel.data_received(head + CHUNK * chunk_count + b"0\r\n\r\n")
+
+    def _next_buffered_event(self):
+        self._passes[-1] += 1
+        return super()._next_buffered_event()
+
+    async def read_whole(self):
+        await self.read_head()
+        received_bytes = 0
+        while part := await self.read_body():
+            received_bytes += len(part)
+        return received_bytes
+
+
+@given("{count:d} connections with answers of {chunk_count:d} chunks of 16 bytes that have arrived")
+def step_arrived(context, count, chunk_count):
+    context.answer_bytes = chunk_count * CHUNK_BYTES
+    # Parts that were taken in each pass of the event loop.
+    context.passes = []
+
+    def make_connections():
+        caller = SimpleNamespace(held=HeldBytes())
+        head = RequestHead(b"GET", b"/")
+        exchanges = [CallerExchange(caller, None, head, b"", 0, 0, None) for _ in range(count)]
+        return [
+            CountedConnection(context.passes, exchange.take_turn, chunk_count)
+            for exchange in exchanges
+        ]
+
+    context.make_connections = make_connections
+
+
+@when("each of them reads its answer")
+def step_read_all(context):
+    def count_pass():
+        context.passes.append(0)
+        asyncio.get_running_loop().call_soon(count_pass)
+
+    async def read():
+        count_pass()
+        reading = [connection.read_whole() for connection in context.make_connections()]
+        assert set(await asyncio.gather(*reading)) == {context.answer_bytes}
+
+    asyncio.run(read())
+
+
+@then(
+    "the first pass of the event loop takes at most {first_count:d} parts, and each later one at "
+    "most {count:d}"
+)
+def step_passes(context, first_count, count):
+    first, *later = [taken for taken in context.passes if taken]
+    assert first <= first_count, first
+    assert max(later, default=0) <= count, max(later)
+
+
+@given("a server whose answer has {count:d} parts of {size_bytes:d} bytes")
+def step_answer(context, count, size_bytes):
+    context.body_bytes = count * size_bytes
+    context.connection = AnsweringConnection(count, size_bytes)
+
+
+@when("the client fetches it whole")
+def step_fetch(context):
+    async def fetch():
+        head = RequestHead(b"GET", b"/")
+        tracemalloc.start()
+        try:
+            before_bytes, _ = tracemalloc.get_traced_memory()
+            exchange = HttpFetcher()._exchange(context.connection, "ip", head, b"", lambda: None)
+            _, body = await exchange
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert len(body) == context.body_bytes
+        context.held_bytes = peak_bytes - before_bytes
+
+    asyncio.run(fetch())
+
+
+@then("at most {limit_bytes:d} bytes were held at any time")
+def step_held(context, limit_bytes):
+    assert context.held_bytes <= limit_bytes, context.held_bytes
--- a/nutmeglead/platform/node_settings.py
+++ b/nutmeglead/platform/node_settings.py
@@ -9,6 +9,7 @@
 
 from nutmeglead.core.errors import CodecError
 from nutmeglead.core.ids import FailureDomainName, NodeId
+from nutmeglead.http.connection_limit import SocketBounds
 from nutmeglead.platform.addresses import parse_address
 from nutmeglead.platform.fields import (
     FieldError,
@@ -81,8 +82,7 @@
     cpu_cores: float
     metrics_port: int = DEFAULT_METRICS_PORT
     memory_bytes: int = DEFAULT_MEMORY_BYTES
-    # Most connections of callers, or None for as many as the memory permits.
-    max_callers: int | None = None
+    sockets: SocketBounds = SocketBounds()
 
 
 def decode_settings(data: bytes) -> Result[NodeSettings, CodecError]:
@@ -111,7 +111,7 @@
         _parse_bounds(_parse_list(fields, "bounds")),
         parse_number(limits, "cpu_share", 1.0) * parse_number(limits, "cores", 1),
         memory_bytes=_parse_memory_bytes(limits),
-        max_callers=_parse_max_callers(limits),
+        sockets=_parse_socket_bounds(limits),
     )
 
 
@@ -125,14 +125,15 @@
     return round(memory_mb * BYTES_PER_MB)
 
 
-def _parse_max_callers(limits: dict[str, Any]) -> int | None:
-    """Return how many connections of callers `max_fds` leaves; absent or 0 sets no limit."""
+def _parse_socket_bounds(limits: dict[str, Any]) -> SocketBounds:
+    """Return how many connections `max_fds` leaves; absent or 0 sets no bound."""
     max_fds = parse_integer(limits, "max_fds", 0)
     if max_fds == 0:
-        return None
+        return SocketBounds()
     if max_fds < MIN_MAX_FDS:
         raise FieldError("max_fds", f"0 or at least {MIN_MAX_FDS}", max_fds)
-    return int((max_fds - RESERVED_FDS) * CALLER_FD_SHARE)
+    max_total = max_fds - RESERVED_FDS
+    return SocketBounds(int(max_total * CALLER_FD_SHARE), max_total)
 
 
 def _parse_table(fields: dict[str, Any], name: str) -> dict[str, Any]:
--- a/nutmeglead/platform/tests/steps/decoding_steps.py
+++ b/nutmeglead/platform/tests/steps/decoding_steps.py
@@ -245,7 +245,7 @@
 def step_limits(context, memory_mb, callers):
     settings = context.settings.unwrap()
     assert settings.memory_bytes == memory_mb * 1_000_000, settings.memory_bytes
-    assert str(settings.max_callers or "any") == callers, settings.max_callers
+    assert str(settings.sockets.max_callers or "any") == callers, settings.sockets
 
 
 @then("its drain bound is {leave_ms:d} ms")
