http: notice what arrives while a due timeout is handled

Cause: before it ends a connection, the reader lets the event loop run twice. What came in these passes, bytes or the end of the caller's stream, woke nobody, and the reader then waited without a timer: the request got no answer, or the connection stayed registered for good. Change: the reader looks again after the passes before it waits.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -349,22 +349,27 @@
 
     async def read_more(self) -> bytes:
         """Wait for data and return it, or b"" once the peer has closed or reading has ended."""
-        while self._takes_requests() and not self.unread_bytes and not self._reader.is_given_up:
-            if self.peer_closed.is_set():
-                return b""
-            if await self._is_to_end():
-                self._end_waiting()
-                return b""
+        while self._has_to_wait():
+            if self._timer.is_due or self._dismissal is not None:
+                if await self._is_to_end():
+                    self._end_waiting()
+                    return b""
+                # What came while this task looked has woken nobody.
+                if not self._has_to_wait():
+                    break
             await self._wait_for_data()
         self._dismissal = None
         return self.read_nowait() if self._takes_requests() else b""
 
+    def _has_to_wait(self) -> bool:
+        """Return whether there is nothing for the reader to act on."""
+        is_over = self.peer_closed.is_set() or self._reader.is_given_up
+        return self._takes_requests() and not self.unread_bytes and not is_over
+
     async def _is_to_end(self) -> bool:
         """Return whether the caller has to go, and nothing of it has arrived that was not read."""
-        if not self._timer.is_due and self._dismissal is None:
-            return False
         await read_arrived_bytes()
-        if self.unread_bytes or self.peer_closed.is_set():
+        if not self._has_to_wait():
             return False
         # Between requests, an answer in progress keeps the connection.
         is_kept = self.is_busy and self._reader.is_between_requests
--- a/nutmeglead/http/tests/late_timers.feature
+++ b/nutmeglead/http/tests/late_timers.feature
@@ -57,3 +57,15 @@
     Given a server whose event loop runs in time
     When half a head arrives and the connection has to make way
     Then the last answer has status 408 and says that the request has not run
+
+  Scenario: A request that arrives while the idle timeout is handled is answered at once
+    # Guards against bytes that are noticed while the server looks for them, and then never read.
+    Given a server whose event loop runs in time
+    When a request arrives in the pass in which the idle timeout becomes due
+    Then the caller has a whole answer 0 ms later
+
+  Scenario: A caller that leaves while the idle timeout is handled leaves no connection behind
+    # Guards against a connection that stays registered, and its socket open, for good.
+    Given a server whose event loop runs in time
+    When the caller leaves in the pass in which the idle timeout becomes due
+    Then the server has no connection left
--- a/nutmeglead/http/tests/steps/late_timers_steps.py
+++ b/nutmeglead/http/tests/steps/late_timers_steps.py
@@ -109,6 +109,18 @@
         EVENTS[event](connection)
         await self._read_to_end()
 
+    async def run_at_idle_timeout(self, clock, act):
+        """Act in the pass in which the timeout is due, after the one in which sockets are polled."""
+        await self.connect(clock)
+        loop = asyncio.get_running_loop()
+        loop.call_at(loop.time() + IDLE_MS / 1000, act, self._socket)
+        await asyncio.sleep(IDLE_MS / 1000)
+        await self._run_passes()
+        self._read_arrived()
+        await self._run_passes()
+        self.open_count = len(self._server.connections)
+        self._socket.close()
+
     async def run_unfinished(self, clock, sent):
         await self.connect(clock)
         self._socket.sendall(sent)
@@ -122,6 +134,8 @@
         self._socket.close()
 
     def _read_arrived(self):
+        if self._socket.fileno() < 0:
+            return
         try:
             while data := self._socket.recv(65_536):
                 self.received += data
@@ -178,6 +192,33 @@
     run_virtual(lambda clock: context.caller.run_ended(clock, sent, b"", event), VirtualLoop())
 
 
+@when("a request arrives in the pass in which the idle timeout becomes due")
+def step_request_at_timeout(context):
+    run_virtual(
+        lambda clock: context.caller.run_at_idle_timeout(clock, lambda sock: sock.sendall(GET % 1)),
+        VirtualLoop(),
+    )
+
+
+@when("the caller leaves in the pass in which the idle timeout becomes due")
+def step_leaves_at_timeout(context):
+    run_virtual(
+        lambda clock: context.caller.run_at_idle_timeout(clock, lambda sock: sock.close()),
+        VirtualLoop(),
+    )
+
+
+@then("the caller has a whole answer 0 ms later")
+def step_answered_at_once(context):
+    received = context.caller.received
+    assert received.count(b"HTTP/1.1 200") == received.count(b"whole") == 1, received
+
+
+@then("the server has no connection left")
+def step_no_connection(context):
+    assert context.caller.open_count == 0, context.caller.open_count
+
+
 @when("nothing arrives")
 def step_nothing(context):
     run_virtual(lambda clock: context.caller.run_unfinished(clock, b""), VirtualLoop())
