http: count the bytes that have arrived from servers until they are used

Cause: what a connection to a server had in its buffer (up to 48 KB), in that of its parser (the same) and in the part that waited for its caller was not counted, so that many answers that nobody reads held more than HeldBytes knew. Change: UnreadCount tells the request's account each change of these bytes, until the exchange ends.

--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -125,7 +125,8 @@
         if isinstance(acquired, Err):
             return acquired
         self._connection, idle_ms = acquired.ok_value
-        self._connection.take_turn = self._request.take_turn
+        self._connection.take_turn = self._request.account.take_turn
+        self._connection.unread_count.begin(self._request.account.count_unread)
         received_before = self._connection.channel.bytes_received
         try:
             return await self._exchange(self._connection)
@@ -187,7 +188,7 @@
         # `getvalue` returns the buffer itself, where a bytearray would have to be copied.
         buffer = io.BytesIO()
         # Without room for the head, there is none for the body either.
-        self._request.try_hold(_head_bytes(head))
+        self._request.account.try_hold(_head_bytes(head))
         counted_bytes = 0
         has_room = True
         while buffer.tell() <= MAX_BUFFERED_BODY_BYTES and has_room:
@@ -199,7 +200,7 @@
             del part
             held_bytes = sys.getsizeof(buffer)
             if held_bytes > counted_bytes:
-                has_room = self._request.try_hold(held_bytes - counted_bytes)
+                has_room = self._request.account.try_hold(held_bytes - counted_bytes)
                 counted_bytes = held_bytes
         return self._validate_answer(head, buffer.getvalue(), self)
 
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -246,8 +246,7 @@
             exchange.body,
             exchange.received_ms,
             self._route_table,
-            exchange.try_hold,
-            exchange.take_turn,
+            exchange,
         )
         if isinstance(parsed, Err):
             await self._reject(exchange, parsed.err_value)
--- a/nutmeglead/forwarding/request.py
+++ b/nutmeglead/forwarding/request.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import os
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -43,12 +43,38 @@
 DEADLINE_MARGIN_MS = 15
 
 
-def _hold_any(size_bytes: int) -> bool:
-    return True
+class AnswerAccount(Protocol):
+    """Interface that counts what the process holds of the answer to a request."""
 
+    def try_hold(self, size_bytes: int) -> bool:
+        """Count bytes as held until the request ends, and return whether there is room for them."""
+        ...
 
-async def _let_others_run() -> None:
-    await asyncio.sleep(0)
+    def count_unread(self, size_bytes: int) -> None:
+        """Count bytes that have arrived; a negative number gives them back."""
+        ...
+
+    async def take_turn(self) -> None:
+        """Let the event loop run after many parts of the answer that had all arrived."""
+        ...
+
+
+class UnboundedAccount:
+    """Count nothing."""
+
+    def try_hold(self, size_bytes: int) -> bool:
+        """Return True."""
+        return True
+
+    def count_unread(self, size_bytes: int) -> None:
+        """Do nothing."""
+
+    async def take_turn(self) -> None:
+        """Let the event loop run."""
+        await asyncio.sleep(0)
+
+
+UNBOUNDED = UnboundedAccount()
 
 
 @dataclass
@@ -74,10 +100,7 @@
     key: int | None
     received_ms: int
     deadline_ms: int
-    # Counts bytes of its answer as held, and returns whether there is room for them.
-    try_hold: Callable[[int], bool] = _hold_any
-    # Lets the event loop run after many parts of its answer that had all arrived.
-    take_turn: Callable[[], Awaitable[None]] = _let_others_run
+    account: AnswerAccount = UNBOUNDED
 
     @property
     def may_repeat(self) -> bool:
@@ -113,8 +136,7 @@
     body: Body,
     received_ms: int,
     table: RouteTable,
-    try_hold: Callable[[int], bool] = _hold_any,
-    take_turn: Callable[[], Awaitable[None]] = _let_others_run,
+    account: AnswerAccount = UNBOUNDED,
 ) -> Result[CallerRequest, BadRequest]:
     """Return the request with its route, key and deadline, or why it cannot be forwarded.
 
@@ -155,8 +177,7 @@
             key,
             received_ms,
             received_ms + allowed_ms,
-            try_hold,
-            take_turn,
+            account,
         )
     )
 
--- a/nutmeglead/forwarding/tests/attempts.feature
+++ b/nutmeglead/forwarding/tests/attempts.feature
@@ -13,6 +13,7 @@
     Given an attempt at a server that answers with 1 parts of 16 bytes
     When the attempt reads the answer
     Then its connection takes turns with those of other requests
+    And what arrives on its connection is counted
 
   Scenario Outline: An attempt holds no more of an answer than it counts
     # Parts of a body are objects of their own, which take several times their bytes if these are few.
--- a/nutmeglead/forwarding/tests/requests.feature
+++ b/nutmeglead/forwarding/tests/requests.feature
@@ -173,6 +173,19 @@
       | cuts a large body short                       | the server's length is not passed on                 |
       | sends a large body without length and resets  | a connection that is closed normally ends the answer |
 
+  Scenario Outline: Nothing of an answer stays counted
+    Given a first server that <behaviour>
+    When <caller>
+    Then nothing is held for the callers in the end
+
+    Examples: each row names the failure it guards against
+      | behaviour                                    | caller                                                                 | failure                                             |
+      | answers with status 200 and a large body     | an HTTP/1.0 caller reads the answer to a safe request                  | bytes of a whole answer stay counted                |
+      | cuts a large body short                      | an HTTP/1.0 caller reads the answer to a safe request                  | bytes of an answer that broke off stay counted      |
+      | sends a large body without length and resets | an HTTP/1.0 caller reads the answer to a safe request                  | the same, for a connection that was reset           |
+      | answers 500                                  | an HTTP/1.0 caller reads the answer to a safe request                  | the answer of an earlier attempt stays counted      |
+      | sends chunks without end                     | a caller sends a safe request with 400 ms left and reads to the end    | bytes that arrived after the deadline stay counted  |
+
   Scenario: A server sends bytes without end after a complete answer
     # Guards against an idle connection that is read without a limit, or reused although bytes are left on it.
     Given a first server that sends bytes without end after the answer
--- a/nutmeglead/forwarding/tests/steps/attempts_steps.py
+++ b/nutmeglead/forwarding/tests/steps/attempts_steps.py
@@ -11,9 +11,11 @@
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.forwarding.attempt import Attempt
 from nutmeglead.forwarding.model import Backend, RequestKind, Route
-from nutmeglead.forwarding.request import CallerRequest
+from nutmeglead.forwarding.request import CallerRequest, UnboundedAccount
+from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.errors import PeerClosed
 from nutmeglead.http.messages import RequestHead, ResponseHead
+from nutmeglead.http.unread_count import UnreadCount
 from nutmeglead.platform.wire import ANSWER_ID_HEADER, SIGNATURE_HEADER
 
 ROUTE = Route("r", "h", "/s/", RequestKind.IDEMPOTENT, 800, 300, 1, 2, (Backend("stock", 1.0),))
@@ -25,6 +27,7 @@
 
     sent: list = field(default_factory=list)
     channel: SimpleNamespace = field(default_factory=lambda: SimpleNamespace(bytes_received=0))
+    unread_count: UnreadCount = field(default_factory=lambda: UnreadCount(ByteChannel()))
 
     async def send_request(self, head, body):
         self.sent.append(head)
@@ -72,11 +75,24 @@
     assert not context.result.err_value.reached_server
 
 
+class CountedAccount(UnboundedAccount):
+    """Count what an attempt counts as held."""
+
+    def __init__(self):
+        self.counted_bytes = 0
+        self.has_room = True
+
+    def try_hold(self, size_bytes):
+        self.counted_bytes += size_bytes
+        return self.has_room
+
+
 class AnsweringConnection:
     """A connection with an answer in equal parts."""
 
     def __init__(self, count, size_bytes):
-        self.channel = SimpleNamespace(bytes_received=0)
+        self.channel = ByteChannel()
+        self.unread_count = UnreadCount(self.channel)
         self._left_count = count
         self._size_bytes = size_bytes
         self.field_count = 0
@@ -99,17 +115,11 @@
 
 @given("an attempt at a server that answers with {count:d} parts of {size_bytes:d} bytes")
 def step_answering(context, count, size_bytes):
-    context.counted = []
-    context.has_room = True
-
-    def try_hold(added_bytes):
-        context.counted.append(added_bytes)
-        return context.has_room
-
+    context.account = CountedAccount()
     context.upstream = upstream = LeavingUpstream()
     upstream.connection = AnsweringConnection(count, size_bytes)
     policy = SimpleNamespace(may_send_to=lambda upstream: True)
-    context.attempt = Attempt(upstream, request_to_hold(try_hold), policy, 2, [])
+    context.attempt = Attempt(upstream, request_with(context.account), policy, 2, [])
 
 
 @given("its head has {count:d} fields of 4 bytes")
@@ -119,16 +129,11 @@
 
 @given("there is no room")
 def step_no_room(context):
-    context.has_room = False
-
-
-def request_to_hold(try_hold):
-    head = RequestHead(b"GET", b"/s/")
-    return CallerRequest(head, b"", b"r1", ROUTE, 1, 7, 0, 800, try_hold, take_turn)
+    context.account.has_room = False
 
 
-async def take_turn():
-    """Stand for the turns that all requests of the process share."""
+def request_with(account):
+    return CallerRequest(RequestHead(b"GET", b"/s/"), b"", b"r1", ROUTE, 1, 7, 0, 800, account)
 
 
 @when("the attempt reads the answer")
@@ -148,7 +153,13 @@
 
 @then("its connection takes turns with those of other requests")
 def step_turns(context):
-    assert context.upstream.connection.take_turn is take_turn
+    assert context.upstream.connection.take_turn == context.account.take_turn
+
+
+@then("what arrives on its connection is counted")
+def step_counts_unread(context):
+    channel = context.upstream.connection.channel
+    assert channel.on_unread_changed == context.account.count_unread
 
 
 @then("its body has {size_bytes:d} bytes")
@@ -158,7 +169,7 @@
 
 @then("at most {transit_bytes:d} bytes more than it has counted were held at any time")
 def step_held(context, transit_bytes):
-    counted_bytes = sum(context.counted)
+    counted_bytes = context.account.counted_bytes
     assert counted_bytes >= len(context.result.ok_value.body)
     assert context.held_bytes <= counted_bytes + transit_bytes, (context.held_bytes, counted_bytes)
 
--- a/nutmeglead/forwarding/tests/steps/requests_steps.py
+++ b/nutmeglead/forwarding/tests/steps/requests_steps.py
@@ -53,6 +53,12 @@
     assert run_once(context).is_cut
 
 
+@then("nothing is held for the callers in the end")
+def step_nothing_held(context):
+    held = run_once(context).http_server.held
+    assert held.total_bytes == 0, held.total_bytes
+
+
 @then("the first server counts as failing and its connection is closed")
 def step_counts_as_failing(context):
     scenario = run_once(context)
--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -31,6 +31,8 @@
         self.peer_closed = asyncio.Event()
         # Called once when `peer_closed` is set; costs less per request than a task that waits.
         self.on_peer_closed: Callable[[], None] | None = None
+        # Called with each change of the number of unread bytes.
+        self.on_unread_changed: Callable[[int], None] | None = None
         self._buffer = bytearray()
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiters: list[asyncio.Future[None]] = []
@@ -50,6 +52,8 @@
         """Buffer received bytes; pause reading while more than `MAX_UNREAD_BYTES` are unread."""
         self.bytes_received += len(data)
         self._buffer += data
+        if self.on_unread_changed is not None:
+            self.on_unread_changed(len(data))
         if len(self._buffer) > MAX_UNREAD_BYTES and self.transport and not self._reading_paused:
             self.transport.pause_reading()
             self._reading_paused = True
@@ -101,6 +105,8 @@
         """Return all unread bytes without waiting, or b"" if there are none; resume reading."""
         data = bytes(self._buffer)
         self._buffer.clear()
+        if self.on_unread_changed is not None:
+            self.on_unread_changed(-len(data))
         if self._reading_paused and self.transport:
             self.transport.resume_reading()
             self._reading_paused = False
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -24,6 +24,7 @@
     limit_unacknowledged_time,
     reset_on_close,
 )
+from nutmeglead.http.unread_count import UnreadCount
 
 __all__ = ["ClientConnection", "HttpFetcher", "ProgressLimits", "connect"]
 
@@ -61,6 +62,7 @@
         self.exchange_count = 0
         self.take_turn: Callable[[], Awaitable[None]] = _let_others_run
         self._events_in_a_row = 0
+        self.unread_count = UnreadCount(channel)
         self._unacknowledged_limit_ms: int | None = None
         self._connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._bytes_written_at_start = 0
@@ -86,6 +88,11 @@
             self._unacknowledged_limit_ms = limit_ms
             limit_unacknowledged_time(self.channel.transport, limit_ms)
 
+    def _feed(self, data: bytes) -> None:
+        """Give bytes to the parser, which has used up those before them."""
+        self._connection.receive_data(data)
+        self.unread_count.set_fed(len(data))
+
     async def send_head(self, head: RequestHead) -> None:
         """Start an exchange by sending the request line and headers."""
         self._bytes_written_at_start = self.channel.bytes_written
@@ -126,7 +133,7 @@
         # The response has rarely begun to arrive; asking h11 first costs more than this check.
         if not self._connection.trailing_data[0]:
             self._events_in_a_row = 0
-            self._connection.receive_data(await self.channel.read())
+            self._feed(await self.channel.read())
         for _ in range(MAX_INFORMATIONAL_COUNT + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -164,6 +171,7 @@
 
     def finish_exchange(self) -> bool:
         """End the exchange and return whether the connection can be reused; abort it if not."""
+        self.unread_count.end()
         states = (self._connection.our_state, self._connection.their_state)
         if states == (h11.DONE, h11.DONE):
             self._connection.start_next_cycle()
@@ -174,6 +182,7 @@
 
     def abort(self) -> None:
         """Reset the connection, which cancels the exchange at the server."""
+        self.unread_count.end()
         self.channel.abort()
 
     async def _send(self, event: h11.Event) -> None:
@@ -201,7 +210,7 @@
             # The end of the stream completes a body without a length; a reset must not.
             if not data and self.channel.was_reset:
                 raise PeerClosed("with a reset")
-            self._connection.receive_data(data)
+            self._feed(data)
         return event
 
     def _next_buffered_event(self) -> object | None:
@@ -215,10 +224,11 @@
                 raise MalformedMessage(str(error), 502) from error
             if event is not h11.NEED_DATA:
                 return event
+            self.unread_count.set_fed(0)
             data = self.channel.read_nowait()
             if not data:
                 return None
-            self._connection.receive_data(data)
+            self._feed(data)
 
 
 def _body_part(event: object) -> Body:
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -144,6 +144,10 @@
         self.counted_bytes = counted_bytes
         return True
 
+    def count_unread(self, size_bytes: int) -> None:
+        """Count bytes that have arrived from a server; a negative number gives them back."""
+        self._connection.held.add(size_bytes)
+
     async def take_turn(self) -> None:
         """Let the event loop run after many parts of an answer that had all arrived."""
         await asyncio.sleep(0)
--- a/nutmeglead/http/held_bytes.py
+++ b/nutmeglead/http/held_bytes.py
@@ -74,10 +74,7 @@
             raise MemoryShort(RETRY_AFTER_MS)
 
     def try_add_answer(self, size_bytes: int, is_large: bool) -> bool:
-        """Count bytes of an answer and return True, or return False if there is no room for them.
-
-        The connections to servers hold some more of each answer, which does not count.
-        """
+        """Count bytes of an answer and return True, or False if there is no room for them."""
         if is_large and self.total_bytes > self.large_limit_bytes * ANSWER_SHARE:
             return False
         return self.try_add(size_bytes, is_large)
--- a/nutmeglead/http/tests/steps/answers_steps.py
+++ b/nutmeglead/http/tests/steps/answers_steps.py
@@ -13,6 +13,8 @@
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.messages import RequestHead, ResponseHead
 
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
 CHUNK_BYTES = 16
 CHUNK = b"%x\r\n%b\r\n" % (CHUNK_BYTES, b"x" * CHUNK_BYTES)
 
@@ -37,17 +39,23 @@
         return bytes(self._size_bytes)
 
 
-class CountedConnection(ClientConnection):
+class AnsweredConnection(ClientConnection):
+    """A connection on which a request was sent."""
+
+    def __init__(self):
+        super().__init__(ByteChannel())
+        self._connection.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+        self._connection.send(h11.EndOfMessage())
+
+
+class CountedConnection(AnsweredConnection):
     """A connection whose answer has arrived; it counts the parts of it that are taken."""
 
     def __init__(self, passes, take_turn, chunk_count):
-        super().__init__(ByteChannel())
+        super().__init__()
         self.take_turn = take_turn
         self._passes = passes
-        self._connection.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
-        self._connection.send(h11.EndOfMessage())
-        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-        self.channel.data_received(head + CHUNK * chunk_count + b"0\r\n\r\n")
+        self.channel.data_received(CHUNKED_HEAD + CHUNK * chunk_count + LAST_CHUNK)
 
     def _next_buffered_event(self):
         self._passes[-1] += 1
@@ -103,6 +111,51 @@
     assert max(later, default=0) <= count, max(later)
 
 
+@given(
+    "a connection that counts, on which the head of an answer and {count:d} chunks of "
+    "{size_bytes:d} bytes have arrived"
+)
+def step_counting(context, count, size_bytes):
+    context.counted_bytes = 0
+
+    def count_held(added_bytes):
+        context.counted_bytes += added_bytes
+
+    context.chunk = b"%x\r\n%b\r\n" % (size_bytes, b"x" * size_bytes)
+    context.connection = AnsweredConnection()
+    context.connection.unread_count.begin(count_held)
+    context.connection.channel.data_received(CHUNKED_HEAD + context.chunk * count)
+
+
+@when("{read_count:d} parts are read and {later_count:d} more chunks arrive")
+def step_read_some(context, read_count, later_count):
+    async def read():
+        if read_count:
+            await context.connection.read_head()
+        for _ in range(read_count):
+            assert await context.connection.read_body()
+
+    asyncio.run(read())
+    context.connection.channel.data_received(context.chunk * later_count)
+
+
+@then("at least {least_bytes:d} bytes are counted")
+def step_counted(context, least_bytes):
+    assert context.counted_bytes >= least_bytes, context.counted_bytes
+
+
+@then("none are when the exchange ends by {end}")
+def step_ends(context, end):
+    connection = context.connection
+    if end == "an abort":
+        connection.abort()
+    else:
+        connection.channel.data_received(LAST_CHUNK)
+        assert asyncio.run(connection.read_body()) == b""
+        connection.finish_exchange()
+    assert context.counted_bytes == 0, context.counted_bytes
+
+
 @given("a server whose answer has {count:d} parts of {size_bytes:d} bytes")
 def step_answer(context, count, size_bytes):
     context.body_bytes = count * size_bytes
