forwarding: let no cut answer take those behind it with it

Cause: an answer above 600 kB was passed on as it arrived. Change: an answer that waits for others, or for which others wait, is read whole while there is room, so that a break is retried or answered with 502; behind an answer that is sent while it arrives no request is begun.

--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -181,7 +181,7 @@
     async def _read_answer(
         self, connection: ClientConnection, head: ResponseHead
     ) -> Result[Answer, AttemptError]:
-        """Read the body, up to `MAX_BUFFERED_BODY_BYTES`, and return the validated answer.
+        """Read the body, all of it or the beginning of a large one, and return the valid answer.
 
         The parts are joined as they arrive, and the whole buffer counts as held.
         """
@@ -191,7 +191,7 @@
         self._request.account.try_hold(_head_bytes(head))
         counted_bytes = 0
         has_room = True
-        while buffer.tell() <= MAX_BUFFERED_BODY_BYTES and has_room:
+        while self._reads_on(buffer.tell()) and has_room:
             part = await connection.read_body()
             if not part:
                 return self._validate_answer(head, buffer.getvalue(), None)
@@ -204,6 +204,14 @@
                 counted_bytes = held_bytes
         return self._validate_answer(head, buffer.getvalue(), self)
 
+    def _reads_on(self, size_bytes: int) -> bool:
+        """Return whether more of an answer is read before its caller gets a first byte.
+
+        One that is cut while it is sent takes the answers behind it with it, and one that waits for
+        its turn is cut by its server if it stays unread.
+        """
+        return size_bytes <= MAX_BUFFERED_BODY_BYTES or self._request.account.must_be_whole
+
     def _validate_answer(
         self, head: ResponseHead, body: bytes, body_source: Attempt | None
     ) -> Result[Answer, AttemptError]:
--- a/nutmeglead/forwarding/request.py
+++ b/nutmeglead/forwarding/request.py
@@ -58,10 +58,17 @@
         """Let the event loop run after many parts of the answer that had all arrived."""
         ...
 
+    @property
+    def must_be_whole(self) -> bool:
+        """Return whether the answer should be read whole before any of it is sent."""
+        ...
+
 
 class UnboundedAccount:
     """Count nothing."""
 
+    must_be_whole = False
+
     def try_hold(self, size_bytes: int) -> bool:
         """Return True."""
         return True
--- a/nutmeglead/forwarding/tests/attempts.feature
+++ b/nutmeglead/forwarding/tests/attempts.feature
@@ -37,3 +37,14 @@
     And there is no room
     When the attempt reads the answer
     Then its body begins with 16 bytes and the rest can be read
+
+  Scenario Outline: An answer that shares its connection with others is read whole
+    Given an attempt at a server that answers with 100 parts of 15000 bytes
+    And its caller's connection has <others>
+    When the attempt reads the answer
+    Then it has read <read> bytes of the body and <rest>
+
+    Examples: each row names the failure it guards against
+      | others                    | read    | rest                 | failure                                                             |
+      | no other request          | 615000  | the rest can be read | a large answer is kept from its caller until all of it has arrived  |
+      | other requests            | 1500000 | nothing is left      | a cut answer takes those behind it with it (review/13)              |
--- a/nutmeglead/forwarding/tests/steps/attempts_steps.py
+++ b/nutmeglead/forwarding/tests/steps/attempts_steps.py
@@ -136,6 +136,11 @@
     return CallerRequest(RequestHead(b"GET", b"/s/"), b"", b"r1", ROUTE, 1, 7, 0, 800, account)
 
 
+@given("its caller's connection has {others}")
+def step_others(context, others):
+    context.account.must_be_whole = others == "other requests"
+
+
 @when("the attempt reads the answer")
 def step_reads(context):
     async def read():
@@ -179,3 +184,10 @@
     answer = context.result.ok_value
     assert len(answer.body) == size_bytes and answer.body_source is context.attempt, answer
     assert len(asyncio.run(context.attempt.read_body_part()).ok_value) == size_bytes
+
+
+@then("it has read {size_bytes:d} bytes of the body and {rest}")
+def step_read(context, size_bytes, rest):
+    answer = context.result.ok_value
+    assert len(answer.body) == size_bytes, len(answer.body)
+    assert (answer.body_source is None) == (rest == "nothing is left"), answer.body_source
--- a/nutmeglead/http/ahead_limit.py
+++ b/nutmeglead/http/ahead_limit.py
@@ -56,8 +56,3 @@
             await asyncio.wait([*handlers, waiter], return_when=asyncio.FIRST_COMPLETED)
         finally:
             self._waiting.pop(waiter, None)
-
-    async def wait_for_room(self, handlers: Collection[asyncio.Task[None]]) -> None:
-        """Wait until there is room, or the connection of these handlers has none in progress."""
-        while handlers and not self.has_room:
-            await self.wait(handlers)
--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -159,6 +159,10 @@
             self._accepts_requests = False
         return not self._accepts_requests
 
+    def is_followed(self, exchange: CallerExchange) -> bool:
+        """Return whether a later request of the connection is in progress."""
+        return exchange is not self._latest_exchange
+
     def end_reading_ahead(self) -> None:
         """End the reading of requests that arrive behind an exchange in progress."""
         if self.is_busy:
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -57,6 +57,9 @@
     def closes_after(self, exchange: "CallerExchange") -> bool:
         """Return whether the connection is closed after the response of this exchange."""
 
+    def is_followed(self, exchange: "CallerExchange") -> bool:
+        """Return whether a later request of the connection is in progress."""
+
 
 class CallerExchange:
     """Hold a completely received request and send its response.
@@ -80,6 +83,8 @@
         self.body = body
         self.received_ms = received_ms
         self.response_started = False
+        # Whether a part of the response is sent, and the rest may never be.
+        self.is_streaming = False
         self.counted_bytes = counted_bytes
         self.finished: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._connection = connection
@@ -109,6 +114,7 @@
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the head of a response; its body is chunked unless a `content-length` is given."""
         await self._wait_for_turn()
+        self.is_streaming = True
         await self._connection.write(self._encode(self._response_head(status, headers)))
 
     async def send_body(self, data: Body) -> None:
@@ -184,7 +190,14 @@
         except h11.LocalProtocolError as error:
             raise MalformedMessage(str(error)) from error
 
+    @property
+    def must_be_whole(self) -> bool:
+        """Return whether other responses wait for this one, or it waits for others."""
+        waits = self._previous_finished is not None and not self._previous_finished.done()
+        return waits or self._connection.is_followed(self)
+
     def _mark_finished(self) -> None:
+        self.is_streaming = False
         if not self.finished.done():
             self.finished.set_result(None)
 
--- a/nutmeglead/http/read_ahead.py
+++ b/nutmeglead/http/read_ahead.py
@@ -51,13 +51,14 @@
 
     async def wait_to_begin(self, parser: h11.Connection) -> None:
         """Wait until a request that was read may begin."""
-        if not self._handlers or self._limit.has_room:
+        if not self._handlers or self._may_begin():
             return
         held, unread_bytes = self._connection.held, len(parser.trailing_data[0])
         self.waits_to_begin = True
         held.add(unread_bytes)
         try:
-            await self._limit.wait_for_room(self._handlers)
+            while self._handlers and not self._may_begin():
+                await self._limit.wait(self._handlers)
         finally:
             held.add(-unread_bytes)
             self.waits_to_begin = False
@@ -74,9 +75,17 @@
         finally:
             held.add(-unread_bytes)
 
+    def _may_begin(self) -> bool:
+        """Return whether there is room, and no response is sent whose rest may never come.
+
+        If that is cut, so is the connection with all that was begun behind it.
+        """
+        is_streaming = any(exchange.is_streaming for exchange in self._handlers.values())
+        return self._limit.has_room and not is_streaming
+
     def _may_read(self) -> bool:
         """Return whether there is room, the caller reads its answers, and little is held for it."""
-        if not self._limit.has_room:
+        if not self._may_begin():
             return False
         if self._connection.is_writing_paused or len(self._handlers) >= MAX_PIPELINE_DEPTH:
             return False
