http: keep a connection that was to make way once its request is whole

Cause: a connection that is told to make way while its request is read part by part, or before a request that was sent ahead is begun, kept that in mind after the request was whole. The next wait for bytes then closed it under the running handler: a request that may have been passed on got no answer. Change: the start of a handler takes the dismissal back.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -295,6 +295,8 @@
 
     def _start_exchange(self, parser: h11.Connection, request: ReceivedRequest) -> None:
         """Start a handler task, whose response waits for the one to the previous request."""
+        # The caller uses a connection that was to end.
+        self._dismissal = None
         now_ms = self._server.clock.now_ms()
         previous_finished = (
             self._latest_exchange.finished if self._latest_exchange is not None else None
--- a/nutmeglead/http/tests/late_timers.feature
+++ b/nutmeglead/http/tests/late_timers.feature
@@ -69,3 +69,12 @@
     Given a server whose event loop runs in time
     When the caller leaves in the pass in which the idle timeout becomes due
     Then the server has no connection left
+
+  Scenario Outline: A connection that was to make way is kept once its request is whole
+    Given a server whose event loop runs in time
+    When <sending> is being read and the connection has to make way
+    Then the caller gets a whole answer to each of its <count> requests
+
+    Examples: each row names the failure it guards against
+      | sending                   | count | failure                                                     |
+      | a body of many chunks     | 1     | the connection is closed while its request is in progress   |
--- a/nutmeglead/http/tests/steps/late_timers_steps.py
+++ b/nutmeglead/http/tests/steps/late_timers_steps.py
@@ -121,6 +121,19 @@
         self.open_count = len(self._server.connections)
         self._socket.close()
 
+    async def run_read_in_turns(self, clock, sent):
+        """Make the connection give way while the parts of its request are read pass by pass."""
+        await self.connect(clock)
+        (connection,) = self._server.connections
+        self._socket.sendall(sent)
+        # From the first part to the last, the request is neither unread nor in progress.
+        for _ in range(PASSES):
+            if connection.waiting_since_ms is not None and not connection.is_idle:
+                break
+            await asyncio.sleep(0)
+        connection.give_way()
+        await self._read_to_end()
+
     async def run_unfinished(self, clock, sent):
         await self.connect(clock)
         self._socket.sendall(sent)
@@ -219,6 +232,12 @@
     assert context.caller.open_count == 0, context.caller.open_count
 
 
+@when("a body of many chunks is being read and the connection has to make way")
+def step_read_in_turns(context):
+    sent = CHUNKED.replace(b"/1 ", b"/slow ") + b"1\r\nx\r\n" * CHUNK_COUNT + b"0\r\n\r\n"
+    run_virtual(lambda clock: context.caller.run_read_in_turns(clock, sent), VirtualLoop())
+
+
 @when("nothing arrives")
 def step_nothing(context):
     run_virtual(lambda clock: context.caller.run_unfinished(clock, b""), VirtualLoop())
