http: send no refusal behind an answer that closes the connection

Cause: when a request is refused (400, 408, 413, 503) behind one in progress, the answer ahead said connection: close, and the refusal followed it. No caller reads an answer behind such a one (RFC 9112, section 9.6). Change: only the refusal says that the connection closes.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -69,6 +69,8 @@
         self._timer = WaitTimer(self.wake_reader)
         # Why the connection is to end if its caller goes on sending nothing.
         self._dismissal: EndCause | None = None
+        # Whether the next request is refused, after the answers in progress.
+        self._refuses_next = False
         # Why the connection ends, and the requests that had no whole answer then.
         self._end_cause: EndCause | None = None
         self._unanswered: list[RequestHead] = []
@@ -164,7 +166,7 @@
         requests if the exchange is the latest one and, while the server listens, no further bytes
         have arrived.
         """
-        if exchange is not self._latest_exchange:
+        if exchange is not self._latest_exchange or self._refuses_next:
             return False
         server = self._server
         if server.has_stopped_listening or (server.is_stopping and not self.unread_bytes):
@@ -390,6 +392,7 @@
     ) -> None:
         """Send an error response without a body, marked as not run, after the earlier responses."""
         self._accepts_requests = False
+        self._refuses_next = True
         # The handlers end also if their responses are never finished, as when the caller has left.
         while self._handlers:
             await asyncio.wait(self._handlers)
--- a/nutmeglead/http/tests/late_timers.feature
+++ b/nutmeglead/http/tests/late_timers.feature
@@ -26,6 +26,13 @@
       | a head without its body              | the same for a body                                             |
       | a head behind a request in progress  | the same for a request that was sent ahead                      |
 
+  Scenario: No answer follows one that closes the connection
+    # Guards against a refusal that no caller reads, since the answer before it says that the connection ends there.
+    Given a server whose event loop runs in time
+    When a head behind a request in progress arrives and nothing more
+    Then the caller gets a whole answer to each of its 1 requests
+    And only the last answer says that the connection closes
+
   Scenario: An idle connection is closed without an answer
     # Guards against an answer to no request, which a caller takes for the answer to its next one.
     Given a server whose event loop runs in time
--- a/nutmeglead/http/tests/steps/late_timers_steps.py
+++ b/nutmeglead/http/tests/steps/late_timers_steps.py
@@ -259,6 +259,13 @@
     assert context.caller.is_closed
 
 
+@then("only the last answer says that the connection closes")
+def step_only_last(context):
+    *earlier, last = context.caller.received.split(b"HTTP/1.1 ")[1:]
+    assert b"connection: close" in last, last
+    assert earlier and not any(b"connection: close" in head for head in earlier), earlier
+
+
 @then("the connection ends without a byte")
 def step_no_byte(context):
     assert context.caller.is_closed
