--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -66,6 +66,8 @@
         self._timer = WaitTimer(self.wake_reader)
         # Why the connection is to end if its caller goes on sending nothing.
         self._dismissal: EndCause | None = None
+        # Whether the next request is refused, after the answers in progress.
+        self._refuses_next = False
         self._end = ConnectionEnd()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -129,12 +131,6 @@
         """Return how many written bytes the kernel has not taken yet."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
-    @property
-    def peer_ip(self) -> str:
-        """Return the IP address of the caller, or "" if it is not known."""
-        name = self.transport.get_extra_info("peername") if self.transport is not None else None
-        return str(name[0]) if name else ""
-
     @property
     def is_busy(self) -> bool:
         """Return whether a handler is still running."""
@@ -151,7 +147,7 @@
         requests if the exchange is the latest one and, while the server listens, no further bytes
         have arrived.
         """
-        if exchange is not self._latest_exchange:
+        if exchange is not self._latest_exchange or self._refuses_next:
             return False
         server = self._server
         has_arrived = self.unread_bytes or self._read_ahead.waits_to_begin
@@ -268,6 +264,8 @@
 
     def _start_exchange(self, parser: h11.Connection, request: ReceivedRequest) -> None:
         """Start a handler task, whose response waits for the one to the previous request."""
+        # The caller uses a connection that was to end.
+        self._dismissal = None
         now_ms = self._server.clock.now_ms()
         previous_finished = (
             self._latest_exchange.finished if self._latest_exchange is not None else None
@@ -374,6 +372,7 @@
     async def _reject_request(self, parser: h11.Connection, error: RequestRefused) -> None:
         """Send an error response without a body, marked as not run, after the earlier responses."""
         self._accepts_requests = False
+        self._refuses_next = True
         await self._wait_for_handlers()
         if isinstance(error, MemoryShort):
             self.held.record_refusal(self.peer_ip, self._server.clock.now_ms())
--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -144,6 +144,12 @@
         """Return whether the send buffer is full."""
         return self._writing_paused
 
+    @property
+    def peer_ip(self) -> str:
+        """Return the IP address of the peer, or "" if it is not known."""
+        name = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return str(name[0]) if name else ""
+
     @property
     def is_open(self) -> bool:
         """Return whether both directions of the connection are open."""
