ranges: never expect a service time of zero

Cause: times are reported in whole milliseconds. Change: a report counts as 1 ms at least. Measured: speed.feature, 2 of 2 rows failed before and pass now. The rate of an upstream's tokens was said to have the same weakness: with 20,000 answers of 0 ms its moving average stays above zero, so nothing is changed there.

--- a/nutmeglead/ranges/speed.py
+++ b/nutmeglead/ranges/speed.py
@@ -14,6 +14,8 @@
 # servers: one slow answer in a hundred takes five times as long, and the estimate must not follow
 # it.
 MAX_RATIO = 3.0
+# Times are reported in whole milliseconds; capacities are divided by them.
+MIN_TIME_MS = 1.0
 
 
 @dataclass
@@ -41,7 +43,9 @@
     def add(self, tag: int, count: int, mean_ms: float, now_ms: int) -> None:
         """Add a number of answers of a server with their mean service time."""
         overall_mean_ms = self._mean_ms(self._all, DEFAULT_TIME_MS)
-        bounded_ms = min(mean_ms, MAX_RATIO * overall_mean_ms) if self._all.count >= 50 else mean_ms
+        bounded_ms = max(mean_ms, MIN_TIME_MS)
+        if self._all.count >= 50:
+            bounded_ms = min(bounded_ms, MAX_RATIO * overall_mean_ms)
         for entry in (self._sums.setdefault(tag, _DecayedSum(at_ms=now_ms)), self._all):
             entry.decay(now_ms)
             entry.count += count
