--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -229,13 +229,14 @@
         # Callers ask for unencoded bodies, so an encoded one does not come from the server.
         if header_value(head.headers, b"content-encoding") is not None:
             return Err(AnswerSpoiled("the body is encoded"))
+        keeps_length = body_source is not None or self._request.head.method == b"HEAD"
         headers = [
             header
             for header in without_hop_by_hop_headers(head.headers)
             if header[0] not in NOTICE_HEADERS
             # A buffered body gets its length when it is sent; a streamed one keeps the server's, by
-            # which a caller of HTTP/1.0 notices a cut.
-            and (header[0] != b"content-length" or body_source is not None)
+            # which a caller of HTTP/1.0 notices a cut, and so does the answer to HEAD.
+            and (header[0] != b"content-length" or keeps_length)
         ]
         return Ok(Answer(head.status, headers, body, body_source))
 
--- a/nutmeglead/forwarding/tests/attempts.feature
+++ b/nutmeglead/forwarding/tests/attempts.feature
@@ -48,3 +48,14 @@
       | others                    | read    | rest                 | failure                                                             |
       | no other request          | 615000  | the rest can be read | a large answer is kept from its caller until all of it has arrived  |
       | other requests            | 1500000 | nothing is left      | a cut answer takes those behind it with it (review/13)              |
+
+  Scenario Outline: The length that a server states
+    Given an attempt at a server that answers with <count> parts of 900 bytes
+    And the caller's method is <method>
+    When the attempt reads the answer
+    Then the headers for the caller <verb> the server's length
+
+    Examples: each row names the failure it guards against
+      | count | method | verb | failure                                                       |
+      | 0     | HEAD   | keep | the answer to HEAD states a length of 0, whatever the server's |
+      | 1     | GET    | drop | an answer has two lengths                                     |
--- a/nutmeglead/forwarding/tests/steps/attempts_steps.py
+++ b/nutmeglead/forwarding/tests/steps/attempts_steps.py
@@ -103,6 +103,7 @@
     async def read_head(self):
         headers = [(ANSWER_ID_HEADER, b"r1"), (SIGNATURE_HEADER, b"s")]
         # Objects of their own, as a parser makes them.
+        headers.append((b"content-length", b"900"))
         headers += [(b"x" + b"%d" % n, b"%d" % n) for n in range(100, 100 + self.field_count)]
         return ResponseHead(200, headers)
 
@@ -132,8 +133,21 @@
     context.account.has_room = False
 
 
-def request_with(account):
-    return CallerRequest(RequestHead(b"GET", b"/s/"), b"", b"r1", ROUTE, 1, 7, 0, 800, account)
+def request_with(account, method=b"GET"):
+    return CallerRequest(RequestHead(method, b"/s/"), b"", b"r1", ROUTE, 1, 7, 0, 800, account)
+
+
+@given("the caller's method is {method}")
+def step_method(context, method):
+    context.attempt._request = request_with(context.account, method.encode())
+
+
+@then("the headers for the caller {verb} the server's length")
+def step_length(context, verb):
+    lengths = [
+        value for name, value in context.result.ok_value.headers if name == b"content-length"
+    ]
+    assert lengths == ([b"900"] if verb == "keep" else []), lengths
 
 
 @given("its caller's connection has {others}")
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -9,7 +9,7 @@
 from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
 from nutmeglead.http.errors import HttpError, MalformedMessage
 from nutmeglead.http.held_bytes import SMALL_BYTES, HeldBytes
-from nutmeglead.http.messages import Body, Headers, RequestHead
+from nutmeglead.http.messages import Body, Headers, RequestHead, header_value
 from nutmeglead.http.parts import WRITE_PART_BYTES, body_events
 from nutmeglead.http.turns import TurnTaker
 
@@ -93,8 +93,13 @@
         self._turns = TurnTaker()
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole response with its `content-length`, a large body in parts."""
+        """Send a whole response, a large body in parts.
+
+        Its `content-length` is that of the body, or for HEAD the given one.
+        """
         framing = [(b"content-length", b"%d" % len(body))]
+        if self.head.method == b"HEAD" and header_value(headers, b"content-length") is not None:
+            framing = []
         await self._wait_for_turn()
         data = self._encode(self._response_head(status, headers + framing))
         # A response to HEAD or with status 204 or 304 has no body.
