entry: let reloaded bounds hold from then on

Cause: the longest hold of a grant and the time for which a leaving owner may be used were copied when a service's parts were made, so that a reload of the settings changed neither before the next start. Change: a reload passes both on to the parts that exist, and to those that are made later.

--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -237,6 +237,8 @@
         ]
         self.settings = replace(self.settings, bounds=settings.bounds)
         self.forwarder.set_bounds(settings.bounds)
+        for controller in self.controllers.values():
+            controller.order_sender.max_hold_ms = settings.bounds.max_hold_ms
         return changed
 
     def cancel_tasks(self) -> None:
@@ -265,8 +267,6 @@
         limits = manifest.limits if manifest is not None else ClientLimits()
         return CallerLimits(**vars(limits))
 
-    # ---- readiness ----
-
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this node."""
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -85,9 +85,7 @@
         self._bounds = bounds
         self._apply_server_bounds()
         self._in_flight_elsewhere = in_flight_elsewhere
-        self._settings = replace(
-            settings or DispatchSettings(), leaving_use_ms=bounds.leave_ms - LEAVE_MARGIN_MS
-        )
+        self._settings = _bounded(settings or DispatchSettings(), bounds)
         self._route_table: RouteTable | None = None
         self._service_choice = WeightedChoice()
         registry.subscribe(self._refresh_services)
@@ -158,6 +156,9 @@
         """Replace the bounds; retry budgets keep the requests and retries they have counted."""
         self._bounds = bounds
         self._apply_server_bounds()
+        self._settings = _bounded(self._settings, bounds)
+        for service in self.services.values():
+            service.server_use.leaving_use_ms = self._settings.leaving_use_ms
         for budget in self.budgets.values():
             budget.set_bounds(bounds.retry_ratio, bounds.retry_base, bounds.retry_window_ms)
 
@@ -284,3 +285,8 @@
             handler.close()
             self._running.discard(handler)
             self.log.add(request, service.name, handler.summary(), self.clock.now_ms())
+
+
+def _bounded(settings: DispatchSettings, bounds: Bounds) -> DispatchSettings:
+    """Return the settings with what follows from the platform's bounds."""
+    return replace(settings, leaving_use_ms=bounds.leave_ms - LEAVE_MARGIN_MS)
--- a/nutmeglead/forwarding/server_use.py
+++ b/nutmeglead/forwarding/server_use.py
@@ -40,7 +40,8 @@
         self._next_slot: asyncio.TimerHandle | None = None
         self._evacuations = registry.evacuations
         self._clock = clock
-        self._settings = settings
+        # For how long an owner of keys is used after its leaving began.
+        self.leaving_use_ms = settings.leaving_use_ms
 
     def may_send_to(self, upstream: Upstream, has_keys: bool) -> bool:
         """Return whether a server is present and wants requests, or has just begun to leave.
@@ -58,7 +59,7 @@
         ):
             return False
         age_ms = upstream.leaving_age_ms(now_ms)
-        return age_ms is None or age_ms < self._settings.leaving_use_ms
+        return age_ms is None or age_ms < self.leaving_use_ms
 
     def is_all_evacuated(self, upstreams: Iterable[Upstream], has_keys: bool) -> bool:
         """Return whether no server may get requests, since all ready ones are evacuated."""
--- a/nutmeglead/ranges/orders.py
+++ b/nutmeglead/ranges/orders.py
@@ -67,7 +67,7 @@
         max_hold_ms: int,
         current_map: Callable[[], RangeMap | None],
     ) -> None:
-        self._max_hold_ms = max_hold_ms
+        self.max_hold_ms = max_hold_ms
         self._client = client
         self._registry = registry
         self._rights = rights
@@ -109,7 +109,7 @@
                 record,
                 (keys.first, keys.last),
                 keys.fence,
-                min(current.hold_ms, self._max_hold_ms),
+                min(current.hold_ms, self.max_hold_ms),
                 handover,
                 GRANT_TIMEOUT_MS,
                 lambda: self._may_grant(keys),
