http: keep a connection whose handler fails after its whole answer

Cause: an unexpected error after the answer was sent aborted the connection, with the end of the answer if the kernel had not taken it yet, and with the requests behind it. Change: such an error is logged, and the connection goes on.

--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -122,10 +122,12 @@
         self._mark_finished()
 
     async def refuse_unanswered(self) -> bool:
-        """Send 502, which promises nothing, if no response has begun; return whether it was sent.
+        """Send 502, which promises nothing, if no response has begun; return whether one is whole.
 
         For a request whose handler has failed, so that it is not known whether it has run.
         """
+        if self.finished.done():
+            return True
         if self._parser.our_state is not h11.SEND_RESPONSE:
             return False
         try:
--- a/nutmeglead/http/tests/connection_ends.feature
+++ b/nutmeglead/http/tests/connection_ends.feature
@@ -28,5 +28,6 @@
       | event                                            | statuses | named   | failure                                                            |
       | the handler of a request raises an error         | 502      | one     | a whole request is closed without an answer                        |
       | a handler fails ahead of another request         | 502 200  | one     | the request behind it loses its answer too                         |
+      | a handler fails after its whole answer           | 200 200  | one     | the end of the answer, and the requests behind it, are dropped     |
       | a handler answers with an impossible header      | 502      | one     | an answer that cannot be sent closes the connection                |
       | a handler ends with an error of HTTP             | 502      | nothing | the same for an answer that the parser refuses                     |
--- a/nutmeglead/http/tests/steps/connection_ends_steps.py
+++ b/nutmeglead/http/tests/steps/connection_ends_steps.py
@@ -28,6 +28,9 @@
     if exchange.head.target == b"/fails-late":
         await exchange.start_response(200, [(b"content-length", b"5")])
         raise ValueError("a handler's error")
+    if exchange.head.target == b"/fails-after":
+        await exchange.respond(200, [], b"whole")
+        raise ValueError("a handler's error")
     if exchange.head.target == b"/header":
         await exchange.respond(200, [(b"x-bad", b"a\nb")], b"whole")
     if exchange.head.target == b"/http":
@@ -56,6 +59,10 @@
     "the handler of a request raises an error": ([(b"fails", b"one")], None),
     "a handler fails in the middle of its answer": ([(b"fails-late", b"one")], None),
     "a handler fails ahead of another request": ([(b"fails", b"one"), (b"slow", b"two")], None),
+    "a handler fails after its whole answer": (
+        [(b"fails-after", b"one"), (b"slow", b"two")],
+        None,
+    ),
     "a handler answers with an impossible header": ([(b"header", b"one")], None),
     "a handler ends with an error of HTTP": ([(b"http", b"one")], None),
     "an answer breaks off before another request": (
