http: send the answers that are due before a stop cuts connections off

Cause: if the event loop stood still across the end of the grace, connections were reset in the pass in which their answers became due. Change: handlers get up to 20 passes of the event loop before the cut, and none if no connection is busy.

--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -21,6 +21,9 @@
 
 # While the server waits for its connections to end, it closes idle ones at this interval.
 IDLE_CHECK_INTERVAL_MS = 200
+# Passes of the event loop in which an answer that is due is sent to its caller. At a deadline, what
+# a server has sent is looked at first.
+DUE_ANSWER_PASSES = 20
 
 Handler = Callable[[CallerExchange], Awaitable[None]]
 
@@ -107,9 +110,17 @@
             await asyncio.wait(tasks, timeout=min(remaining_s, IDLE_CHECK_INTERVAL_MS / 1000))
             # A connection that was accepted last may bring no request.
             self._close_idle_connections()
+        await self._send_due_answers()
         counts = [connection.cut_off() for connection in list(self.connections)]
         return CutOff(sum(count > 0 for count in counts), sum(counts))
 
+    async def _send_due_answers(self) -> None:
+        """Let the handlers act on what arrived or became due while the event loop stood still."""
+        for _ in range(DUE_ANSWER_PASSES):
+            if not any(connection.is_busy for connection in self.connections):
+                break
+            await asyncio.sleep(0)
+
     async def close(self) -> None:
         """Stop listening and abort all connections, including those with running exchanges."""
         self._close_port()
--- a/nutmeglead/http/tests/steps/stops_steps.py
+++ b/nutmeglead/http/tests/steps/stops_steps.py
@@ -121,6 +121,22 @@
         await server.wait_closed(GRACE_MS)
         self.duration_ms = clock.now_ms() - stopped_ms
 
+    async def run_stalled(self, clock, early_ms, late_ms, grace_ms):
+        """Stop while a request is in progress, and stand still across the end of the grace."""
+        server, channel = await self._connect(clock)
+        await channel.write(GET % b"1")
+        await asyncio.sleep(0.001)
+        server.begin_stop()
+        await server.stop_listening()
+        stopping = asyncio.create_task(server.wait_closed(grace_ms))
+        stall_at_ms = WORK_MS - early_ms
+        await asyncio.sleep(stall_at_ms / 1000)
+        asyncio.get_running_loop().stand_still((grace_ms - stall_at_ms + late_ms) / 1000)
+        self.cut_off = await stopping
+        await asyncio.sleep(LATER_MS / 1000)
+        self.received = channel.read_nowait()
+        channel.abort()
+
     async def run(self, clock, sending):
         before, after = SENDINGS[sending]
         loop = asyncio.get_running_loop()
@@ -151,6 +167,17 @@
     run_virtual(lambda clock: context.stopping.run(clock, sending), EmulatedLoop(1))
 
 
+@when(
+    "its event loop stands still from {early_ms:d} ms before the answer until {late_ms:d} ms after"
+    " the end of a grace of {grace_ms:d} ms"
+)
+def step_stalled(context, early_ms, late_ms, grace_ms):
+    run_virtual(
+        lambda clock: context.stopping.run_stalled(clock, early_ms, late_ms, grace_ms),
+        EmulatedLoop(1),
+    )
+
+
 @when("it stops without any grace while it answers a request of HTTP/1.0")
 def step_cut_off(context):
     asyncio.run(context.stopping.cut_off_on_loopback())
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -46,3 +46,9 @@
     Given a server whose answers take 400 ms and are sent at once
     When it stops listening and a caller sends half a request
     Then the server has stopped 3000 ms later
+
+  Scenario: Answers that are due when the grace ends are sent before connections are cut off
+    # Guards against a stop that cuts off whole answers because its event loop stood still across the end of the grace.
+    Given a server whose answers take 400 ms and are sent at once
+    When its event loop stands still from 200 ms before the answer until 200 ms after the end of a grace of 500 ms
+    Then it has handled 1 and the caller has received 1 whole answers
