http: use a connection that was established while the event loop stood still

Cause: the timer of `connect` cancelled a connection that the kernel had established, when both were noticed in one pass. Its server then counted as failing, and as unreachable for 250 ms. Change: ArrivalTimeout lets the event loop handle what has arrived, for 4 passes or as long as more arrives, before it cancels.

--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -7,6 +7,7 @@
 import h11
 from result import Err, Ok, Result
 
+from nutmeglead.http.arrival_timeout import ArrivalTimeout
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.errors import (
     ConnectFailed,
@@ -215,7 +216,7 @@
     """Return a new connection, or ConnectFailed if none is established within `timeout_ms`."""
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_ms / 1000):
+        async with ArrivalTimeout(timeout_ms / 1000, lambda: 0):
             _, channel = await loop.create_connection(ByteChannel, ip, port)
     except TimeoutError:
         return Err(ConnectFailed(f"{ip}:{port}", f"no answer within {timeout_ms} ms"))
