forwarding: pass on an answer that arrived while the loop stood still across its deadline

Cause: the timer of a deadline cancelled a request whose answer had arrived whole, when both were noticed in one pass: its caller got 504 for a request that had run. A streamed body whose rest had arrived was cut. Change: both deadlines are ArrivalTimeouts on what the server has sent. No request is sent again once its time, or that of a stop, is over.

--- a/nutmeglead/forwarding/attempt.py
+++ b/nutmeglead/forwarding/attempt.py
@@ -114,6 +114,13 @@
         self._used_connections = used_connections
         self._keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
 
+    @property
+    def received_bytes(self) -> int | None:
+        """Return how much the server has sent on the connection, or None before the request."""
+        if self._connection is None or not self.was_sent:
+            return None
+        return self._connection.channel.bytes_received
+
     async def run(self) -> Result[Answer, AttemptError]:
         """Return the server's answer, or the error that kept it from being usable."""
         acquired = await self.upstream.acquire_connection(
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -27,6 +27,7 @@
 from nutmeglead.forwarding.request import CallerRequest
 from nutmeglead.forwarding.request_log import RequestSummary
 from nutmeglead.forwarding.upstream import Upstream
+from nutmeglead.http.arrival_timeout import ArrivalTimeout
 from nutmeglead.http.client import ClientConnection
 from nutmeglead.http.exchange import CallerExchange
 
@@ -80,7 +81,7 @@
         self._unsent_count = 0
         self._may_have_run = False
         self._fallback_answer: Answer | None = None
-        self._limit: asyncio.Timeout | None = None
+        self._limit: ArrivalTimeout | None = None
         self._attempt: Attempt | None = None
         self._upstream: Upstream | None = None
 
@@ -123,7 +124,7 @@
     async def _answer_before_deadline(self) -> Answer | None:
         """Return the answer, or set `failure` and return None, at the deadline at the latest."""
         try:
-            async with asyncio.timeout(self._remaining_s()) as self._limit:
+            async with ArrivalTimeout(self._remaining_s(), self._received_bytes) as self._limit:
                 return await self._attempt_until_answered()
         except TimeoutError:
             self._record_timeout()
@@ -131,13 +132,16 @@
         finally:
             self._limit = None
 
+    def _received_bytes(self) -> int | None:
+        return None if self._attempt is None else self._attempt.received_bytes
+
     def _remaining_s(self) -> float:
         end_ms = self._forwarder.stop_limit.end_ms(self._request.deadline_ms)
         return max(0, end_ms - self._clock.now_ms()) / 1000
 
     def begin_stop(self) -> None:
         """Answer the request before this node stops, with a failure if its server has not."""
-        if self._limit is not None and not self._limit.expired():
+        if self._limit is not None:
             self._limit.reschedule(asyncio.get_running_loop().time() + self._remaining_s())
 
     def _record_timeout(self) -> None:
@@ -240,7 +244,7 @@
         if answer.status < 500 or not self._request.may_repeat or answer.body_source is not None:
             return False
         self._fallback_answer = answer
-        return self._may_resend()
+        return self._has_time_left() and self._may_resend()
 
     async def _may_retry_after_failure(self) -> bool:
         """Return whether to retry after a failed attempt; pause first if the service has keys.
@@ -252,6 +256,8 @@
         assert isinstance(error, AttemptError)
         if error.outcome is Outcome.UNKNOWN and not self._request.may_repeat:
             return False
+        if not self._has_time_left():
+            return False
         if not error.reached_server:
             self._unsent_count += 1
             if self._unsent_count >= MAX_UNSENT_ATTEMPTS:
@@ -262,6 +268,10 @@
             await asyncio.sleep(KEY_RETRY_PAUSE_MS / 1000)
         return True
 
+    def _has_time_left(self) -> bool:
+        # What arrives at the deadline is still handled, but nothing is begun.
+        return self._remaining_s() > 0
+
     def _may_resend(self) -> bool:
         """Consume one retry and return True if the route and the retry budget allow it."""
         route = self._request.route
@@ -285,7 +295,7 @@
         await exchange.start_response(answer.status, answer.headers)
         remaining_ms = max(0, self._request.deadline_ms - self._clock.now_ms())
         try:
-            async with asyncio.timeout(remaining_ms / 1000):
+            async with ArrivalTimeout(remaining_ms / 1000, self._received_bytes):
                 self.failure = await self._send_body(exchange, answer, answer.body_source)
         except TimeoutError:
             self.failure = DeadlinePassed(Outcome.UNKNOWN)
