http: say that the connection closes after a request for another protocol

Cause: no request is read behind one with an Upgrade header, but its answer did not say so. A request that was sent behind it was dropped without an answer. Change: the answer to the last request that is read says that the connection closes.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -271,6 +271,8 @@
             self._timer.stop()
             self._start_exchange(parser, request)
             if parser.their_state is not h11.DONE:
+                # The answer says that the connection ends with it.
+                self._accepts_requests = False
                 return
             unread = parser.trailing_data[0]
             await self._wait_to_read_ahead(len(unread))
--- a/nutmeglead/http/tests/edge.feature
+++ b/nutmeglead/http/tests/edge.feature
@@ -26,6 +26,17 @@
       | header flood         | 431    | headers without a limit exhaust the memory             |
       | no HTTP at all       | 400    | bytes of another protocol reach a handler              |
 
+  Scenario Outline: The answer to the last request of a connection says so
+    Given an HTTP server that echoes request bodies
+    When a caller sends a request that <request>
+    Then the raw response says once that the connection closes
+
+    Examples: each row names the failure it guards against
+      | request                   | failure                                                                     |
+      | asks for another protocol | the caller sends its next request on a connection that is no longer read    |
+      | asks for a close          | the same for a caller that waits for the close                              |
+      | is of HTTP/1.0            | the same for an old caller                                                  |
+
   Scenario Outline: An incomplete or malformed response is an error and ends its connection
     Given a raw server that answers with <response>
     When the client fetches from it
--- a/nutmeglead/http/tests/steps/edge_steps.py
+++ b/nutmeglead/http/tests/steps/edge_steps.py
@@ -23,6 +23,10 @@
     "both length headers": b"POST /s/k HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
     b"transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
     "header flood": b"GET / HTTP/1.1\r\nhost: a\r\n" + b"x-filler: " + b"y" * 70_000,
+    "asks for another protocol": b"GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\n"
+    b"upgrade: h2c\r\n\r\n",
+    "asks for a close": b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+    "is of HTTP/1.0": b"GET / HTTP/1.0\r\nhost: a\r\n\r\n",
     "no HTTP at all": b"\x16\x03\x01\x02\x00 hello \r\n\r\n",
 }
 RAW_RESPONSES = {
@@ -222,6 +226,17 @@
     context.raw_response = run(context.http.send_raw_request(RAW_REQUESTS[request]))
 
 
+@when("a caller sends a request that {request}")
+def step_last_request(context, request):
+    context.raw_response = run(context.http.send_raw_request(RAW_REQUESTS[request]))
+
+
+@then("the raw response says once that the connection closes")
+def step_says_close(context):
+    assert context.raw_response.startswith(b"HTTP/1.1 200"), context.raw_response
+    assert context.raw_response.lower().count(b"connection: close") == 1, context.raw_response
+
+
 @when("the client fetches from it")
 def step_fetch(context):
     context.fetched = run(context.http.fetch_from_raw_server(context.raw))
