--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -243,9 +243,8 @@
             except RequestRefused as error:
                 await self._reject_request(parser, error)
                 return
-            except PeerClosed as error:
+            except PeerClosed:
                 # The requests before this one still get their answers.
-                logger.debug("request from %s is not whole: %s", self.peer_ip, error)
                 return
             if request is None:
                 return
@@ -256,6 +255,8 @@
                 return
             self._timer.stop()
             if parser.their_state is not h11.DONE:
+                # The answer says that the connection ends with it.
+                self._accepts_requests = False
                 self._start_exchange(parser, request)
                 return
             unread = parser.trailing_data[0]
--- a/nutmeglead/http/tests/steps/interim_steps.py
+++ b/nutmeglead/http/tests/steps/interim_steps.py
@@ -78,13 +78,13 @@
     context.waiting = WaitingCaller(part_count, interval_ms)
 
 
-@when("a caller sends {sending} and reads all")
+@when("a waiting caller sends {sending} and reads all")
 def step_send(context, sending):
     requests = SENDINGS[sending]
     run_virtual(lambda clock: context.waiting.run(clock, requests, 0), EmulatedLoop(1))
 
 
-@when("a caller sends {sending}, and its body {delay_ms:d} ms after it may")
+@when("a waiting caller sends {sending}, and its body {delay_ms:d} ms after it may")
 def step_send_later(context, sending, delay_ms):
     requests = SENDINGS[sending]
     run_virtual(lambda clock: context.waiting.run(clock, requests, delay_ms), EmulatedLoop(1))
