emulator: one module for the requests of a caller's connection that have no answer yet

Cause: callers that send ahead parsed the answers themselves; a second kind of caller on kept connections needs the same. Change: outstanding.py has the requests, their parsers and the record of the answers. What the callers do and count is unchanged.

--- a/nutmeglead/emulator/pipelined_callers.py
+++ b/nutmeglead/emulator/pipelined_callers.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import itertools
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import h11
 
 from nutmeglead.core.clock import Clock
-from nutmeglead.core.outcome import OUTCOME_HEADER, Outcome
+from nutmeglead.emulator.outstanding import AnswerRecord, OutstandingRequests
 from nutmeglead.emulator.server_host import ENTRY_HEADER
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.errors import HttpError
-from nutmeglead.http.messages import RequestHead, header_value
+from nutmeglead.http.messages import RequestHead
 from nutmeglead.platform.wire import REQUEST_ID_HEADER
 
 __all__ = ["CutRequest", "PipelinedCallers"]
@@ -40,19 +39,7 @@
     peer: object
 
 
-@dataclass
-class _Outstanding:
-    """Hold a request that has no answer yet, and the parser that its answer is given to."""
-
-    request_id: str
-    parser: h11.Connection
-    body: bytearray = field(default_factory=bytearray)
-    status: int = 0
-    closes: bool = False
-    is_not_run: bool = False
-
-
-class PipelinedCallers:
+class PipelinedCallers(AnswerRecord):
     """Keep `depth` requests outstanding on each of several connections to an address.
 
     A caller sends the next request as soon as one is answered. After an answer with
@@ -68,13 +55,8 @@
         clock: Clock,
         identify_peer: Callable[[], object] = lambda: None,
     ) -> None:
-        self.sent: set[str] = set()
-        # Ids with a successful answer, and those whose failure says whether they may have run.
-        self.answered: set[str] = set()
-        self.not_run: set[str] = set()
-        self.may_have_run: set[str] = set()
+        super().__init__()
         self.cut: list[CutRequest] = []
-        self.wrong_answers = 0
         self._name = name
         self._address = address
         self._depth = depth
@@ -103,7 +85,7 @@
                 await asyncio.sleep(RECONNECT_DELAY_MS / 1000)
                 continue
             peer = self._identify_peer()
-            outstanding: deque[_Outstanding] = deque()
+            outstanding = OutstandingRequests(self)
             try:
                 async with asyncio.timeout(None) as patience:
                     await self._use(channel, outstanding, patience)
@@ -117,7 +99,7 @@
             await asyncio.sleep(RECONNECT_DELAY_MS / 1000)
 
     async def _use(
-        self, channel: ByteChannel, outstanding: deque[_Outstanding], patience: asyncio.Timeout
+        self, channel: ByteChannel, outstanding: OutstandingRequests, patience: asyncio.Timeout
     ) -> None:
         """Send and read on a connection until it ends, or an answer says that it will."""
         loop = asyncio.get_running_loop()
@@ -130,53 +112,17 @@
             unread = await channel.read()
             if not unread:
                 return
-            while outstanding and unread:
-                unread, closes = self._receive(outstanding, unread)
-                if closes:
-                    return
+            if outstanding.receive(unread):
+                return
 
-    async def _send(self, channel: ByteChannel, outstanding: deque[_Outstanding]) -> None:
+    async def _send(self, channel: ByteChannel, outstanding: OutstandingRequests) -> None:
         request_id = f"{self._name}-{next(self._numbers)}"
         head = self._make_head(request_id)
-        parser = h11.Connection(h11.CLIENT)
-        headers = [
-            *head.headers,
+        names = [
             (REQUEST_ID_HEADER, request_id.encode()),
             (ENTRY_HEADER, self._address[0].encode()),
         ]
-        request = h11.Request(method=head.method, target=head.target, headers=headers)
-        data = (parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b"")
-        self.sent.add(request_id)
-        outstanding.append(_Outstanding(request_id, parser))
-        await channel.write(data)
-
-    def _receive(self, outstanding: deque[_Outstanding], data: bytes) -> tuple[bytes, bool]:
-        """Give bytes to the oldest request, and drop it from `outstanding` once it is answered.
-
-        Return the bytes behind its answer, and whether the answer closes the connection.
-        """
-        oldest = outstanding[0]
-        oldest.parser.receive_data(data)
-        while (event := oldest.parser.next_event()) is not h11.NEED_DATA:
-            if isinstance(event, h11.Response):
-                headers = list(event.headers)
-                oldest.status = event.status_code
-                oldest.closes = header_value(headers, b"connection") == b"close"
-                outcome = header_value(headers, OUTCOME_HEADER)
-                oldest.is_not_run = outcome == Outcome.NOT_RUN.value.encode()
-            elif isinstance(event, h11.Data):
-                oldest.body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                outstanding.popleft()
-                self._record_answer(oldest)
-                return oldest.parser.trailing_data[0], oldest.closes
-        return b"", False
-
-    def _record_answer(self, request: _Outstanding) -> None:
-        if 200 <= request.status < 300:
-            self.answered.add(request.request_id)
-            self.wrong_answers += not request.body.startswith(request.request_id.encode() + b" ")
-        elif request.is_not_run:
-            self.not_run.add(request.request_id)
-        else:
-            self.may_have_run.add(request.request_id)
+        head = RequestHead(head.method, head.target, [*head.headers, *names])
+        request, data = outstanding.begin(request_id, head)
+        await channel.write(data + (request.parser.send(h11.EndOfMessage()) or b""))
+        request.is_whole = True
