soak: modules for the options and for the callers

Change: options.py and load.py; what runs, and in which order it draws from the random numbers, is unchanged.

--- a/nutmeglead/soak/checks.py
+++ b/nutmeglead/soak/checks.py
@@ -8,7 +8,7 @@
 from nutmeglead.emulator.pipelined_callers import PipelinedCallers
 from nutmeglead.soak.fleet import ProgramRun
 
-__all__ = ["answer_violations", "pipelined_violations"]
+__all__ = ["RunCounts", "answer_violations", "pipelined_violations"]
 
 RunCounts = Mapping[str, int]
 
--- /dev/null
+++ b/nutmeglead/soak/options.py
@@ -0,0 +1,25 @@
+"""Options of a soak run."""
+
+from dataclasses import dataclass
+
+from nutmeglead.soak.faults import FAULTS, STORE_DRILL
+
+__all__ = ["SoakOptions"]
+
+
+@dataclass(frozen=True)
+class SoakOptions:
+    """Set the size of a run and the duration and rate of its faults."""
+
+    entries: int = 5
+    servers: int = 4
+    fault_s: float = 25.0
+    # Mean time between the starts of two faults; faults may overlap.
+    mean_interval_s: float = 1.2
+    # Third part of the entry programs' loopback addresses; concurrent runs need others.
+    net: int = 1
+    # Names of the faults to draw from.
+    faults: tuple[str, ...] = tuple(name for name in FAULTS.names() if name != STORE_DRILL)
+    # Requests that a caller of each entry program keeps outstanding on its connection.
+    pipeline_depth: int = 3
+    work_ms: float = 20.0
--- a/nutmeglead/soak/run.py
+++ b/nutmeglead/soak/run.py
@@ -7,43 +7,37 @@
 import random
 import signal
 import sys
-from collections.abc import Awaitable, Mapping, Sequence
-from copy import copy
+from collections.abc import Awaitable, Sequence
 from dataclasses import dataclass, field
 from typing import TypeVar
 
 from result import Err
 
-from nutmeglead._generated.emulator.ttypes import DayFlow
 from nutmeglead._generated.peers.ttypes import NodeRow, TicketStatus
 from nutmeglead._generated.tickets.ttypes import KeyClaim, ServerItem, ServerState, Ticket
 from nutmeglead.emulator.balancer import LoadBalancer
-from nutmeglead.emulator.callers import Callers
-from nutmeglead.emulator.pipelined_callers import PipelinedCallers
 from nutmeglead.entry.copies import TICKET_STATUS_PATH
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.messages import RequestHead
 from nutmeglead.peers.fetch import fetch_struct
 from nutmeglead.platform.store import StoreClient
 from nutmeglead.platform.table import StoreTable
-from nutmeglead.platform.wire import DEADLINE_HEADER
 from nutmeglead.ranges.keys import KEY_COUNT
-from nutmeglead.soak.checks import answer_violations, pipelined_violations
-from nutmeglead.soak.faults import FAULTS, STORE_DRILL
+from nutmeglead.soak.faults import FAULTS
 from nutmeglead.soak.fleet import (
     ENVIRONMENT_IP,
-    FRONT_PORT,
     PEER_PORT,
     SERVICES,
     EntryProgram,
     Fleet,
     SoakServer,
 )
+from nutmeglead.soak.load import SoakLoad
 from nutmeglead.soak.lost_tickets import head_number, lost_tickets
+from nutmeglead.soak.options import SoakOptions
 from nutmeglead.tickets.filing import TicketFiling
 from nutmeglead.tickets.rows import TICKETS_TABLE
 
-__all__ = ["SoakOptions", "SoakReport", "SoakRun", "main"]
+__all__ = ["SoakReport", "SoakRun", "main"]
 
 Component = TypeVar("Component", EntryProgram, SoakServer)
 
@@ -57,50 +51,6 @@
 CHECK_INTERVAL_S = 0.2
 # Step between the keys that are checked for a holder.
 KEY_SAMPLE_STEP = 997
-FLOWS = (
-    DayFlow("lookup", "stock", "GET", 20, 2_000, 500, 2, 200, 0.1),
-    DayFlow("order", "orders", "POST", 10, 2_000, 500, 2, 200, 0.1),
-)
-
-
-# Rate of each flow of the callers that keep to one entry process.
-KEPT_REQUESTS_PER_S = 2
-
-
-class OneEntry(LoadBalancer):
-    """Choose the same entry process for every request, whether it is ready or not."""
-
-    def __init__(self, address: tuple[str, int]) -> None:
-        self._address = address
-
-    def choose(self, rng: random.Random) -> tuple[str, int]:
-        """Return the address of the entry process."""
-        return self._address
-
-
-def _kept_flow(flow: DayFlow, number: int) -> DayFlow:
-    """Return a flow of the callers of one entry process, with names of its own for its requests."""
-    kept = copy(flow)
-    kept.name, kept.requests_per_s = f"{flow.name}-{number}", KEPT_REQUESTS_PER_S
-    return kept
-
-
-@dataclass(frozen=True)
-class SoakOptions:
-    """Set the size of a run and the duration and rate of its faults."""
-
-    entries: int = 5
-    servers: int = 4
-    fault_s: float = 25.0
-    # Mean time between the starts of two faults; faults may overlap.
-    mean_interval_s: float = 1.2
-    # Third part of the entry programs' loopback addresses; concurrent runs need others.
-    net: int = 1
-    # Names of the faults to draw from.
-    faults: tuple[str, ...] = tuple(name for name in FAULTS.names() if name != STORE_DRILL)
-    # Requests that a caller of each entry program keeps outstanding on its connection.
-    pipeline_depth: int = 3
-    work_ms: float = 20.0
 
 
 @dataclass
@@ -155,14 +105,9 @@
             self.report.broken.append("some sampled keys got no holder after the start")
             probing.cancel()
             return
-        callers = [
-            Callers(list(FLOWS), balancer, fleet.clock, self.rng),
-            *(self._callers_of(number) for number in range(len(fleet.entries))),
-        ]
-        pipelined = [self._pipelined_callers_of(number) for number in range(len(fleet.entries))]
+        load = SoakLoad(fleet, self._options, balancer, self.rng)
         duration_s = self._options.fault_s
-        load_tasks = [loop.create_task(group.run(duration_s)) for group in callers]
-        load_tasks += [loop.create_task(group.run(duration_s)) for group in pipelined]
+        load_tasks = load.start(duration_s)
         await self._inject_faults(duration_s)
         await asyncio.gather(*load_tasks)
         if not await self._wait_until_held(RECOVERY_TIMEOUT_S):
@@ -171,27 +116,7 @@
             )
         await self._check_tickets()
         probing.cancel()
-        self._check_requirements(callers)
-        run_counts = self.fleet.executions.run_counts
-        self._report_counts(pipelined_violations(pipelined, run_counts))
-
-    def _callers_of(self, number: int) -> Callers:
-        """Return callers that use their connections to one entry process until it has ended."""
-        flows = [_kept_flow(flow, number) for flow in FLOWS]
-        address = (self.fleet.entries[number].ip, FRONT_PORT)
-        return Callers(flows, OneEntry(address), self.fleet.clock, self.rng)
-
-    def _pipelined_callers_of(self, number: int) -> PipelinedCallers:
-        """Return a caller that sends requests ahead on connections to one entry process."""
-        entry = self.fleet.entries[number]
-        return PipelinedCallers(
-            f"ahead-{number}",
-            (entry.ip, FRONT_PORT),
-            self._options.pipeline_depth,
-            _pipelined_head,
-            self.fleet.clock,
-            lambda: entry.run,
-        )
+        self._check_requirements(load)
 
     async def _inject_faults(self, duration_s: float) -> None:
         loop, names = asyncio.get_running_loop(), self._options.faults
@@ -313,12 +238,11 @@
             fetched.ok_value.message.ticket_number < self._head_number
         )
 
-    def _check_requirements(self, callers: Sequence[Callers]) -> None:
-        report, run_counts = self.report, self.fleet.executions.run_counts
-        for group in callers:
-            report.owed += sum(counts.owed for counts in group.counts.values())
-            report.in_time += sum(counts.in_time for counts in group.counts.values())
-            self._report_counts(answer_violations(group.reported_outcomes, run_counts))
+    def _check_requirements(self, load: SoakLoad) -> None:
+        report = self.report
+        report.owed, report.in_time = load.owed, load.in_time
+        for violations in load.violations(self.fleet.executions.run_counts):
+            report.broken += [f"{count} {text}" for text, count in violations.items() if count]
         ignored = self.fleet.notice_checker.faults
         if ignored:
             report.broken.append(f"{len(ignored)} requests against servers' notices: {ignored[:3]}")
@@ -328,16 +252,6 @@
         if not report.in_time:
             report.broken.append("no request was answered in time")
 
-    def _report_counts(self, violations: Mapping[str, int]) -> None:
-        self.report.broken += [f"{count} {text}" for text, count in violations.items() if count]
-
-
-def _pipelined_head(request_id: str) -> RequestHead:
-    """Return the head of a request that may be repeated, for a key drawn from its id."""
-    target = f"/{SERVICES[0].name}/{request_id}".encode()
-    headers = [(b"host", b"soak"), (DEADLINE_HEADER, b"%d" % FLOWS[0].time_limit_ms)]
-    return RequestHead(b"GET", target, headers)
-
 
 def _checked_name(component: EntryProgram | SoakServer) -> str:
     """Return the name by which the notice checker knows an entry program or a server."""
--- a/nutmeglead/soak/tests/steps/soak_steps.py
+++ b/nutmeglead/soak/tests/steps/soak_steps.py
@@ -5,7 +5,8 @@
 from behave import then, when
 
 from nutmeglead.soak.faults import STORE_DRILL
-from nutmeglead.soak.run import SoakOptions, SoakRun
+from nutmeglead.soak.options import SoakOptions
+from nutmeglead.soak.run import SoakRun
 
 # Differs from the default, so that the test can run beside a soak started by hand.
 TEST_NET = 77
