soak: callers that keep their connections until the process ends them

Cause: the soak's callers reused connections at once, sent bodies whole, and counted an unanswered request only where a server had run it before a planned stop. Change: three KeptCallers for each entry program (--kept-connections). What they lose counts at any time, except on connections during which the process was killed, paused or resumed.

--- a/nutmeglead/emulator/outstanding.py
+++ b/nutmeglead/emulator/outstanding.py
@@ -35,6 +35,8 @@
 
     def __init__(self) -> None:
         self.sent: set[str] = set()
+        # Those of them with an unsafe method.
+        self.posted: set[str] = set()
         # Ids with a successful answer, and those whose failure says whether they may have run.
         self.answered: set[str] = set()
         self.not_run: set[str] = set()
@@ -75,6 +77,8 @@
         event = h11.Request(method=head.method, target=head.target, headers=head.headers)
         data = request.parser.send(event) or b""
         self._record.sent.add(request_id)
+        if head.method == b"POST":
+            self._record.posted.add(request_id)
         self._requests.append(request)
         return request, data
 
--- a/nutmeglead/soak/checks.py
+++ b/nutmeglead/soak/checks.py
@@ -5,13 +5,17 @@
 from collections.abc import Mapping, Sequence
 
 from nutmeglead.emulator.callers import ReportedOutcomes
+from nutmeglead.emulator.kept_callers import KeptCallers, LostRequest
 from nutmeglead.emulator.pipelined_callers import PipelinedCallers
 from nutmeglead.soak.fleet import ProgramRun
 
-__all__ = ["RunCounts", "answer_violations", "pipelined_violations"]
+__all__ = ["RunCounts", "answer_violations", "kept_violations", "pipelined_violations"]
 
 RunCounts = Mapping[str, int]
 
+# A violation names at most this many requests.
+MAX_NAMED = 3
+
 
 def answer_violations(outcomes: ReportedOutcomes, run_counts: RunCounts) -> dict[str, int]:
     """Return the number of violations by their description, for callers of single requests."""
@@ -52,3 +56,35 @@
             0 if any(group.answered for group in groups) else len(groups)
         ),
     }
+
+
+def kept_violations(groups: Sequence[KeptCallers], run_counts: RunCounts) -> dict[str, int]:
+    """Return the number of violations by their description, for callers that keep connections."""
+    lost = [request for group in groups for request in group.lost]
+    unanswered = [request for group in groups for request in group.unanswered]
+    not_run = [request_id for group in groups for request_id in group.not_run]
+    posted = [request_id for group in groups for request_id in group.posted]
+    return {
+        f"requests on kept connections were lost: {_described(lost)}": len(lost),
+        f"requests on kept connections got no answer: {_described(unanswered)}": len(unanswered),
+        "requests on kept connections got another one's answer": sum(
+            group.wrong_answers for group in groups
+        ),
+        "requests on kept connections ran although they were answered as not run": sum(
+            bool(run_counts[request_id]) for request_id in not_run
+        ),
+        "at-most-once requests on kept connections ran more than once": sum(
+            run_counts[request_id] > 1 for request_id in posted
+        ),
+        "groups of callers that keep connections, all without an answer": (
+            0 if any(group.answered for group in groups) else len(groups)
+        ),
+    }
+
+
+def _described(requests: Sequence[LostRequest]) -> list[str]:
+    """Return the ids of a few requests, how they were sent, and when they were lost."""
+    return [
+        f"{request.request_id} {request.sending} at {request.ended_wall_ms}"
+        for request in requests[:MAX_NAMED]
+    ]
--- a/nutmeglead/soak/fleet.py
+++ b/nutmeglead/soak/fleet.py
@@ -53,6 +53,7 @@
 # A process that has not exited after this time is killed.
 EXIT_TIMEOUT_S = 6.0
 START_CHECK_INTERVAL_S = 0.005
+DISTURBING_SIGNALS = {signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT}
 
 
 @dataclass(eq=False)
@@ -74,6 +75,13 @@
     """Hold the signals that one process of an entry program has got."""
 
     signals: set[signal.Signals] = field(default_factory=set)
+    # How often it was killed, paused or resumed.
+    disturbance_count: int = 0
+
+    def add(self, number: signal.Signals) -> None:
+        """Record a signal."""
+        self.signals.add(number)
+        self.disturbance_count += number in DISTURBING_SIGNALS
 
     @property
     def ended_as_planned(self) -> bool:
@@ -129,7 +137,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self._process is not None and self._process.returncode is None:
-            self.run.signals.add(number)
+            self.run.add(number)
             self._process.send_signal(number)
 
     async def wait_for_exit(self) -> int:
--- a/nutmeglead/soak/load.py
+++ b/nutmeglead/soak/load.py
@@ -10,10 +10,19 @@
 from nutmeglead._generated.emulator.ttypes import DayFlow
 from nutmeglead.emulator.balancer import LoadBalancer
 from nutmeglead.emulator.callers import Callers
+from nutmeglead.emulator.kept_callers import KeptCallers
 from nutmeglead.emulator.pipelined_callers import PipelinedCallers
+from nutmeglead.emulator.server_host import ENTRY_HEADER
+from nutmeglead.forwarding.model import ClientLimits
+from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.messages import RequestHead
 from nutmeglead.platform.wire import DEADLINE_HEADER
-from nutmeglead.soak.checks import RunCounts, answer_violations, pipelined_violations
+from nutmeglead.soak.checks import (
+    RunCounts,
+    answer_violations,
+    kept_violations,
+    pipelined_violations,
+)
 from nutmeglead.soak.fleet import FRONT_PORT, SERVICES, EntryProgram, Fleet
 from nutmeglead.soak.options import SoakOptions
 
@@ -42,7 +51,12 @@
     """Own the callers: those of the balancer, and those of each entry program."""
 
     def __init__(
-        self, fleet: Fleet, options: SoakOptions, balancer: LoadBalancer, rng: random.Random
+        self,
+        fleet: Fleet,
+        options: SoakOptions,
+        balancer: LoadBalancer,
+        rng: random.Random,
+        seed: int,
     ) -> None:
         self._fleet = fleet
         self._options = options
@@ -54,12 +68,18 @@
         self._pipelined = [
             self._pipelined_callers_of(number, entry) for number, entry in enumerate(fleet.entries)
         ]
+        self._kept = [
+            self._kept_callers_of(f"kept-{number}", entry, seed)
+            for number, entry in enumerate(fleet.entries)
+        ]
 
     def start(self, duration_s: float) -> list[asyncio.Task[None]]:
         """Start to send requests, and return the tasks that do so for `duration_s`."""
         loop = asyncio.get_running_loop()
         tasks = [loop.create_task(group.run(duration_s)) for group in self._callers]
         tasks += [loop.create_task(group.run(duration_s)) for group in self._pipelined]
+        connections = self._options.kept_connections
+        tasks += [loop.create_task(group.run(duration_s, connections)) for group in self._kept]
         return tasks
 
     @property
@@ -77,6 +97,7 @@
         for group in self._callers:
             yield answer_violations(group.reported_outcomes, run_counts)
         yield pipelined_violations(self._pipelined, run_counts)
+        yield kept_violations(self._kept, run_counts)
 
     def _callers_of(self, number: int) -> Callers:
         """Return callers that use their connections to one entry process until it has ended."""
@@ -95,6 +116,32 @@
             lambda: entry.run,
         )
 
+    def _kept_callers_of(self, name: str, entry: EntryProgram, seed: int) -> KeptCallers:
+        """Return callers that keep connections to one entry process for as long as it lets them.
+
+        They draw from random numbers of their own, so that the faults of a seed stay the same.
+        """
+
+        def make_head(request_id: str, method: bytes) -> RequestHead:
+            service, flow = SERVICES[method == b"POST"], FLOWS[method == b"POST"]
+            headers = [
+                (b"host", b"soak"),
+                (DEADLINE_HEADER, b"%d" % flow.time_limit_ms),
+                (ENTRY_HEADER, entry.ip.encode()),
+            ]
+            return RequestHead(method, f"/{service.name}/{request_id}".encode(), headers)
+
+        return KeptCallers(
+            name,
+            (entry.ip, FRONT_PORT),
+            # Tickets have no limits on callers, so the entry programs keep the default ones.
+            CallerLimits(**vars(ClientLimits())),
+            make_head,
+            self._fleet.clock,
+            random.Random(f"{name} of {seed}"),
+            lambda: entry.run,
+        )
+
 
 def _kept_flow(flow: DayFlow, number: int) -> DayFlow:
     """Return a flow of the callers of one entry process, with names of its own for its requests."""
--- a/nutmeglead/soak/options.py
+++ b/nutmeglead/soak/options.py
@@ -22,4 +22,6 @@
     faults: tuple[str, ...] = tuple(name for name in FAULTS.names() if name != STORE_DRILL)
     # Requests that a caller of each entry program keeps outstanding on its connection.
     pipeline_depth: int = 3
+    # Callers of each entry program that keep a connection until the process ends it.
+    kept_connections: int = 3
     work_ms: float = 20.0
--- a/nutmeglead/soak/run.py
+++ b/nutmeglead/soak/run.py
@@ -105,7 +105,7 @@
             self.report.broken.append("some sampled keys got no holder after the start")
             probing.cancel()
             return
-        load = SoakLoad(fleet, self._options, balancer, self.rng)
+        load = SoakLoad(fleet, self._options, balancer, self.rng, self.report.seed)
         duration_s = self._options.fault_s
         load_tasks = load.start(duration_s)
         await self._inject_faults(duration_s)
@@ -279,6 +279,7 @@
     parser.add_argument("--fault-s", type=float, default=SoakOptions.fault_s)
     parser.add_argument("--net", type=int, default=SoakOptions.net)
     parser.add_argument("--pipeline-depth", type=int, default=SoakOptions.pipeline_depth)
+    parser.add_argument("--kept-connections", type=int, default=SoakOptions.kept_connections)
     parser.add_argument("--work-ms", type=float, default=SoakOptions.work_ms)
     parser.add_argument(
         "--fault", action="append", choices=FAULTS.names(), help="draw from these faults only"
@@ -293,6 +294,7 @@
         net=options.net,
         faults=tuple(options.fault or SoakOptions.faults),
         pipeline_depth=options.pipeline_depth,
+        kept_connections=options.kept_connections,
         work_ms=options.work_ms,
     )
     failed = 0
