soak: faults that reload entry processes, and file tickets, in series

Cause: reloads came only in front of a stop, and tickets one at a time, so callers met neither in series while no stop was near. Change: "entries reloaded in series" and "tickets in series".

--- a/nutmeglead/soak/faults.py
+++ b/nutmeglead/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
@@ -15,14 +16,17 @@
 if TYPE_CHECKING:
     from nutmeglead.soak.run import SoakRun
 
-__all__ = ["FAULTS", "STORE_DRILL"]
+__all__ = ["DEFAULT_FAULTS", "FAULTS", "STORE_DRILL"]
 
 Fault = Callable[["SoakRun"], Awaitable[None]]
 
 FAULTS: Registry[Fault] = Registry("faults of the soak")
 
-# Left out of the default faults, so that the kept seeds of the tests draw the same ones as before.
 STORE_DRILL = "store returns to an older copy"
+RELOADS = "entries reloaded in series"
+TICKETS = "tickets in series"
+# Left out of the default faults, so that the kept seeds of the tests draw the same ones as before.
+OPTIONAL_FAULTS = (STORE_DRILL, RELOADS, TICKETS)
 
 LINK_FAULTS = [LinkFault.DELAY, LinkFault.RESET, LinkFault.SILENCE, LinkFault.ONE_WAY]
 
@@ -218,3 +222,30 @@
 async def _keys_claimed(run: SoakRun) -> None:
     """File a ticket that claims a key for a random server."""
     await run.claim_key()
+
+
+@FAULTS.register(RELOADS)
+async def _entries_reloaded_in_series(run: SoakRun) -> None:
+    """Send reloads to entry processes without other faults in quick succession, and no stop."""
+    for _ in range(run.rng.randrange(4, 16)):
+        for entry in run.free_entries():
+            if run.rng.random() < 0.8:
+                entry.signal(signal.SIGHUP)
+        await _wait_random(run, 0, 0.4)
+
+
+@FAULTS.register(TICKETS)
+async def _tickets_in_series(run: SoakRun) -> None:
+    """File tickets in quick succession: claims of keys, and servers that leave and return."""
+    server = run.reserve_server()
+    states = itertools.cycle((ServerState.LEAVING, ServerState.PRESENT))
+    for _ in range(2 * run.rng.randrange(2, 6)):
+        await run.claim_key()
+        if server is not None:
+            await run.file_server_state(server, next(states))
+        await _wait_random(run, 0, 0.4)
+    if server is not None:
+        run.release(server)
+
+
+DEFAULT_FAULTS = tuple(name for name in FAULTS.names() if name not in OPTIONAL_FAULTS)
--- a/nutmeglead/soak/options.py
+++ b/nutmeglead/soak/options.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from nutmeglead.soak.faults import FAULTS, STORE_DRILL
+from nutmeglead.soak.faults import DEFAULT_FAULTS
 
 __all__ = ["SoakOptions"]
 
@@ -19,7 +19,7 @@
     # Third part of the entry programs' loopback addresses; concurrent runs need others.
     net: int = 1
     # Names of the faults to draw from.
-    faults: tuple[str, ...] = tuple(name for name in FAULTS.names() if name != STORE_DRILL)
+    faults: tuple[str, ...] = DEFAULT_FAULTS
     # Requests that a caller of each entry program keeps outstanding on its connection.
     pipeline_depth: int = 3
     # Callers of each entry program that keep a connection until the process ends it.
--- a/nutmeglead/soak/run.py
+++ b/nutmeglead/soak/run.py
@@ -133,8 +133,11 @@
 
     def reserve_entry(self) -> EntryProgram | None:
         """Reserve a random entry program; return None unless more than half are free of faults."""
-        free = [entry for entry in self.fleet.entries if entry not in self._reserved]
-        return self._reserve(free, len(self.fleet.entries))
+        return self._reserve(self.free_entries(), len(self.fleet.entries))
+
+    def free_entries(self) -> list[EntryProgram]:
+        """Return the entry programs that are free of faults; all others may not run yet."""
+        return [entry for entry in self.fleet.entries if entry not in self._reserved]
 
     def reserve_server(self) -> SoakServer | None:
         """Reserve a random server; return None unless more than half are free of faults."""
