soak: let each ticket have a filing of its own, and end all faults when one raises

The other faults ran on, and one started an entry process after the fleet had stopped, which was left running. Change: a filing for each ticket, as the program has; the faults are one task group. The order of the draws is unchanged.

--- a/nutmeglead/soak/run.py
+++ b/nutmeglead/soak/run.py
@@ -77,7 +77,7 @@
         self._head_number = 0
         self._filed: list[Ticket] = []
         self._reserved: set[EntryProgram | SoakServer] = set()
-        self._filing: TicketFiling | None = None
+        self._tickets: StoreTable | None = None
 
     async def run(self) -> SoakReport:
         """Run the seed and return its report; logs are kept only if a requirement is broken."""
@@ -96,8 +96,7 @@
         store = StoreClient(
             ENVIRONMENT_IP, fleet.store_port, HttpFetcher(), STORE_TIMEOUT_MS, fleet.clock
         )
-        settings = fleet.settings(1, fleet.store_port)
-        self._filing = TicketFiling(StoreTable(store, TICKETS_TABLE), settings, _wait_before_retry)
+        self._tickets = StoreTable(store, TICKETS_TABLE)
         await self._file("servers", fleet.server_items())
         balancer = LoadBalancer(fleet.ready_addresses)
         probing = loop.create_task(balancer.run())
@@ -121,13 +120,13 @@
     async def _inject_faults(self, duration_s: float) -> None:
         loop, names = asyncio.get_running_loop(), self._options.faults
         start_s = loop.time()
-        running = []
-        while (at_s := loop.time() - start_s) < duration_s:
-            name = self.rng.choice(names)
-            self.report.log.append((round(at_s, 2), name))
-            running.append(loop.create_task(_run_fault(name, FAULTS.get(name)(self))))
-            await asyncio.sleep(self.rng.expovariate(1 / self._options.mean_interval_s))
-        await asyncio.gather(*running)
+        # If a fault raises, the others end too, and start no process after the fleet has stopped.
+        async with asyncio.TaskGroup() as running:
+            while (at_s := loop.time() - start_s) < duration_s:
+                name = self.rng.choice(names)
+                self.report.log.append((round(at_s, 2), name))
+                running.create_task(_run_fault(name, FAULTS.get(name)(self)))
+                await asyncio.sleep(self.rng.expovariate(1 / self._options.mean_interval_s))
 
     # ---- interface for faults ----
 
@@ -183,10 +182,13 @@
         servers: Sequence[ServerItem] = (),
         claims: Sequence[KeyClaim] = (),
     ) -> None:
-        assert self._filing is not None
+        assert self._tickets is not None
+        # As the program that files tickets, of which each run files one.
+        settings = self.fleet.settings(1, self.fleet.store_port)
+        filing = TicketFiling(self._tickets, settings, _wait_before_retry)
         ticket = Ticket(filing_id, self._head_number, "soak", None, list(servers), list(claims))
         self._filed.append(ticket)
-        filed = await self._filing.file(ticket)
+        filed = await filing.file(ticket)
         # The store may be unavailable or lose the answer; the filing is then not repeated.
         if not isinstance(filed, Err):
             self._head_number = max(self._head_number, filed.ok_value.number)
