emulator: count a kept connection as idle since its last request was written

Cause: a caller that reads an answer late, on a slow machine, took its connection for idle since then; the process had sent the answer earlier, and rightly closed at its idle timeout. Change: idle times count from the writing of the last request, which is the earliest moment at which the process can have been idle. Idle waits last from half to all of the used time.

--- a/nutmeglead/emulator/kept_callers.py
+++ b/nutmeglead/emulator/kept_callers.py
@@ -93,18 +93,18 @@
 
     async def _run_caller(self) -> None:
         loop = asyncio.get_running_loop()
-        while self._clock.now_ms() < self._end_ms:
+        while (opened_ms := self._clock.now_ms()) < self._end_ms:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                     _, channel = await loop.create_connection(ByteChannel, *self._address)
             except OSError:
                 await asyncio.sleep(RECONNECT_DELAY_MS / 1000)
                 continue
-            await self._use(channel)
+            await self._use(channel, opened_ms)
             channel.abort()
             await asyncio.sleep(RECONNECT_DELAY_MS / 1000)
 
-    async def _use(self, channel: ByteChannel) -> None:
+    async def _use(self, channel: ByteChannel, opened_ms: int) -> None:
         """Send and read on a connection until it ends, and record what was lost with it."""
         peer = self._identify_peer()
         count = peer.disturbance_count
@@ -116,6 +116,7 @@
             self._limits,
             self._clock,
             self._rng,
+            opened_ms,
             self._end_ms,
         )
         while not connection.is_over:
--- a/nutmeglead/emulator/kept_connection.py
+++ b/nutmeglead/emulator/kept_connection.py
@@ -57,6 +57,7 @@
         limits: CallerLimits,
         clock: Clock,
         rng: random.Random,
+        opened_ms: int,
         end_ms: int,
     ) -> None:
         self.outstanding = OutstandingRequests(record)
@@ -67,7 +68,7 @@
         self._make_head = make_head
         self._clock = clock
         self._end_ms = end_ms
-        self._idle_since_ms = clock.now_ms()
+        self._idle_since_ms = opened_ms
 
     @property
     def is_over(self) -> bool:
@@ -75,7 +76,7 @@
         return self._clock.now_ms() >= self._end_ms
 
     async def stay_idle(self, share: float) -> None:
-        """Wait until the connection was idle for a share of the time that the caller uses."""
+        """Wait until the connection may have been idle for a share of the time that callers use."""
         until_ms = self._idle_since_ms + share * USED_SHARE * self.limits.idle_timeout_ms
         await self.receive_for(min(until_ms, self._end_ms) - self._clock.now_ms())
 
@@ -84,7 +85,7 @@
         request, data = self._begin(b"GET", [])
         data += request.parser.send(h11.EndOfMessage()) or b""
         await self._write_begin(data)
-        request.is_whole = True
+        self._mark_whole(request)
 
     async def send_in_parts(self, part_count: int, share: float) -> None:
         """Send a request whose body takes a share of the time that the caller uses."""
@@ -100,7 +101,7 @@
                 part += request.parser.send(h11.EndOfMessage()) or b""
             await self._notice_end()
             await self._channel.write(part)
-            request.is_whole = is_last
+        self._mark_whole(request)
 
     async def receive_for(self, duration_ms: float) -> None:
         """Read answers for a time."""
@@ -139,6 +140,15 @@
             raise ConnectionLeft(f"idle for {idle_ms} ms")
         await self._channel.write(data)
 
+    def _mark_whole(self, request: SentRequest) -> None:
+        """Record that all of a request was written.
+
+        The peer is idle from then on at the earliest. When it sent the answer is not known to a
+        caller that reads it late.
+        """
+        request.is_whole = True
+        self._idle_since_ms = self._clock.now_ms()
+
     async def _notice_end(self) -> None:
         """Read what has arrived, as a caller writes nothing once it has seen the end."""
         await read_arrived_bytes()
@@ -152,8 +162,6 @@
             raise PeerClosed("while the caller waited")
         if self.outstanding.receive(data):
             raise ConnectionLeft("an answer said that the connection ends")
-        if not self.outstanding:
-            self._idle_since_ms = self._clock.now_ms()
 
 
 Sending = Callable[[KeptConnection], Awaitable[None]]
@@ -164,7 +172,7 @@
 @SENDINGS.register("after idleness")
 async def _send_after_idleness(connection: KeptConnection) -> None:
     """Send one request after an idle time."""
-    await connection.stay_idle(connection.rng.uniform(0.2, 1))
+    await connection.stay_idle(connection.rng.uniform(0.5, 1))
     await connection.send()
 
 
@@ -192,5 +200,5 @@
 @SENDINGS.register("ahead after idleness")
 async def _send_ahead_after_idleness(connection: KeptConnection) -> None:
     """Send several requests after an idle time."""
-    await connection.stay_idle(connection.rng.uniform(0.2, 1))
+    await connection.stay_idle(connection.rng.uniform(0.5, 1))
     await _send_ahead(connection)
