soak: a fault by which entry processes stand still in series, which excuses nothing

Change: "entries stand still in series" stops a process for 0.5 to 1.2 s without counting as a disturbance. It is left out of the default faults of the ticket runs.

--- a/nutmeglead/soak/faults.py
+++ b/nutmeglead/soak/faults.py
@@ -15,7 +15,15 @@
 if TYPE_CHECKING:
     from nutmeglead.soak.run import SoakRun
 
-__all__ = ["CHANGES", "DEFAULT_FAULTS", "FAULTS", "RELOADS", "STORE_DRILL", "TICKET_FAULTS"]
+__all__ = [
+    "CHANGES",
+    "DEFAULT_FAULTS",
+    "FAULTS",
+    "RELOADS",
+    "STALLS",
+    "STORE_DRILL",
+    "TICKET_FAULTS",
+]
 
 Fault = Callable[["SoakRun"], Awaitable[None]]
 
@@ -24,8 +32,9 @@
 STORE_DRILL = "store returns to an older copy"
 RELOADS = "entries reloaded in series"
 CHANGES = "changes in series"
+STALLS = "entries stand still in series"
 # Left out of the default faults, so that the kept seeds of the tests draw the same ones as before.
-OPTIONAL_FAULTS = (STORE_DRILL, RELOADS, CHANGES)
+OPTIONAL_FAULTS = (STORE_DRILL, RELOADS, CHANGES, STALLS)
 
 # File tickets.
 TICKET_FAULTS = (
@@ -247,4 +256,17 @@
     await run.change_in_series()
 
 
+@FAULTS.register(STALLS)
+async def _entries_stand_still(run: SoakRun) -> None:
+    """Let an entry process without other faults stand still for 0.5 to 1.2 s, several times.
+
+    As long passes of its event loop do; it must lose no request by that.
+    """
+    for _ in range(run.rng.randrange(2, 6)):
+        free = run.free_entries()
+        if free:
+            await run.rng.choice(free).stand_still(run.rng.uniform(0.5, 1.2))
+        await _wait_random(run, 0, 0.5)
+
+
 DEFAULT_FAULTS = tuple(name for name in FAULTS.names() if name not in OPTIONAL_FAULTS)
--- a/nutmeglead/soak/fleet.py
+++ b/nutmeglead/soak/fleet.py
@@ -140,6 +140,16 @@
             self.run.add(number)
             self._process.send_signal(number)
 
+    async def stand_still(self, duration_s: float) -> None:
+        """Stop the process for a time that is too short to excuse anything."""
+        process = self._process
+        if process is None or process.returncode is not None:
+            return
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(duration_s)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
     async def wait_for_exit(self) -> int:
         """Wait for the exit, kill the process after `EXIT_TIMEOUT_S`, and return its exit code."""
         assert self._process is not None
