http: log each connection that a stop ends, and what it discards

Change: CONNECTION_CLOSED tells for each connection that a stop ends its caller's address and port, the cause, how long after SIGTERM and after its last request, and the ids of the whole requests that were discarded.

--- a/nutmeglead/core/events.py
+++ b/nutmeglead/core/events.py
@@ -174,6 +174,11 @@
         logging.ERROR,
         "an unexpected error ended the handling of a request",
     )
+    CONNECTION_CLOSED = (
+        5006,
+        logging.INFO,
+        "a stop has ended a connection of a caller",
+    )
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -69,6 +69,7 @@
         # Whether the next request is refused, after the answers in progress.
         self._refuses_next = False
         self._end = ConnectionEnd()
+        self.on_unread_changed = server.held.add
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve the connection, unless too many are open."""
@@ -80,17 +81,6 @@
         self._server.connections.add(self)
         self.task = asyncio.get_running_loop().create_task(self._serve())
 
-    def data_received(self, data: bytes) -> None:
-        """Count and buffer received bytes."""
-        self._server.held.add(len(data))
-        super().data_received(data)
-
-    def read_nowait(self) -> bytes:
-        """Return all unread bytes, which no longer count as unread."""
-        data = super().read_nowait()
-        self._server.held.add(-len(data))
-        return data
-
     def eof_received(self) -> bool:
         """Cancel the handlers of a caller that has left; keep our side open until they end."""
         super().eof_received()
@@ -102,13 +92,11 @@
         """Cancel the handlers and give back what counts as held."""
         super().connection_lost(exc)
         self._begin_end(EndCause.CALLER_LEFT)
-        late_ms = self._timer.late_ms
-        self._server.ends.record(self._end, self.peer_ip, self.unread_bytes, late_ms)
+        unread = self.read_nowait()
+        self._end.discarded.add(unread)
+        self._server.ends.record(self._end, self.peer_address, len(unread), self._timer.late_ms)
         self._server.slow_readers.remove(self)
         self._cancel_handlers()
-        # What has arrived and was not read is dropped.
-        self.held.add(-self.unread_bytes)
-        self._buffer.clear()
 
     def send(self, data: bytes) -> None:
         """Send bytes, and count those that the kernel has not taken."""
@@ -126,11 +114,6 @@
         """Return the owner of the bytes that the process holds."""
         return self._server.held
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Return how many written bytes the kernel has not taken yet."""
-        return 0 if self.transport is None else self.transport.get_write_buffer_size()
-
     @property
     def is_busy(self) -> bool:
         """Return whether a handler is still running."""
@@ -138,7 +121,8 @@
 
     def _begin_end(self, cause: EndCause) -> None:
         exchanges = self._handlers.values()
-        self._end.begin(cause, [each.head for each in exchanges if not each.finished.done()])
+        unanswered = [each.head for each in exchanges if not each.finished.done()]
+        self._end.begin(cause, unanswered, self._server.clock.now_ms(), self.idle_since_ms)
 
     def closes_after(self, exchange: CallerExchange) -> bool:
         """Return whether the connection is closed after the response of this exchange.
@@ -245,13 +229,15 @@
                 return
             except PeerClosed:
                 # The requests before this one still get their answers.
-                return
+                request = None
             if request is None:
+                self._end.discarded.add(parser.trailing_data[0])
                 return
             await self._read_ahead.wait_to_begin(parser)
             # An answer that closes the connection may have been begun while the body arrived.
             if not self._takes_requests():
                 self.held.add(-request.counted_bytes)
+                self._end.discarded.add_request(request.head, parser.trailing_data[0])
                 return
             self._timer.stop()
             if parser.their_state is not h11.DONE:
@@ -262,6 +248,7 @@
             unread = parser.trailing_data[0]
             self._start_exchange(response_parser(parser, request.head, unread), request)
             await self._read_ahead.wait_to_read(len(unread))
+        self._end.discarded.add(unread)
 
     def _start_exchange(self, parser: h11.Connection, request: ReceivedRequest) -> None:
         """Start a handler task, whose response waits for the one to the previous request."""
@@ -281,6 +268,7 @@
             previous_finished,
         )
         self._latest_exchange = exchange
+        self._end.request_count += 1
         task = asyncio.get_running_loop().create_task(self._handle(exchange))
         self._handlers[task] = exchange
         self._server.ahead_limit.begin_request()
@@ -291,8 +279,10 @@
         # A handler that is cancelled before its first step runs none of its own code.
         self._handlers.pop(task).release()
         self._server.ahead_limit.end_request()
-        if not self._handlers and self._accepts_requests and self._reader.is_between_requests:
-            self.idle_since_ms = self._server.clock.now_ms()
+        if self._handlers:
+            return
+        self.idle_since_ms = self._server.clock.now_ms()
+        if self._accepts_requests and self._reader.is_between_requests:
             self.start_timer(lambda: self._server.limits().idle_timeout_ms)
 
     async def _handle(self, exchange: CallerExchange) -> None:
@@ -392,7 +382,7 @@
             if self._timer.is_due:
                 # What is not sent yet goes out first.
                 self.close()
-            self.read_nowait()
+            self._end.discarded.add(self.read_nowait())
             await self._wait_for_data()
 
     def start_timer(self, limit_ms: Callable[[], int]) -> None:
--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -139,6 +139,11 @@
         """Return the number of received bytes that have not been read."""
         return len(self._buffer)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many written bytes the kernel has not taken yet."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
     @property
     def is_writing_paused(self) -> bool:
         """Return whether the send buffer is full."""
@@ -150,6 +155,12 @@
         name = self.transport.get_extra_info("peername") if self.transport is not None else None
         return str(name[0]) if name else ""
 
+    @property
+    def peer_address(self) -> str:
+        """Return the IP address and the port of the peer, or "" if they are not known."""
+        name = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return f"{name[0]}:{name[1]}" if name else ""
+
     @property
     def is_open(self) -> bool:
         """Return whether both directions of the connection are open."""
--- a/nutmeglead/http/connection_ends.py
+++ b/nutmeglead/http/connection_ends.py
@@ -7,6 +7,7 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event, log_failure
 from nutmeglead.core.rate import RateBudget
+from nutmeglead.http.discarded import DiscardedBytes
 from nutmeglead.http.messages import RequestHead, header_value
 
 __all__ = ["ConnectionEnd", "ConnectionEnds", "EndCause"]
@@ -17,6 +18,8 @@
 LINES_PER_S = 10.0
 # A line names at most this many requests.
 MAX_LOGGED_REQUESTS = 16
+# Many connections end at the same moment of a stop, which is the last one of the process.
+MAX_STOP_LINES = 2_000
 
 
 class EndCause(Enum):
@@ -33,18 +36,27 @@
 
 
 class ConnectionEnd:
-    """Remember the first cause of one connection's end, and which requests it left unanswered."""
+    """Remember the first cause of one connection's end, and which requests it left unanswered.
+
+    `begun_ms` is when the end was decided on, and `idle_ms` for how long the connection had had no
+    request in progress by then. `request_count` counts the requests that were handled.
+    """
 
     def __init__(self) -> None:
         self.cause = EndCause.CALLER_LEFT
         self.unanswered: list[RequestHead] = []
-        self._has_begun = False
-
-    def begin(self, cause: EndCause, unanswered: list[RequestHead]) -> None:
+        self.begun_ms: int | None = None
+        self.idle_ms = 0
+        self.request_count = 0
+        self.discarded = DiscardedBytes()
+
+    def begin(
+        self, cause: EndCause, unanswered: list[RequestHead], now_ms: int, idle_since_ms: int
+    ) -> None:
         """Record a cause and the requests without a whole answer, unless there is a cause."""
-        if not self._has_begun:
-            self._has_begun = True
-            self.cause, self.unanswered = cause, unanswered
+        if self.begun_ms is None:
+            self.cause, self.unanswered, self.begun_ms = cause, unanswered, now_ms
+            self.idle_ms = 0 if unanswered else now_ms - idle_since_ms
 
 
 class ConnectionEnds:
@@ -60,17 +72,26 @@
         self._id_header: bytes | None = None
         self._budget = RateBudget(LINES_PER_S)
         self._unlogged_count = 0
+        self._stop_begun_ms: int | None = None
+        self._stop_line_count = 0
 
     def identify_by(self, id_header: bytes) -> None:
         """Name requests by the value of a header; without it, by their target."""
         self._id_header = id_header
 
-    def record(self, end: ConnectionEnd, peer_ip: str, unread_bytes: int, late_ms: int) -> None:
+    def begin_stop(self) -> None:
+        """Log each connection that this process ends from now on."""
+        self._stop_begun_ms = self._clock.now_ms()
+
+    def record(
+        self, end: ConnectionEnd, peer_address: str, unread_bytes: int, late_ms: int
+    ) -> None:
         """Count an end, and log it unless the caller has left or the rate limit is reached.
 
         `unread_bytes` had arrived and were not read, and `late_ms` is how late a timeout was
         handled.
         """
+        self._log_in_stop(end, peer_address)
         cause, unanswered = end.cause, end.unanswered
         if not unanswered and not unread_bytes:
             return
@@ -85,7 +106,7 @@
         log_event(
             logger,
             Event.ANSWERS_MISSING,
-            caller=peer_ip,
+            caller=peer_address.rpartition(":")[0],
             cause=cause.value,
             requests=[self._request_id(head) for head in unanswered[:MAX_LOGGED_REQUESTS]],
             count=len(unanswered),
@@ -95,6 +116,29 @@
         )
         self._unlogged_count = 0
 
+    def _log_in_stop(self, end: ConnectionEnd, peer_address: str) -> None:
+        """Log when a stop ended a connection, and what of its caller was not handled."""
+        if self._stop_begun_ms is None or end.begun_ms is None:
+            return
+        if end.cause is EndCause.CALLER_LEFT or self._stop_line_count >= MAX_STOP_LINES:
+            return
+        self._stop_line_count += 1
+        discarded = end.discarded
+        log_event(
+            logger,
+            Event.CONNECTION_CLOSED,
+            caller=peer_address,
+            cause=end.cause.value,
+            after_ms=end.begun_ms - self._stop_begun_ms,
+            idle_ms=end.idle_ms,
+            lingered_ms=self._clock.now_ms() - end.begun_ms,
+            handled=end.request_count,
+            discarded_bytes=discarded.size_bytes,
+            discarded=[
+                self._request_id(head) for head in discarded.whole_requests()[:MAX_LOGGED_REQUESTS]
+            ],
+        )
+
     def record_failed_handler(self, head: RequestHead, peer_ip: str, error: Exception) -> None:
         """Log an unexpected error in the handling of a request."""
         request = self._request_id(head)
--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -79,6 +79,7 @@
     def begin_stop(self) -> None:
         """Answer further requests, but close each connection after its latest one is answered."""
         self.is_stopping = True
+        self.ends.begin_stop()
 
     async def stop_listening(self) -> None:
         """Stop listening without cutting off requests that have arrived; close idle connections.
--- a/nutmeglead/http/tests/connection_ends.feature
+++ b/nutmeglead/http/tests/connection_ends.feature
@@ -31,3 +31,15 @@
       | a handler fails after its whole answer           | 200 200  | one     | the end of the answer, and the requests behind it, are dropped     |
       | a handler answers with an impossible header      | 502      | one     | an answer that cannot be sent closes the connection                |
       | a handler ends with an error of HTTP             | 502      | nothing | the same for an answer that the parser refuses                     |
+
+  Scenario Outline: A stop logs each connection that it ends, and what it did not handle
+    # Guards against requests that cross the end of their connection and appear in no line (issue 60).
+    Given a server that logs the ends of its callers' connections
+    When it stops and its caller has sent <sent>
+    Then a line tells cause <cause>, <handled> handled and the discarded requests <discarded> in <bytes> bytes
+
+    Examples:
+      | sent                                           | cause       | handled | discarded | bytes |
+      | a request long before                          | stop        | 1       | nothing   | 0     |
+      | a request, and another one behind its answer   | last-answer | 1       | two       | 42    |
+      | a request, and half of one behind its answer   | last-answer | 1       | nothing   | 20    |
--- a/nutmeglead/http/tests/steps/connection_ends_steps.py
+++ b/nutmeglead/http/tests/steps/connection_ends_steps.py
@@ -93,6 +93,21 @@
         self.received = channel.read_nowait()
         await server.close()
 
+    async def stop(self, clock, ahead, behind):
+        """Stop after the first request, or while it is answered, and send the rest behind it."""
+        server = PipelineServer(handle, lambda: LIMITS, clock)
+        server.ends.identify_by(ID_HEADER)
+        await server.start(*ADDRESS)
+        _, channel = await asyncio.get_running_loop().create_connection(ByteChannel, *ADDRESS)
+        await channel.write(ahead)
+        await asyncio.sleep(WORK_S / 2 if behind else 2 * WORK_S)
+        server.begin_stop()
+        await asyncio.sleep(WORK_S)
+        if behind:
+            await channel.write(behind)
+        await server.stop_listening()
+        await server.wait_closed(3_000)
+
 
 @given("a server that logs the ends of its callers' connections")
 def step_server(context):
@@ -132,3 +147,30 @@
     lines = context.collected.fields_of(Event.HANDLER_FAILED)
     expected = [] if named == "nothing" else [named]
     assert [line["request"] for line in lines] == expected, lines
+
+
+SENT_IN_STOP = {
+    "a request long before": b"",
+    "a request, and another one behind its answer": REQUEST % (b"slow", b"two"),
+    "a request, and half of one behind its answer": (REQUEST % (b"slow", b"two"))[:20],
+}
+
+
+@when("it stops and its caller has sent {sent}")
+def step_stop(context, sent):
+    context.collected = collect(context, "nutmeglead.http.connection_ends")
+    ahead, behind = REQUEST % (b"slow", b"one"), SENT_IN_STOP[sent]
+    run_virtual(lambda clock: context.logged.stop(clock, ahead, behind), EmulatedLoop(1))
+
+
+@then(
+    "a line tells cause {cause}, {handled:d} handled and the discarded requests {discarded} in"
+    " {size:d} bytes"
+)
+def step_closed(context, cause, handled, discarded, size):
+    lines = context.collected.fields_of(Event.CONNECTION_CLOSED)
+    assert len(lines) == 1, lines
+    line = lines[0]
+    assert (line["cause"], line["handled"]) == (cause, handled), line
+    assert line["discarded"] == ([] if discarded == "nothing" else discarded.split()), line
+    assert line["discarded_bytes"] == size, line
