--- a/nutmeglead/emulator/server_host.py
+++ b/nutmeglead/emulator/server_host.py
@@ -46,6 +46,9 @@
     slots: int = 4
     queue: int = 8
     work_ms: float = 60.0
+    # Share of the requests that take `long_work_ms` instead.
+    long_share: float = 0.0
+    long_work_ms: float = 0.0
     answer_bytes: int = 200
     health_path: str = "/health"
 
@@ -210,7 +213,10 @@
     async def _execute(self, exchange: CallerExchange, request_id: bytes) -> None:
         deadline_ms = int(header_value(exchange.head.headers, DEADLINE_HEADER) or b"60000")
         self._executions.add(self._clock.now_ms(), self.keys.server_id, request_id.decode())
-        work_ms = self._rng.expovariate(1 / self.options.work_ms) * 0.3 + 0.7 * self.options.work_ms
+        mean_ms = self.options.work_ms
+        if self.options.long_share and self._rng.random() < self.options.long_share:
+            mean_ms = self.options.long_work_ms
+        work_ms = self._rng.expovariate(1 / mean_ms) * 0.3 + 0.7 * mean_ms
         await asyncio.sleep(min(work_ms * self.work_factor, deadline_ms) / 1000)
         headers = [(ANSWER_ID_HEADER, request_id), (SIGNATURE_HEADER, b"signed:" + request_id)]
         if self._rng.random() < self.lost_answer_share:
