http: look at what has arrived before an answer of a stop closes its connection

Cause: the answer closes the connection when no byte waits in our buffer. What waits in the kernel while the event loop has other work, and what the parser holds of a half request or of one that waits for room, counted as nothing. Change: the exchange lets the event loop read what has arrived, and the connection compares the bytes that it received with those of the requests that it has begun. Why it works: whatever has reached the node belongs to a request that is begun or keeps the connection open; what is on the network still crosses the answer, which HTTP/1.1 can't prevent.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -69,6 +69,8 @@
         # Whether the next request is refused, after the answers in progress.
         self._refuses_next = False
         self._end = ConnectionEnd()
+        # How many of the received bytes belong to requests that were begun.
+        self._handled_bytes = 0
         self.on_unread_changed = server.held.add
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -124,17 +126,22 @@
         unanswered = [each.head for each in exchanges if not each.finished.done()]
         self._end.begin(cause, unanswered, self._server.clock.now_ms(), self.idle_since_ms)
 
+    async def read_arrivals_behind(self, exchange: CallerExchange) -> None:
+        """Let the event loop read what has arrived, if the response may close the connection."""
+        if self._server.is_stopping and exchange is self._latest_exchange:
+            await read_arrived_bytes()
+
     def closes_after(self, exchange: CallerExchange) -> bool:
         """Return whether the connection is closed after the response of this exchange.
 
         Called when the response starts. While the server is stopping, this also ends the reading of
-        requests if the exchange is the latest one and, while the server listens, no further bytes
-        have arrived.
+        requests if the exchange is the latest one and, while the server listens, nothing of a
+        further request has arrived.
         """
         if exchange is not self._latest_exchange or self._refuses_next:
             return False
         server = self._server
-        has_arrived = self.unread_bytes or self._read_ahead.waits_to_begin
+        has_arrived = self.bytes_received > self._handled_bytes
         if server.has_stopped_listening or (server.is_stopping and not has_arrived):
             self._accepts_requests = False
         return not self._accepts_requests
@@ -246,6 +253,7 @@
                 self._start_exchange(parser, request)
                 return
             unread = parser.trailing_data[0]
+            self._handled_bytes = self.bytes_received - self.unread_bytes - len(unread)
             self._start_exchange(response_parser(parser, request.head, unread), request)
             await self._read_ahead.wait_to_read(len(unread))
         self._end.discarded.add(unread)
--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -54,6 +54,9 @@
     def is_cut_off(self) -> bool:
         """Return whether this side has aborted the connection with its exchanges."""
 
+    async def read_arrivals_behind(self, exchange: "CallerExchange") -> None:
+        """Let the event loop read what has arrived, if it matters for the end of the connection."""
+
     def closes_after(self, exchange: "CallerExchange") -> bool:
         """Return whether the connection is closed after the response of this exchange."""
 
@@ -182,6 +185,7 @@
             # Without the shield, cancelling this exchange would cancel the previous one's future.
             await asyncio.shield(self._previous_finished)
         self._previous_finished = None
+        await self._connection.read_arrivals_behind(self)
         self.response_started = True
 
     def _response_head(self, status: int, headers: Headers) -> h11.Response:
--- a/nutmeglead/http/read_ahead.py
+++ b/nutmeglead/http/read_ahead.py
@@ -32,10 +32,7 @@
 
 
 class ReadAhead:
-    """Hold back the requests of one connection that are sent ahead.
-
-    `waits_to_begin` tells whether one that was read waits for room.
-    """
+    """Hold back the requests of one connection that are sent ahead."""
 
     def __init__(
         self,
@@ -44,7 +41,6 @@
         limit: AheadLimit,
     ) -> None:
         """`handlers` are those of the connection; the mapping changes as requests begin and end."""
-        self.waits_to_begin = False
         self._connection = connection
         self._handlers = handlers
         self._limit = limit
@@ -54,14 +50,12 @@
         if not self._handlers or self._may_begin():
             return
         held, unread_bytes = self._connection.held, len(parser.trailing_data[0])
-        self.waits_to_begin = True
         held.add(unread_bytes)
         try:
             while self._handlers and not self._may_begin():
                 await self._limit.wait(self._handlers)
         finally:
             held.add(-unread_bytes)
-            self.waits_to_begin = False
 
     async def wait_to_read(self, unread_bytes: int) -> None:
         """Wait until another request may be read, with bytes of it that have arrived."""
--- a/nutmeglead/http/tests/steps/stops_steps.py
+++ b/nutmeglead/http/tests/steps/stops_steps.py
@@ -17,6 +17,7 @@
 LIMITS = CallerLimits(16_384, 65_536, 3_000, 15_000)
 WORK_MS = 400
 GRACE_MS = 3_000
+STALL_MS = 40
 LARGE_BYTES = 33_554_432
 # More passes of the event loop than the end of a connection and of the wait for it take.
 PASSES = 20
@@ -45,11 +46,15 @@
         self.handled = []
         self.received = b""
         self.was_reset = False
+        # For how long the event loop stands still just before an answer.
+        self.stall_ms = 0
 
     async def _answer(self, exchange):
         self.handled.append(exchange.head.target.decode())
         if self._manner == "at once":
             await asyncio.sleep(WORK_MS / 1000)
+            if self.stall_ms:
+                asyncio.get_running_loop().stand_still(self.stall_ms / 1000)
             await exchange.respond(200, [], b"whole")
             return
         length = [] if self._manner.endswith("without a length") else [(b"content-length", b"5")]
@@ -104,6 +109,24 @@
         writer.close()
         self.cut_off = await stopping
 
+    async def run_asked(self, clock, sending, when):
+        """Ask the server to stop, and send the second part of a sending around the first answer."""
+        first, second = SENDINGS[sending]
+        server, channel = await self._connect(clock)
+        server.begin_stop()
+        await channel.write(first)
+        if "stands still" in when:
+            self.stall_ms = STALL_MS
+            # On its way when the event loop begins to stand still: a host is 0.25 ms away.
+            await asyncio.sleep((WORK_MS + 0.1) / 1000)
+        elif "after it" in when:
+            await asyncio.sleep((WORK_MS + LATER_MS) / 1000)
+        await channel.write(second)
+        await asyncio.sleep(3 * WORK_MS / 1000)
+        self.received = channel.read_nowait()
+        self.cut_off = await server.wait_closed(0)
+        await server.close()
+
     async def _answer_large(self, exchange):
         exchange._connection.transport.set_write_buffer_limits(2 * LARGE_BYTES)
         await exchange.respond(200, [], b"x" * LARGE_BYTES)
@@ -178,6 +201,14 @@
     )
 
 
+@when('it is asked to stop and a caller sends "{sending}" {when}')
+def step_asked(context, sending, when):
+    run_virtual(
+        lambda clock: context.stopping.run_asked(clock, sending, when),
+        EmulatedLoop(1),
+    )
+
+
 @when("it stops without any grace while it answers a request of HTTP/1.0")
 def step_cut_off(context):
     asyncio.run(context.stopping.cut_off_on_loopback())
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -23,6 +23,18 @@
       | two requests, and another one later | the same, with several requests in progress              |
       | half a request, and the rest later  | the caller sends its next request on a closed connection |
 
+  Scenario Outline: An answer does not close the connection while more of its caller has arrived
+    # Guards against requests that callers send ahead and lose behind an answer that says "close", though they have arrived (issue 60).
+    Given a server whose answers take 400 ms and are sent at once
+    When it is asked to stop and a caller sends "<sending>" <when>
+    Then it has handled <count> and the caller has received <count> whole answers
+
+    Examples: each row names the failure it guards against
+      | sending                                               | when                                                     | count | failure                                                           |
+      | a request, and another one later                      | before the answer                                        | 2     | the connection closes behind the first answer after SIGTERM       |
+      | a request, and another one later                      | while the event loop stands still just before the answer | 2     | what has arrived is looked at before the event loop has read it   |
+      | a request and half of another one, and the rest later | before the answer, and the rest after it                 | 2     | half a request that the parser holds counts as nothing            |
+
   Scenario: An answer that is cut off at the end of the grace does not look complete
     # Guards against a caller that takes the close of a cut connection for the end of an answer without a length (HTTP/1.0).
     Given a server whose answers take 400 ms and are sent in parts without a length
