http: tell for how long no request was read when a stop ended a connection

The line had the time without a request in progress, which is 0 for a connection that ends with its last answer. For how long nothing had been read tells whether an answer that closes its connection met a caller in the middle of a burst.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -124,7 +124,9 @@
     def _begin_end(self, cause: EndCause) -> None:
         exchanges = self._handlers.values()
         unanswered = [each.head for each in exchanges if not each.finished.done()]
-        self._end.begin(cause, unanswered, self._server.clock.now_ms(), self.idle_since_ms)
+        latest = self._latest_exchange
+        quiet_since_ms = self.idle_since_ms if latest is None else latest.received_ms
+        self._end.begin(cause, unanswered, self._server.clock.now_ms(), quiet_since_ms)
 
     async def read_arrivals_behind(self, exchange: CallerExchange) -> None:
         """Let the event loop read what has arrived, if the response may close the connection."""
@@ -287,10 +289,8 @@
         # A handler that is cancelled before its first step runs none of its own code.
         self._handlers.pop(task).release()
         self._server.ahead_limit.end_request()
-        if self._handlers:
-            return
-        self.idle_since_ms = self._server.clock.now_ms()
-        if self._accepts_requests and self._reader.is_between_requests:
+        if not self._handlers and self._accepts_requests and self._reader.is_between_requests:
+            self.idle_since_ms = self._server.clock.now_ms()
             self.start_timer(lambda: self._server.limits().idle_timeout_ms)
 
     async def _handle(self, exchange: CallerExchange) -> None:
--- a/nutmeglead/http/connection_ends.py
+++ b/nutmeglead/http/connection_ends.py
@@ -38,25 +38,25 @@
 class ConnectionEnd:
     """Remember the first cause of one connection's end, and which requests it left unanswered.
 
-    `begun_ms` is when the end was decided on, and `idle_ms` for how long the connection had had no
-    request in progress by then. `request_count` counts the requests that were handled.
+    `begun_ms` is when the end was decided on, and `quiet_ms` for how long no request had been read
+    by then. `request_count` counts the requests that were handled.
     """
 
     def __init__(self) -> None:
         self.cause = EndCause.CALLER_LEFT
         self.unanswered: list[RequestHead] = []
         self.begun_ms: int | None = None
-        self.idle_ms = 0
+        self.quiet_ms = 0
         self.request_count = 0
         self.discarded = DiscardedBytes()
 
     def begin(
-        self, cause: EndCause, unanswered: list[RequestHead], now_ms: int, idle_since_ms: int
+        self, cause: EndCause, unanswered: list[RequestHead], now_ms: int, quiet_since_ms: int
     ) -> None:
         """Record a cause and the requests without a whole answer, unless there is a cause."""
         if self.begun_ms is None:
             self.cause, self.unanswered, self.begun_ms = cause, unanswered, now_ms
-            self.idle_ms = 0 if unanswered else now_ms - idle_since_ms
+            self.quiet_ms = now_ms - quiet_since_ms
 
 
 class ConnectionEnds:
@@ -130,7 +130,7 @@
             caller=peer_address,
             cause=end.cause.value,
             after_ms=end.begun_ms - self._stop_begun_ms,
-            idle_ms=end.idle_ms,
+            quiet_ms=end.quiet_ms,
             lingered_ms=self._clock.now_ms() - end.begun_ms,
             handled=end.request_count,
             discarded_bytes=discarded.size_bytes,
