http: send no interim answer behind one that closes the connection

What callers saw: in a stop, an answer with `connection: close` and behind it "HTTP/1.1 100", if they had sent a further request with `expect: 100-continue`. No request waits for these bytes any more. Cause: the reader waits for the answers before it with the interim one, and then sends it whatever they have said. Evidence: stops.feature, "A caller that waits for 100 behind the last answer is not told to go on"; before the change the 100 came last. Change: the interim answer is sent only while the connection takes requests. Why it works: the answer that says `close` ends that in the same step, before the reader runs again.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -364,9 +364,10 @@
             await asyncio.wait(self._handlers)
 
     async def write_in_turn(self, data: bytes) -> None:
-        """Send bytes after the responses to all earlier requests."""
+        """Send bytes after the responses to all earlier requests, unless the last one closes."""
         await self._wait_for_handlers()
-        await self.write(data)
+        if self._accepts_requests:
+            await self.write(data)
 
     async def _reject_request(self, parser: h11.Connection, error: RequestRefused) -> None:
         """Send an error response without a body, marked as not run, after the earlier responses."""
--- a/nutmeglead/http/tests/steps/stops_steps.py
+++ b/nutmeglead/http/tests/steps/stops_steps.py
@@ -25,6 +25,7 @@
 EARLIER_MS = LATER_MS = 100
 GET = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
 POST_HEAD = b"POST /%s HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
+WAITING_HEAD = b"POST /%s HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\nexpect: 100-continue\r\n\r\n"
 # What a caller sends before the server stops listening, and what after it.
 SENDINGS = {
     "a request, and another one later": (GET % b"1", GET % b"2"),
@@ -35,6 +36,7 @@
     ),
     "half a request, and the rest later": (POST_HEAD % b"1", b"body"),
     "half a request": (POST_HEAD % b"1", b""),
+    "a request and the head of one that waits for 100": (GET % b"1" + WAITING_HEAD % b"2", b""),
 }
 
 
@@ -257,6 +259,11 @@
     assert b"connection: close" in last, context.stopping.received
 
 
+@then("nothing follows the last answer")
+def step_nothing_follows(context):
+    assert context.stopping.received.endswith(b"whole"), context.stopping.received
+
+
 @then("the server has stopped {duration_ms:d} ms later")
 def step_duration(context, duration_ms):
     assert context.stopping.duration_ms <= duration_ms, context.stopping.duration_ms
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -23,6 +23,13 @@
       | two requests, and another one later | the same, with several requests in progress              |
       | half a request, and the rest later  | the caller sends its next request on a closed connection |
 
+  Scenario: A caller that waits for 100 behind the last answer is not told to go on
+    # Guards against bytes that no request waits for, on a connection that the caller was told has ended.
+    Given a server whose answers take 400 ms and are sent at once
+    When it stops listening and a caller sends a request and the head of one that waits for 100
+    Then the last answer says that the connection closes
+    And nothing follows the last answer
+
   Scenario Outline: An answer does not close the connection while more of its caller has arrived
     # Guards against requests that callers send ahead and lose behind an answer that says "close", though they have arrived (issue 60).
     Given a server whose answers take 400 ms and are sent at once
