http: send all answers of a connection that are due as the grace ends

Cause: the stop lets the loop run 20 passes for such answers. Each one waits for the answer before it, which takes a few passes each. Evidence: stops.feature, "The answers to all requests of a connection are sent when they are due as the grace ends"; 9 of 16 before. Change: the passes count the requests that a connection may have in progress. Why it works: the passes end as soon as no request is in progress, and suffice for a whole connection; 16 of 16.

--- a/nutmeglead/http/pipeline.py
+++ b/nutmeglead/http/pipeline.py
@@ -15,6 +15,7 @@
 from nutmeglead.http.connection_limit import ConnectionLimit, SocketBounds
 from nutmeglead.http.exchange import CallerExchange, CallerLimits
 from nutmeglead.http.held_bytes import HeldBytes
+from nutmeglead.http.read_ahead import MAX_PIPELINE_DEPTH
 from nutmeglead.http.slow_readers import SlowReaderWatch
 from nutmeglead.http.sockets import ACCEPT_BATCH, read_arrivals, set_listen_backlog
 
@@ -22,9 +23,9 @@
 
 # While the server waits for its connections to end, it closes idle ones at this interval.
 IDLE_CHECK_INTERVAL_MS = 200
-# Passes of the event loop in which an answer that is due is sent to its caller. At a deadline, what
-# a server has sent is looked at first.
-DUE_ANSWER_PASSES = 20
+# Passes of the event loop in which the answers that are due are sent to a caller. At a deadline,
+# what a server has sent is looked at first; then each answer waits for the one before it.
+DUE_ANSWER_PASSES = 20 + 4 * MAX_PIPELINE_DEPTH
 
 Handler = Callable[[CallerExchange], Awaitable[None]]
 
--- a/nutmeglead/http/read_ahead.py
+++ b/nutmeglead/http/read_ahead.py
@@ -10,7 +10,7 @@
 from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.http.held_bytes import HeldBytes
 
-__all__ = ["ReadAhead"]
+__all__ = ["MAX_PIPELINE_DEPTH", "ReadAhead"]
 
 # Requests of one connection that are handled concurrently; at this number reading pauses.
 MAX_PIPELINE_DEPTH = 16
--- a/nutmeglead/http/tests/steps/stops_steps.py
+++ b/nutmeglead/http/tests/steps/stops_steps.py
@@ -146,10 +146,10 @@
         await server.wait_closed(GRACE_MS)
         self.duration_ms = clock.now_ms() - stopped_ms
 
-    async def run_stalled(self, clock, early_ms, late_ms, grace_ms):
-        """Stop while a request is in progress, and stand still across the end of the grace."""
+    async def run_stalled(self, clock, early_ms, late_ms, grace_ms, request_count=1):
+        """Stop while requests are in progress, and stand still across the end of the grace."""
         server, channel = await self._connect(clock)
-        await channel.write(GET % b"1")
+        await channel.write(b"".join(GET % b"%d" % number for number in range(request_count)))
         await asyncio.sleep(0.001)
         server.begin_stop()
         await server.stop_listening()
@@ -203,6 +203,17 @@
     )
 
 
+@when(
+    "it has {count:d} requests of a caller and its event loop stands still from {early_ms:d} ms"
+    " before the answer until {late_ms:d} ms after the end of a grace of {grace_ms:d} ms"
+)
+def step_stalled_ahead(context, count, early_ms, late_ms, grace_ms):
+    run_virtual(
+        lambda clock: context.stopping.run_stalled(clock, early_ms, late_ms, grace_ms, count),
+        EmulatedLoop(1),
+    )
+
+
 @when('it is asked to stop and a caller sends "{sending}" {when}')
 def step_asked(context, sending, when):
     run_virtual(
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -71,3 +71,9 @@
     Given a server whose answers take 400 ms and are sent at once
     When its event loop stands still from 200 ms before the answer until 200 ms after the end of a grace of 500 ms
     Then it has handled 1 and the caller has received 1 whole answers
+
+  Scenario: The answers to all requests of a connection are sent when they are due as the grace ends
+    # Guards against the same for callers that send ahead: each answer waits for the one before it.
+    Given a server whose answers take 400 ms and are sent at once
+    When it has 16 requests of a caller and its event loop stands still from 200 ms before the answer until 200 ms after the end of a grace of 500 ms
+    Then it has handled 16 and the caller has received 16 whole answers
