http: end no connection while its caller still takes an answer

What callers saw: a cut answer and a reset, in a stop: 12,288 of 400,000 bytes, though the server had answered and the node had sent all of it. Cause: a connection counted as idle as soon as the kernel had taken its answer. A request that was passed on loses its answer this way. Change: in a stop, an idle connection is closed once its peer has acknowledged what was written; the end of the stop's grace bounds that. Why it works: the kernel tells what is not acknowledged (SIOCOUTQ), and drops nothing of a connection that is open and read. Where it does not tell, all is as before.

--- a/nutmeglead/http/caller_connection.py
+++ b/nutmeglead/http/caller_connection.py
@@ -24,6 +24,7 @@
 )
 from nutmeglead.http.exchange import CallerExchange
 from nutmeglead.http.held_bytes import HeldBytes
+from nutmeglead.http.lingering import LINGER_MS, Lingering
 from nutmeglead.http.read_ahead import ReadAhead
 from nutmeglead.http.refusals import encode_refusal
 from nutmeglead.http.request_reader import ReceivedRequest, RequestReader
@@ -38,10 +39,6 @@
 
 logger = logging.getLogger(__name__)
 
-# After the last response, the server waits up to this long for the peer to close first. Closing a
-# socket with unread bytes resets the connection, and the peer may lose the response.
-LINGER_MS = 1_000
-
 
 class CallerConnection(ByteChannel):
     """Server side of one connection.
@@ -178,8 +175,9 @@
             self._dismiss(EndCause.CONNECTION_LIMIT)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request has begun to arrive, or the peer is to close it."""
-        if self.is_idle:
+        """Close the connection unless it is in use, or its caller has not taken all answers yet."""
+        # Bytes that arrive after the close make the kernel drop what has not been taken.
+        if self.is_idle and not self.unacknowledged_bytes:
             self._dismiss(EndCause.STOP)
 
     def _dismiss(self, cause: EndCause) -> None:
@@ -380,15 +378,18 @@
             await self.write(data)
 
     async def _linger(self) -> None:
-        """End our stream and discard what arrives until the peer closes or LINGER_MS is over."""
+        """End our stream and discard what arrives until the peer closes or takes no more of it."""
         self._begin_end(EndCause.LAST_ANSWER)
         if not self.is_open or self.transport is None or self._dismissal is not None:
             return
         self._is_lingering = True
         self.transport.write_eof()
+        lingering = Lingering(self._server.clock)
         self.start_timer(lambda: LINGER_MS)
         while not self.peer_closed.is_set():
-            if self._timer.is_due:
+            if self._timer.is_due and lingering.goes_on(self.unacknowledged_bytes):
+                self.start_timer(lambda: LINGER_MS)
+            elif self._timer.is_due:
                 # What is not sent yet goes out first.
                 self.close()
             self._end.discarded.add(self.read_nowait())
--- a/nutmeglead/http/channel.py
+++ b/nutmeglead/http/channel.py
@@ -5,7 +5,7 @@
 from typing import cast
 
 from nutmeglead.http.errors import PeerClosed
-from nutmeglead.http.sockets import reset_on_close
+from nutmeglead.http.sockets import reset_on_close, unacknowledged_bytes
 
 __all__ = ["ByteChannel"]
 
@@ -144,6 +144,11 @@
         """Return how many written bytes the kernel has not taken yet."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Return how many written bytes the peer's kernel has not acknowledged yet."""
+        return self.unsent_bytes + unacknowledged_bytes(self.transport)
+
     @property
     def is_writing_paused(self) -> bool:
         """Return whether the send buffer is full."""
--- a/nutmeglead/http/sockets.py
+++ b/nutmeglead/http/sockets.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
+import termios
 
 __all__ = [
     "ACCEPT_BATCH",
@@ -13,6 +15,7 @@
     "read_arrived_bytes",
     "reset_on_close",
     "set_listen_backlog",
+    "unacknowledged_bytes",
 ]
 
 # A peer that disappears may send no reset. Keep-alive probes close an idle connection to it within
@@ -84,6 +87,23 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, linger_s))
 
 
+def unacknowledged_bytes(transport: asyncio.BaseTransport | None) -> int:
+    """Return how much of what the kernel has taken its peer has not acknowledged.
+
+    Returns 0 if that is not known, as for a transport without a socket or a closed one.
+    """
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None or not hasattr(sock, "fileno"):
+        return 0
+    count = bytearray(struct.calcsize("i"))
+    try:
+        # Linux calls it SIOCOUTQ; the number is the same.
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except (OSError, ValueError):
+        return 0
+    return int(struct.unpack("i", count)[0])
+
+
 def set_listen_backlog(server: asyncio.Server) -> None:
     """Let LISTEN_BACKLOG connections wait at a server that accepts ACCEPT_BATCH at a time.
 
