http: begin no request behind an answer that is about to be sent in parts

Cause: lets the event loop run between the choice to send an answer in parts and its head. A request that is read in that time is begun, since the answer counts as sent in parts only from its head on. Evidence: stops.feature, "No request is begun behind an answer that is about to be sent in parts"; before the change the second request had been begun before the end of the first answer. Change: the answer counts as sent in parts before the exchange waits for its turn. Why it works: the reader holds a request back while any answer of its connection is sent in parts, and begins it after its end.

--- a/nutmeglead/http/exchange.py
+++ b/nutmeglead/http/exchange.py
@@ -86,7 +86,7 @@
         self.body = body
         self.received_ms = received_ms
         self.response_started = False
-        # Whether a part of the response is sent, and the rest may never be.
+        # Whether the response is sent in parts, of which the rest may never be.
         self.is_streaming = False
         self.counted_bytes = counted_bytes
         self.finished: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -121,8 +121,8 @@
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the head of a response; its body is chunked unless a `content-length` is given."""
-        await self._wait_for_turn()
         self.is_streaming = True
+        await self._wait_for_turn()
         await self._connection.write(self._encode(self._response_head(status, headers)))
 
     async def send_body(self, data: Body) -> None:
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -42,6 +42,13 @@
       | a request, and another one later                      | while the event loop stands still just before the answer | 2     | what has arrived is looked at before the event loop has read it   |
       | a request and half of another one, and the rest later | before the answer, and the rest after it                 | 2     | half a request that the parser holds counts as nothing            |
 
+  Scenario: No request is begun behind an answer that is about to be sent in parts
+    # Guards against a request that is passed on and loses its answer with the one before it, if that is cut.
+    Given a server whose answers take 400 ms and are sent in parts
+    When it is asked to stop and a caller sends "a request, and another one later" while the event loop stands still just before the answer
+    Then it has handled 2 and the caller has received 2 whole answers
+    And the second request was begun after the end of the first answer
+
   Scenario: An answer that is cut off at the end of the grace does not look complete
     # Guards against a caller that takes the close of a cut connection for the end of an answer without a length (HTTP/1.0).
     Given a server whose answers take 400 ms and are sent in parts without a length
