http: test what callers send in any pattern around a stop

Each request that is handled is answered once and in order, and an answer that closes its connection while the node listens has nothing behind it.

--- a/nutmeglead/http/tests/steps/stops_steps.py
+++ b/nutmeglead/http/tests/steps/stops_steps.py
@@ -12,6 +12,7 @@
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.pipeline import PipelineServer
+from nutmeglead.http.tests.stop_sendings import StopSendings
 
 ADDRESS = ("10.1.0.1", 80)
 LIMITS = CallerLimits(16_384, 65_536, 3_000, 15_000)
@@ -230,6 +231,24 @@
     )
 
 
+@when(
+    "a caller sends requests in random pieces at random times around a stop, seeds {first:d} to"
+    " {last:d}"
+)
+def step_random(context, first, last):
+    context.sendings = {seed: StopSendings(seed) for seed in range(first, last + 1)}
+    for seed, sendings in context.sendings.items():
+        run_virtual(sendings.run, EmulatedLoop(seed))
+
+
+@then(
+    "each request that was handled is answered once and in order, and none that had arrived is lost"
+)
+def step_no_faults(context):
+    faults = {seed: each.faults for seed, each in context.sendings.items() if each.faults}
+    assert not faults, faults
+
+
 @when("it stops without any grace while it answers a request of HTTP/1.0")
 def step_cut_off(context):
     asyncio.run(context.stopping.cut_off_on_loopback())
--- a/nutmeglead/http/tests/stops.feature
+++ b/nutmeglead/http/tests/stops.feature
@@ -42,6 +42,11 @@
       | a request, and another one later                      | while the event loop stands still just before the answer | 2     | what has arrived is looked at before the event loop has read it   |
       | a request and half of another one, and the rest later | before the answer, and the rest after it                 | 2     | half a request that the parser holds counts as nothing            |
 
+  Scenario: Requests that callers send in any pattern around a stop
+    # Guards against an answer that is out of order or sent twice, and against a request that had arrived and is closed unanswered.
+    When a caller sends requests in random pieces at random times around a stop, seeds 1 to 400
+    Then each request that was handled is answered once and in order, and none that had arrived is lost
+
   Scenario: No request is begun behind an answer that is about to be sent in parts
     # Guards against a request that is passed on and loses its answer with the one before it, if that is cut.
     Given a server whose answers take 400 ms and are sent in parts
