entry: let a stopping node take no role for a service that it learns of late

What callers saw: nothing of its own; in a rolling restart the role changes hands more often, which sends keys' requests to refusals. Cause: a stop tells the controllers that there are by then. A manifest that arrives later, as when SIGTERM follows a start at once or beside a change, adds a controller that knows of no stop. Evidence: stops.feature of the entry process, "A node that is stopped before it knows a manifest takes no role"; before the change it acted. Change: a controller is created with the state of its node. Not changed: a node that is taking the role when SIGTERM arrives still finishes that (read, not shown).

--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -235,9 +235,8 @@
 
         All other settings, such as addresses and names, take effect at the next start.
         """
-        changed = [
-            name for name, value in vars(settings).items() if value != vars(self.settings)[name]
-        ]
+        old = vars(self.settings)
+        changed = [name for name, value in vars(settings).items() if value != old[name]]
         self.settings = replace(self.settings, bounds=settings.bounds)
         self.forwarder.set_bounds(settings.bounds)
         for controller in self.controllers.values():
@@ -327,6 +326,7 @@
             self.forwarder.set_ranges,
         )
         controller = RangeController(service, rows, context)
+        controller.is_node_stopping = self.is_stopping
         self.controllers[service] = controller
         self._spawn(controller.run())
 
--- a/nutmeglead/entry/tests/steps/stops_steps.py
+++ b/nutmeglead/entry/tests/steps/stops_steps.py
@@ -1,13 +1,17 @@
 """Steps that stop a node of a cluster under load."""
 
+import asyncio
 from dataclasses import replace
 from functools import partial
 
 from behave import given, then, when
 
 from nutmeglead.entry.stop_schedule import StopSchedule
+from nutmeglead.entry.tests.deployment import OPTIONS, SERVICE, run_cluster
 from nutmeglead.entry.tests.stops import StoppedNode
 
+LOOK_INTERVAL_S = 0.05
+
 
 @given("a cluster and a service {kind} keys whose servers work for {work_ms:d} ms")
 def step_cluster(context, kind, work_ms):
@@ -111,3 +115,28 @@
     assert stopped.callers.answered
     assert not stopped.lost, f"{len(stopped.lost)} of {len(stopped.callers.sent)}: {stopped.lost}"
     assert stopped.cut_off == 0, stopped.cut_off
+
+
+async def stop_at_once(cluster):
+    """Stop the only node, and return whether it knew of the service, and whether it acted."""
+    (node_id,) = cluster.node_ids
+    process = cluster.nodes[node_id]
+    stopping = asyncio.create_task(cluster.stop_node(node_id))
+    has_acted = False
+    while not stopping.done():
+        has_acted |= any(controller.is_acting for controller in process.controllers.values())
+        await asyncio.sleep(LOOK_INTERVAL_S)
+    return SERVICE in process.controllers, has_acted
+
+
+@when("the only node of a cluster is stopped as soon as it has started, seed {seed:d}")
+def step_stop_at_once(context, seed):
+    context.knew_service, context.has_acted = run_cluster(
+        seed, stop_at_once, replace(OPTIONS, nodes=1)
+    )
+
+
+@then("it has learned of a service with keys, and has not acted for it")
+def step_has_not_acted(context):
+    assert context.knew_service
+    assert not context.has_acted
--- a/nutmeglead/entry/tests/stops.feature
+++ b/nutmeglead/entry/tests/stops.feature
@@ -50,3 +50,8 @@
     Given a cluster and a service without keys whose servers work for 600 ms
     When a node is stopped and a request begins to arrive 2200 ms later, and takes 2950 ms
     Then the request is answered with 503 and has not run
+
+  Scenario: A node that is stopped before it knows a manifest takes no role
+    # Guards against a role that changes hands twice because a node which has just started and is stopped at once takes it.
+    When the only node of a cluster is stopped as soon as it has started, seed 1
+    Then it has learned of a service with keys, and has not acted for it
