http: parse no more discarded requests than a line names

Cause: the line of a connection's end parses all that was discarded, and names 16. Evidence: connection_ends.feature, "A line names no more discarded requests than are looked for". Change: the parsing ends at the number that is asked for. Why it works: what is behind them is not named in any line.

--- a/nutmeglead/http/connection_ends.py
+++ b/nutmeglead/http/connection_ends.py
@@ -135,7 +135,7 @@
             handled=end.request_count,
             discarded_bytes=discarded.size_bytes,
             discarded=[
-                self._request_id(head) for head in discarded.whole_requests()[:MAX_LOGGED_REQUESTS]
+                self._request_id(head) for head in discarded.whole_requests(MAX_LOGGED_REQUESTS)
             ],
         )
 
--- a/nutmeglead/http/discarded.py
+++ b/nutmeglead/http/discarded.py
@@ -28,14 +28,14 @@
         self._heads.append(head)
         self.add(following)
 
-    def whole_requests(self) -> list[RequestHead]:
-        """Return the heads of the whole requests at the beginning of what was discarded."""
-        return [*self._heads, *_parse_requests(bytes(self._sample))]
+    def whole_requests(self, max_count: int) -> list[RequestHead]:
+        """Return the heads of the first whole requests of what was discarded."""
+        return [*self._heads, *_parse_requests(bytes(self._sample), max_count - len(self._heads))]
 
 
-def _parse_requests(data: bytes) -> list[RequestHead]:
-    heads = []
-    while data:
+def _parse_requests(data: bytes, max_count: int) -> list[RequestHead]:
+    heads: list[RequestHead] = []
+    while data and len(heads) < max_count:
         parser = h11.Connection(h11.SERVER)
         parser.receive_data(data)
         try:
--- a/nutmeglead/http/tests/connection_ends.feature
+++ b/nutmeglead/http/tests/connection_ends.feature
@@ -43,3 +43,8 @@
       | a request long before                          | stop        | 1       | nothing   | 0     |
       | a request, and another one behind its answer   | last-answer | 1       | two       | 42    |
       | a request, and half of one behind its answer   | last-answer | 1       | nothing   | 20    |
+
+  Scenario: A line names no more discarded requests than are looked for
+    # Guards against an event loop that stands still in a stop while it parses what callers have sent ahead.
+    When a connection has discarded 40 requests of which 16 are asked for
+    Then 16 are named, after the parsing of 16
--- a/nutmeglead/http/tests/steps/connection_ends_steps.py
+++ b/nutmeglead/http/tests/steps/connection_ends_steps.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import re
+from unittest import mock
 
+import h11
 from behave import given, then, when
 
 from nutmeglead.core.events import Event
@@ -11,6 +13,7 @@
 from nutmeglead.entry.tests.collected_events import collect
 from nutmeglead.http.channel import ByteChannel
 from nutmeglead.http.connection_ends import EndCause
+from nutmeglead.http.discarded import DiscardedBytes
 from nutmeglead.http.errors import MalformedMessage
 from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.pipeline import PipelineServer
@@ -174,3 +177,17 @@
     assert (line["cause"], line["handled"]) == (cause, handled), line
     assert line["discarded"] == ([] if discarded == "nothing" else discarded.split()), line
     assert line["discarded_bytes"] == size, line
+
+
+@when("a connection has discarded {count:d} requests of which {max_count:d} are asked for")
+def step_discarded(context, count, max_count):
+    bytes_discarded = DiscardedBytes()
+    bytes_discarded.add((REQUEST % (b"slow", b"one")) * count)
+    with mock.patch.object(h11, "Connection", wraps=h11.Connection) as parsers:
+        context.named = bytes_discarded.whole_requests(max_count)
+    context.parser_count = parsers.call_count
+
+
+@then("{count:d} are named, after the parsing of {parser_count:d}")
+def step_named(context, count, parser_count):
+    assert (len(context.named), context.parser_count) == (count, parser_count)
