http: blame a stop only for ends that were decided on in it

What callers saw: nothing; the log named a stop for each connection that was ending already, with a negative `after_ms`. Cause: CONNECTION_CLOSED was written for each connection that is lost after SIGTERM, whenever its end had begun. Evidence: connection_ends.feature, "A stop logs no connection whose end was decided on before it"; before the change there was one line. Change: no line for an end that had begun before the stop. Why it works: an end keeps its first time and cause.

--- a/nutmeglead/http/connection_ends.py
+++ b/nutmeglead/http/connection_ends.py
@@ -120,6 +120,8 @@
         """Log when a stop ended a connection, and what of its caller was not handled."""
         if self._stop_begun_ms is None or end.begun_ms is None:
             return
+        if end.begun_ms < self._stop_begun_ms:
+            return
         if end.cause is EndCause.CALLER_LEFT or self._stop_line_count >= MAX_STOP_LINES:
             return
         self._stop_line_count += 1
--- a/nutmeglead/http/tests/connection_ends.feature
+++ b/nutmeglead/http/tests/connection_ends.feature
@@ -48,3 +48,9 @@
     # Guards against an event loop that stands still in a stop while it parses what callers have sent ahead.
     When a connection has discarded 40 requests of which 16 are asked for
     Then 16 are named, after the parsing of 16
+
+  Scenario: A stop logs no connection whose end was decided on before it
+    # Guards against lines that blame a stop for ends which it has not caused, with times before SIGTERM.
+    Given a server that logs the ends of its callers' connections
+    When it stops 100 ms after an answer that closed its connection, which the caller keeps open
+    Then no line tells that a stop has ended a connection
--- a/nutmeglead/http/tests/steps/connection_ends_steps.py
+++ b/nutmeglead/http/tests/steps/connection_ends_steps.py
@@ -22,6 +22,7 @@
 LIMITS = CallerLimits(16_384, 65_536, 3_000, 15_000)
 WORK_S = 1.0
 ID_HEADER = b"x-id"
+LAST_REQUEST = b"GET /slow HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
 REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\nx-id: %s\r\n\r\n"
 
 
@@ -111,6 +112,17 @@
         await server.stop_listening()
         await server.wait_closed(3_000)
 
+    async def stop_after_end(self, clock, after_ms):
+        """Stop after an answer that closes its connection, while the caller keeps it open."""
+        server = PipelineServer(handle, lambda: LIMITS, clock)
+        await server.start(*ADDRESS)
+        _, channel = await asyncio.get_running_loop().create_connection(ByteChannel, *ADDRESS)
+        await channel.write(LAST_REQUEST)
+        await asyncio.sleep(WORK_S + after_ms / 1000)
+        server.begin_stop()
+        await server.stop_listening()
+        await server.wait_closed(3_000)
+
 
 @given("a server that logs the ends of its callers' connections")
 def step_server(context):
@@ -191,3 +203,17 @@
 @then("{count:d} are named, after the parsing of {parser_count:d}")
 def step_named(context, count, parser_count):
     assert (len(context.named), context.parser_count) == (count, parser_count)
+
+
+@when(
+    "it stops {after_ms:d} ms after an answer that closed its connection, which the caller keeps"
+    " open"
+)
+def step_stop_after_end(context, after_ms):
+    context.collected = collect(context, "nutmeglead.http.connection_ends")
+    run_virtual(lambda clock: context.logged.stop_after_end(clock, after_ms), EmulatedLoop(1))
+
+
+@then("no line tells that a stop has ended a connection")
+def step_no_line(context):
+    assert not context.collected.fields_of(Event.CONNECTION_CLOSED)
