ranges: take no role that was read before a stop began

What callers saw: nothing of its own; the role goes to a node that leaves seconds later, and keys' requests are refused until the next one acts. Cause: the watch of the role is not begun in a stop, but one that has read the store by then goes on to write. A slow store makes the time longer. Change: the watch looks once more whether its node leaves before it writes. Why it works: what is left is the time of one write, which nothing can take back.

--- a/nutmeglead/entry/tests/steps/stops_steps.py
+++ b/nutmeglead/entry/tests/steps/stops_steps.py
@@ -117,10 +117,11 @@
     assert stopped.cut_off == 0, stopped.cut_off
 
 
-async def stop_at_once(cluster):
+async def stop_soon(after_ms, cluster):
     """Stop the only node, and return whether it knew of the service, and whether it acted."""
     (node_id,) = cluster.node_ids
     process = cluster.nodes[node_id]
+    await asyncio.sleep(after_ms / 1000)
     stopping = asyncio.create_task(cluster.stop_node(node_id))
     has_acted = False
     while not stopping.done():
@@ -131,8 +132,13 @@
 
 @when("the only node of a cluster is stopped as soon as it has started, seed {seed:d}")
 def step_stop_at_once(context, seed):
+    step_stop_soon(context, 0, seed)
+
+
+@when("the only node of a cluster is stopped {after_ms:d} ms after it has started, seed {seed:d}")
+def step_stop_soon(context, after_ms, seed):
     context.knew_service, context.has_acted = run_cluster(
-        seed, stop_at_once, replace(OPTIONS, nodes=1)
+        seed, partial(stop_soon, after_ms), replace(OPTIONS, nodes=1)
     )
 
 
--- a/nutmeglead/entry/tests/stops.feature
+++ b/nutmeglead/entry/tests/stops.feature
@@ -55,3 +55,8 @@
     # Guards against a role that changes hands twice because a node which has just started and is stopped at once takes it.
     When the only node of a cluster is stopped as soon as it has started, seed 1
     Then it has learned of a service with keys, and has not acted for it
+
+  Scenario: A node that reads the stored role when it is stopped does not take it
+    # Guards against the same where the store is slow, so that SIGTERM often falls between the reading and the writing of the role.
+    When the only node of a cluster is stopped 20 ms after it has started, seed 1
+    Then it has learned of a service with keys, and has not acted for it
--- a/nutmeglead/ranges/role_watch.py
+++ b/nutmeglead/ranges/role_watch.py
@@ -140,6 +140,9 @@
             is_other_node = self.acting_id != self._context.node_id
             if is_other_node and self._is_acting_able(self._clock.now_ms()):
                 return
+        if membership.is_leaving:
+            # This node has begun to stop while it read the role.
+            return
         epoch = first_epoch(state.ok_value.era, max(self.epoch, role.epoch if role else 0))
         context = self._context
         record = role_record(
