--- a/nutmeglead/entry/copies.py
+++ b/nutmeglead/entry/copies.py
@@ -18,7 +18,8 @@
 from nutmeglead.http.messages import header_value
 from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.peers.fetch import COMPRESSED_ENCODING, fetch_from_peer
-from nutmeglead.peers.membership import Membership, Peer
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import Peer
 from nutmeglead.platform.node_settings import NodeSettings
 
 __all__ = ["TICKET_STATUS_PATH", "TableCopies"]
--- a/nutmeglead/entry/map_copies.py
+++ b/nutmeglead/entry/map_copies.py
@@ -11,7 +11,8 @@
 from nutmeglead.core.ids import NodeId, ServiceName
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.peers.fetch import fetch_from_peer
-from nutmeglead.peers.membership import Membership, Peer
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import Peer
 from nutmeglead.ranges.controller import RangeController
 from nutmeglead.ranges.model import from_wire, to_wire
 
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -1,7 +1,6 @@
 """Run one entry VM: request path, membership and range controllers in one event loop."""
 
 import asyncio
-import json
 import logging
 import random
 from collections.abc import Callable, Coroutine, Mapping
@@ -27,6 +26,7 @@
 from nutmeglead.entry.node_rows import NODES_TABLE, NodeRows
 from nutmeglead.entry.operator_feed import OperatorFeed, PlatformFeed
 from nutmeglead.entry.ports import PortBinder
+from nutmeglead.entry.readiness import answer_readiness
 from nutmeglead.entry.stop_schedule import StopSchedule
 from nutmeglead.entry.store_era import StoreEra
 from nutmeglead.entry.table_source import TableSource
@@ -36,15 +36,16 @@
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.http.exchange import CallerExchange, CallerLimits
+from nutmeglead.http.exchange import CallerLimits
 from nutmeglead.http.held_bytes import HeldBytes
 from nutmeglead.http.pipeline import CutOff, PipelineServer
-from nutmeglead.peers.membership import Membership, Peer
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import Peer
 from nutmeglead.peers.service import PeerService
 from nutmeglead.platform.grants import GrantClient
 from nutmeglead.platform.node_settings import NodeSettings
 from nutmeglead.platform.store import StoreClient
-from nutmeglead.platform.wire import READY_TARGET, REQUEST_ID_HEADER
+from nutmeglead.platform.wire import REQUEST_ID_HEADER
 from nutmeglead.ranges.balance import BalanceSettings
 from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.controller import RangeController
@@ -125,7 +126,10 @@
         )
         self.front_server.ends.identify_by(REQUEST_ID_HEADER)
         self.readiness_server = PipelineServer(
-            self._answer_readiness, self._caller_limits, clock, self.held_bytes
+            lambda exchange: answer_readiness(exchange, self.unready_reasons()),
+            self._caller_limits,
+            clock,
+            self.held_bytes,
         )
         self._node_rows = NodeRows(
             self.store,
@@ -288,14 +292,6 @@
             ]
         return missing
 
-    async def _answer_readiness(self, exchange: CallerExchange) -> None:
-        if exchange.head.target.partition(b"?")[0] != READY_TARGET:
-            await exchange.respond(404, [], b"")
-            return
-        missing = self.unready_reasons()
-        body = json.dumps({"ready": not missing, "missing": missing}).encode()
-        await exchange.respond(503 if missing else 200, [], body)
-
     # ---- the store's tables ----
 
     def start_controllers(self) -> None:
--- a/nutmeglead/entry/table_source.py
+++ b/nutmeglead/entry/table_source.py
@@ -5,7 +5,8 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId
-from nutmeglead.peers.membership import HEARTBEAT_INTERVAL_MS, Membership
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import HEARTBEAT_INTERVAL_MS
 
 __all__ = ["TableSource"]
 
--- a/nutmeglead/entry/table_states.py
+++ b/nutmeglead/entry/table_states.py
@@ -6,7 +6,8 @@
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.entry.store_era import StoreEra
 from nutmeglead.entry.watch import TableWatch
-from nutmeglead.peers.membership import STORE_SILENT_AFTER_MS, Membership
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import STORE_SILENT_AFTER_MS
 from nutmeglead.peers.service import PeerHandler
 from nutmeglead.platform.store import StoreClient
 
--- a/nutmeglead/entry/tests/steps/observability_steps.py
+++ b/nutmeglead/entry/tests/steps/observability_steps.py
@@ -28,7 +28,7 @@
 from nutmeglead.http.messages import RequestHead
 from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.peers.fetch import fetch_from_peer
-from nutmeglead.peers.membership import Peer
+from nutmeglead.peers.peer import Peer
 
 STOCK = ServiceName("stock")
 SETTLE_S = 6
--- a/nutmeglead/peers/fetch.py
+++ b/nutmeglead/peers/fetch.py
@@ -14,7 +14,7 @@
 from nutmeglead.http.client import HttpFetcher, ProgressLimits
 from nutmeglead.http.errors import HttpError, TimedOut
 from nutmeglead.http.messages import RequestHead, header_value
-from nutmeglead.peers.membership import Peer
+from nutmeglead.peers.peer import Peer
 
 __all__ = ["COMPRESSED_ENCODING", "Fetched", "fetch_from_peer", "fetch_struct"]
 
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -7,93 +7,19 @@
 """
 
 from collections.abc import Collection, Iterable, Iterator
-from dataclasses import dataclass, field
 from itertools import chain, islice
 
-from nutmeglead._generated.peers.ttypes import Heartbeat, NodeRow, ServiceView
+from nutmeglead._generated.peers.ttypes import Heartbeat, NodeRow
 from nutmeglead.core.ids import FailureDomainName, NodeId, ServiceName
 from nutmeglead.peers.codec import NodeState, decode_states, node_tag
+from nutmeglead.peers.peer import REPORTED_SILENT_AFTER_MS, Peer, PeerView
+
+__all__ = ["Membership"]
 
-__all__ = ["HEARTBEAT_INTERVAL_MS", "STORE_SILENT_AFTER_MS", "Membership", "Peer", "PeerView"]
-
-HEARTBEAT_INTERVAL_MS = 150
-# About three and a half heartbeat intervals, so that one lost datagram changes nothing.
-SILENT_AFTER_MS = 550
-# A hub's report of a node can be two heartbeat intervals older than the node's own heartbeat.
-REPORTED_SILENT_AFTER_MS = SILENT_AFTER_MS + 2 * HEARTBEAT_INTERVAL_MS
-# A node whose store calls have been unanswered for this time counts as cut off from the store. A
-# successor must take the role and move the keys of a leaving server within the platform's drain
-# bound of 2 s.
-STORE_SILENT_AFTER_MS = 600
 # With two hubs, the other nodes still learn of a domain's nodes after the loss of one hub.
 HUBS_PER_DOMAIN = 2
 
 
-@dataclass
-class PeerView:
-    """Hold a peer's view of a service and the local time of its arrival."""
-
-    view: ServiceView
-    received_ms: int
-    # Local time at which this node sent the newest heartbeat that the peer had received from it
-    # when it sent this view; 0 for none.
-    echoed_ms: int
-
-
-@dataclass
-class Peer:
-    """Hold an entry VM's row, its newest heartbeat and the newest report of it by another node.
-
-    `added_ms` is when the row of this incarnation was added, and `reported_ms` is when the VM was
-    last heard according to the newest report; both are local times.
-    """
-
-    node_id: NodeId
-    row: NodeRow
-    added_ms: int
-    heartbeat_received_ms: int | None = None
-    heartbeat: Heartbeat | None = None
-    views: dict[ServiceName, PeerView] = field(default_factory=dict)
-    reported_ms: int | None = None
-    reported_state: NodeState | None = None
-
-    def is_recently_seen(self, now_ms: int) -> bool:
-        """Return whether the newest heartbeat or report of the node is recent."""
-        is_heartbeat_recent = (
-            self.heartbeat_received_ms is not None
-            and now_ms - self.heartbeat_received_ms <= SILENT_AFTER_MS
-        )
-        return is_heartbeat_recent or (
-            self.reported_ms is not None and now_ms - self.reported_ms <= REPORTED_SILENT_AFTER_MS
-        )
-
-    @property
-    def is_leaving(self) -> bool:
-        """Return whether the node is stopping, by its newest heartbeat or report."""
-        if self._is_heartbeat_newest:
-            return bool(self.heartbeat and self.heartbeat.leaving)
-        return bool(self.reported_state and self.reported_state.is_leaving)
-
-    @property
-    def reaches_store(self) -> bool:
-        """Return whether the store answers the node, by its newest heartbeat or report."""
-        if self._is_heartbeat_newest:
-            return bool(self.heartbeat and self.heartbeat.store_age_ms <= STORE_SILENT_AFTER_MS)
-        return bool(self.reported_state and self.reported_state.reaches_store)
-
-    @property
-    def store_era(self) -> int:
-        """Return the era of the store to which the versions in the newest heartbeat belong."""
-        return (self.heartbeat.store_era or 0) if self.heartbeat else 0
-
-    @property
-    def _is_heartbeat_newest(self) -> bool:
-        return self.reported_ms is None or (
-            self.heartbeat_received_ms is not None
-            and self.heartbeat_received_ms >= self.reported_ms
-        )
-
-
 class Membership:
     """Keep the rows, heartbeats and reports of the other entry VMs."""
 
@@ -189,9 +115,9 @@
             peer = self._peers.get(node_id)
             if peer is None:
                 continue
-            times = [at for at in (peer.heartbeat_received_ms, peer.reported_ms) if at is not None]
-            if times and peer.is_recently_seen(now_ms):
-                age_ms = now_ms - max(times)
+            seen_ms = peer.last_seen_ms
+            if seen_ms is not None and peer.is_recently_seen(now_ms):
+                age_ms = now_ms - seen_ms
                 tag = node_tag(node_id)
                 found.append(NodeState(tag, age_ms, peer.is_leaving, peer.reaches_store))
         return found
@@ -228,8 +154,7 @@
         peer = self._peers.get(node_id)
         if peer is None:
             return True
-        times = [at for at in (peer.heartbeat_received_ms, peer.reported_ms) if at is not None]
-        return now_ms - max([peer.added_ms, *times]) > silent_ms
+        return now_ms - max(peer.added_ms, peer.last_seen_ms or 0) > silent_ms
 
     def is_stopping(self, node_id: NodeId) -> bool:
         """Return whether a peer is stopping, by its newest heartbeat or report."""
--- a/nutmeglead/peers/service.py
+++ b/nutmeglead/peers/service.py
@@ -25,12 +25,8 @@
     encode_states,
     encode_work,
 )
-from nutmeglead.peers.membership import (
-    HEARTBEAT_INTERVAL_MS,
-    SILENT_AFTER_MS,
-    Membership,
-    Peer,
-)
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import HEARTBEAT_INTERVAL_MS, SILENT_AFTER_MS, Peer
 from nutmeglead.peers.work import InFlightTotals
 
 __all__ = ["PeerHandler", "PeerService"]
--- a/nutmeglead/peers/tests/steps/fetch_steps.py
+++ b/nutmeglead/peers/tests/steps/fetch_steps.py
@@ -12,7 +12,7 @@
 from nutmeglead.http.pipeline import PipelineServer
 from nutmeglead.http.tests.slow_sender import Sending, SlowSender
 from nutmeglead.peers.fetch import fetch_from_peer
-from nutmeglead.peers.membership import Peer
+from nutmeglead.peers.peer import Peer
 
 OWN_IP, PEER_IP = "10.1.0.2", "10.1.0.1"
 LIMITS = CallerLimits(16_384, 0, 3_000, 60_000)
--- a/nutmeglead/peers/tests/steps/membership_steps.py
+++ b/nutmeglead/peers/tests/steps/membership_steps.py
@@ -11,7 +11,8 @@
 from nutmeglead.emulator.network import EmulatedLoop
 from nutmeglead.emulator.virtual_time import run_virtual
 from nutmeglead.peers.codec import NodeState, encode_states, node_tag
-from nutmeglead.peers.membership import HEARTBEAT_INTERVAL_MS, Membership
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import HEARTBEAT_INTERVAL_MS
 from nutmeglead.peers.service import PeerHandler, PeerService
 from nutmeglead.peers.work import InFlightTotals
 
--- a/nutmeglead/peers/tests/steps/statuses_steps.py
+++ b/nutmeglead/peers/tests/steps/statuses_steps.py
@@ -7,7 +7,7 @@
 from nutmeglead.http.client import HttpFetcher
 from nutmeglead.http.tests.raw_server import IP, run_with_raw_server, status_answer
 from nutmeglead.peers.fetch import fetch_from_peer
-from nutmeglead.peers.membership import Peer
+from nutmeglead.peers.peer import Peer
 
 
 @when("a copy is fetched from a peer that answers with status {status}")
--- a/nutmeglead/peers/work.py
+++ b/nutmeglead/peers/work.py
@@ -5,7 +5,7 @@
 
 from nutmeglead._generated.peers.ttypes import Scope
 from nutmeglead.core.ids import NodeId
-from nutmeglead.peers.membership import REPORTED_SILENT_AFTER_MS
+from nutmeglead.peers.peer import REPORTED_SILENT_AFTER_MS
 
 __all__ = ["InFlightTotals"]
 
--- a/nutmeglead/ranges/rights.py
+++ b/nutmeglead/ranges/rights.py
@@ -19,7 +19,8 @@
 from nutmeglead._generated.peers.ttypes import Life, SentOrder
 from nutmeglead.core.ids import ServiceName
 from nutmeglead.forwarding.model import ServerIncarnation
-from nutmeglead.peers.membership import Membership, PeerView
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import PeerView
 from nutmeglead.ranges.expiry import (
     CLOCK_DRIFT,
     RENEW_RIGHT_MS,
--- a/nutmeglead/ranges/role_watch.py
+++ b/nutmeglead/ranges/role_watch.py
@@ -7,7 +7,7 @@
 
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
-from nutmeglead.peers.membership import STORE_SILENT_AFTER_MS
+from nutmeglead.peers.peer import STORE_SILENT_AFTER_MS
 from nutmeglead.ranges.audit import role_record
 from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.numbers import first_epoch
--- a/tools/measure_peers.py
+++ b/tools/measure_peers.py
@@ -14,7 +14,8 @@
 from nutmeglead._generated.peers.ttypes import NodeRow, ServiceView
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.core.ids import FailureDomainName, NodeId
-from nutmeglead.peers.membership import HEARTBEAT_INTERVAL_MS, Membership
+from nutmeglead.peers.membership import Membership
+from nutmeglead.peers.peer import HEARTBEAT_INTERVAL_MS
 from nutmeglead.peers.service import PeerHandler, PeerService
 
 SERVICES = ("one", "two")
