ranges: take the role at once only from a node whose loss is shown

Cause: `Membership.rank` counts the nodes before this one that it hears, and the acting node counts as unable when it is not heard. A node that has just started, has a full link or is cut off hears nobody, so it has rank 0 before a vacant role.

Change: `is_loss_shown` tells a lost node from one that this node does not hear: at least half of the listed nodes were heard more than two heartbeat intervals later. A node to which no loss is shown takes the role after 3 s without a sign of the acting node: an answer over a connection (`/roles/SERVICE`), or a change of the role or the map in the store.

Why it works: a link that fills up silences all within two intervals, a node that starts has heard nobody, and a node that is cut off with fewer than half hears too few, so none of them sees that condition. A last node waits and acts. A node that says that it leaves, or that the store does not answer it, is heard, and its successor does not wait.

--- a/nutmeglead/entry/node_rows.py
+++ b/nutmeglead/entry/node_rows.py
@@ -73,6 +73,7 @@
             present.add(node_id)
             self._membership.set_node(node_id, decoded.ok_value, self._clock.now_ms())
         if is_snapshot:
+            self._membership.is_list_known = True
             if self._settings.node_id not in present:
                 self._write_needed.set()
             for peer in list(self._membership):
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -27,6 +27,7 @@
 from nutmeglead.entry.operator_feed import OperatorFeed, PlatformFeed
 from nutmeglead.entry.ports import PortBinder
 from nutmeglead.entry.readiness import answer_readiness
+from nutmeglead.entry.role_views import ROLE_PATH, RoleViews
 from nutmeglead.entry.stop_schedule import StopSchedule
 from nutmeglead.entry.store_era import StoreEra
 from nutmeglead.entry.table_source import TableSource
@@ -163,6 +164,7 @@
         self._map_copies = MapCopies(
             settings.node_id, self.controllers, self.membership, self._order_fetcher, clock
         )
+        self._role_views = RoleViews(self.controllers, self.membership, self._order_fetcher, clock)
         self._table_copies = TableCopies(
             self._table_watches,
             self.membership,
@@ -173,6 +175,7 @@
             {
                 TICKET_STATUS_PATH: self._encoded_ticket_status,
                 MAP_PATH: self._map_copies.encoded_map,
+                ROLE_PATH: self._role_views.encoded_view,
             },
         )
         self._tasks: list[asyncio.Task[None]] = []
@@ -321,6 +324,7 @@
             self.peers.send_delta,
             self.peers.send_report,
             self.forwarder.set_ranges,
+            self._role_views.ask,
         )
         controller = RangeController(service, rows, context)
         self.controllers[service] = controller
--- a/nutmeglead/peers/fetch.py
+++ b/nutmeglead/peers/fetch.py
@@ -16,7 +16,7 @@
 from nutmeglead.http.messages import RequestHead, header_value
 from nutmeglead.peers.peer import Peer
 
-__all__ = ["COMPRESSED_ENCODING", "Fetched", "fetch_from_peer", "fetch_struct"]
+__all__ = ["COMPRESSED_ENCODING", "PEER_TIMEOUT_MS", "Fetched", "fetch_from_peer", "fetch_struct"]
 
 logger = logging.getLogger(__name__)
 
--- a/nutmeglead/peers/membership.py
+++ b/nutmeglead/peers/membership.py
@@ -32,6 +32,8 @@
     ) -> None:
         self.own_id = own_id
         self.is_leaving = False
+        # Whether the rows of all nodes have been read; heartbeats alone name few nodes.
+        self.is_list_known = False
         self._domain = domain
         self._cpu_cores = cpu_cores
         self._started_ms = started_ms
--- a/nutmeglead/ranges/context.py
+++ b/nutmeglead/ranges/context.py
@@ -1,9 +1,9 @@
 """Group the objects that the controllers of all services on a node share."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from nutmeglead._generated.peers.ttypes import MapDelta, OrderReport
+from nutmeglead._generated.peers.ttypes import MapDelta, OrderReport, ServiceView
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.ids import NodeId, ServiceName
 from nutmeglead.forwarding.registry import ServerRegistry
@@ -32,3 +32,5 @@
     send_delta: Callable[[MapDelta], None]
     send_report: Callable[[OrderReport, NodeId], None]
     on_map: Callable[[RangeMap], None]
+    # Returns None if the node does not answer.
+    ask_view: Callable[[ServiceName, NodeId], Awaitable[ServiceView | None]]
--- a/nutmeglead/ranges/role_watch.py
+++ b/nutmeglead/ranges/role_watch.py
@@ -7,7 +7,9 @@
 
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.peers.fetch import PEER_TIMEOUT_MS
 from nutmeglead.peers.peer import STORE_SILENT_AFTER_MS
+from nutmeglead.peers.silence import is_loss_shown
 from nutmeglead.ranges.audit import role_record
 from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.numbers import first_epoch
@@ -21,6 +23,10 @@
 # once.
 RANK_DELAY_MS = 250
 STORE_RETRY_MS = 250
+# A node that cannot tell whether the acting node is lost takes the role after this time without a
+# sign of it, and looks for one at this interval.
+DOUBT_WAIT_MS = 3_000
+DOUBT_CHECK_INTERVAL_MS = 500
 # Half of the silence after which the store counts as not serving a node.
 SLOW_READ_MS = STORE_SILENT_AFTER_MS // 2
 
@@ -56,6 +62,8 @@
         self._on_taken = on_taken
         self._on_lost = on_lost
         self._vacant_since_ms: int | None = None
+        # The role epoch and the map version in the store when this node last looked for a sign.
+        self._last_sign: tuple[int, int] | None = None
         self._next_attempt_ms = 0
 
     def follow(self, epoch: int, acting_id: NodeId) -> None:
@@ -67,7 +75,7 @@
             return
         self.epoch = epoch
         self.acting_id = acting_id
-        self._vacant_since_ms = None
+        self._vacant_since_ms = self._last_sign = None
         if acting_id != self._context.node_id:
             self.give_up(f"node {acting_id} acts under epoch {epoch}")
 
@@ -88,17 +96,24 @@
     async def watch(self, now_ms: int) -> None:
         """Try to take the role if the acting node is not able and this node is next in rank.
 
-        A service without listed servers gets no acting node.
+        A service without listed servers gets no acting node. A node that cannot tell whether the
+        acting node is lost waits until there was no sign of it for DOUBT_WAIT_MS.
         """
         membership = self._context.membership
         if self.acting_id not in (None, self._context.node_id) and self._is_acting_able(now_ms):
-            self._vacant_since_ms = None
+            self._vacant_since_ms = self._last_sign = None
             return
         if self._vacant_since_ms is None:
             self._vacant_since_ms = now_ms
         if now_ms < self._next_attempt_ms:
             return
-        allowed_rank = (now_ms - self._vacant_since_ms) // RANK_DELAY_MS
+        vacant_ms = now_ms - self._vacant_since_ms
+        if self._is_in_doubt(now_ms):
+            vacant_ms -= DOUBT_WAIT_MS
+            if vacant_ms < 0:
+                await self._look_for_sign(now_ms)
+                return
+        allowed_rank = vacant_ms // RANK_DELAY_MS
         is_next = self.was_held_in_last_era and self.acting_id == self._context.node_id
         if not is_next and membership.rank(now_ms, allowed_rank) > allowed_rank:
             return
@@ -118,6 +133,44 @@
             return False
         return membership.reaches_store(acting_id) or self._context.store_age_ms() > 0
 
+    def _is_in_doubt(self, now_ms: int) -> bool:
+        """Return whether another node acts that may be able to, although this one cannot tell."""
+        if self.acting_id in (None, self._context.node_id):
+            return False
+        return not is_loss_shown(self._context.membership, self.acting_id, now_ms)
+
+    async def _look_for_sign(self, now_ms: int) -> None:
+        """Restart the wait on a sign of the acting node, or if this node could not see one.
+
+        A sign is an answer to a request, or a change of its rows in the store since the last look.
+        A doubt that has just begun soon ends, unless this node is cut off or its link is full.
+        """
+        assert self.acting_id is not None and self._vacant_since_ms is not None
+        if now_ms - self._vacant_since_ms < DOUBT_CHECK_INTERVAL_MS:
+            return
+        self._next_attempt_ms = now_ms + DOUBT_CHECK_INTERVAL_MS
+        acting_id = self.acting_id
+        view = await self._context.ask_view(self._service, acting_id)
+        if view is not None:
+            if view.acting_node_id:
+                self.follow(view.role_epoch, NodeId(view.acting_node_id))
+            self._vacant_since_ms = self._clock.now_ms()
+            return
+        asked_ms = self._clock.now_ms()
+        state = await self._rows.read()
+        read_ms = self._clock.now_ms()
+        if isinstance(state, Err) or read_ms - asked_ms > PEER_TIMEOUT_MS:
+            # An answer of the acting node would have come too late as well.
+            self._vacant_since_ms = read_ms
+            return
+        role, ranges = state.ok_value.role, state.ok_value.ranges
+        if role is not None:
+            self.follow(role.epoch, NodeId(role.node_id))
+        last_sign = self._last_sign
+        self._last_sign = (role.epoch if role else 0, ranges.version if ranges else 0)
+        if last_sign not in (None, self._last_sign):
+            self._vacant_since_ms = read_ms
+
     async def _try_take_role(self) -> None:
         """Read the role and the map, and take the role unless another node should act."""
         asked_ms = self._clock.now_ms()
@@ -129,19 +182,19 @@
                 state.err_value,
             )
             return
-        role = state.ok_value.role
-        membership = self._context.membership
+        role, context = state.ok_value.role, self._context
+        membership = context.membership
         is_read_slow = self._clock.now_ms() - asked_ms > SLOW_READ_MS
         if is_read_slow and self.acting_id and membership.is_alive(self.acting_id, asked_ms):
             # The acting node waits for the same slow store; this node would move keys no sooner.
             return
         if role is not None and role.epoch > self.epoch:
             self.follow(role.epoch, NodeId(role.node_id))
-            is_other_node = self.acting_id != self._context.node_id
-            if is_other_node and self._is_acting_able(self._clock.now_ms()):
+            read_ms = self._clock.now_ms()
+            is_other_node = self.acting_id != context.node_id
+            if is_other_node and (self._is_acting_able(read_ms) or self._is_in_doubt(read_ms)):
                 return
         epoch = first_epoch(state.ok_value.era, max(self.epoch, role.epoch if role else 0))
-        context = self._context
         record = role_record(
             context.node_id,
             self._clock.wall_ms(),
