ranges: do not take the role from a node that became known during the read

Seen: in a rolling restart of 12 and of 24 nodes on virtual time, a node that had run for 40 ms took the role from a live one.

Cause: `RoleWatch` judged the acting node again after its read of the role only if the row had a newer epoch than it knew. If a heartbeat named the acting node while the read was under way, the epochs were equal, and the role still counted as vacant.

Change: the acting node is judged again whenever it became known since the read began, by the row or by a heartbeat.

Evidence: rows 1 and 2 of "The nodes are stopped and started again in turn" (roles.feature) fail without the change, one takeover each from a node that runs (4,680 ms), and pass with it.

--- a/nutmeglead/entry/tests/roles.feature
+++ b/nutmeglead/entry/tests/roles.feature
@@ -10,6 +10,8 @@
 
     Examples: each row names the failure it guards against
       | seed | nodes | count | gap_ms | failure                                                                      |
+      | 1    | 12    | 3     | 1000   | the acting node becomes known while the role is read, which then counts as vacant |
+      | 2    | 24    | 4     | 1000   | the same, with more nodes that are no hubs                                   |
       | 3    | 5     | 1     | 4000   | a node that has started hears few nodes and takes the role from a live one   |
 
   Scenario Outline: Nodes are killed one after the other and start again
--- a/nutmeglead/ranges/role_watch.py
+++ b/nutmeglead/ranges/role_watch.py
@@ -173,7 +173,7 @@
 
     async def _try_take_role(self) -> None:
         """Read the role and the map, and take the role unless another node should act."""
-        asked_ms = self._clock.now_ms()
+        asked_ms, known_epoch = self._clock.now_ms(), self.epoch
         state = await self._rows.read()
         if isinstance(state, Err):
             logger.info(
@@ -188,11 +188,12 @@
         if is_read_slow and self.acting_id and membership.is_alive(self.acting_id, asked_ms):
             # The acting node waits for the same slow store; this node would move keys no sooner.
             return
-        if role is not None and role.epoch > self.epoch:
+        if role is not None:
             self.follow(role.epoch, NodeId(role.node_id))
+        # Another acting node may be known from the row, or from a heartbeat during the read.
+        if self.epoch > known_epoch and self.acting_id != context.node_id:
             read_ms = self._clock.now_ms()
-            is_other_node = self.acting_id != context.node_id
-            if is_other_node and (self._is_acting_able(read_ms) or self._is_in_doubt(read_ms)):
+            if self._is_acting_able(read_ms) or self._is_in_doubt(read_ms):
                 return
         epoch = first_epoch(state.ok_value.era, max(self.epoch, role.epoch if role else 0))
         record = role_record(
