--- a/nutmeglead/entry/tests/roles.feature
+++ b/nutmeglead/entry/tests/roles.feature
@@ -68,6 +68,13 @@
       | 15   | 1     | a node that hears no other one takes the role from a live one   |
       | 16   | 2     | a minority and the others take the role from each other in turn |
 
+  @known_red
+  Scenario: A minority is cut off from the acting node while nothing is written
+    # Guards against a minority that takes the role because an acting node with nothing to write gives no sign in the store.
+    Given a cluster of 5 nodes with seed 20, whose acting node is watched
+    When 2 nodes that do not act are cut off from the others for 15 s
+    Then the role is never taken from a node that runs
+
   Scenario: A node that is stopping gives the role to another one at once
     # Guards against a node that waits for the silence of one that has said that it leaves.
     Given a cluster of 5 nodes with seed 17, whose acting node is watched
--- a/nutmeglead/entry/tests/steps/roles_steps.py
+++ b/nutmeglead/entry/tests/steps/roles_steps.py
@@ -164,18 +164,29 @@
     context.role_run.run(trouble)
 
 
+@when("{count:d} nodes that do not act are cut off from the others for {duration_s:d} s")
+def step_cut_quiet_minority(context, count, duration_s):
+    cut_minority(context, count, lambda run: asyncio.sleep(duration_s))
+
+
 @when(
     "{count:d} nodes that do not act are cut off from the others for {duration_s:d} s while keys "
     "move"
 )
 def step_cut_minority(context, count, duration_s):
+    cut_minority(context, count, lambda run: run.move_keys(duration_s))
+
+
+def cut_minority(context, count, pass_time):
+    """Cut nodes off from the others, but not from the store, while `pass_time` runs."""
+
     async def trouble(run):
         network, node_ip = run.cluster.network, run.cluster.node_ip
         node_ids = run.acting_first()
         for cut_off in node_ids[-count:]:
             for other in node_ids[:-count]:
                 network.block(node_ip(cut_off), node_ip(other))
-        await run.move_keys(duration_s)
+        await pass_time(run)
         network.blocked_pairs.clear()
         network.deliver_held()
 
