soak: go on if a process has ended before its descriptor is open

Cause: a program without settings ends within 0.4 s. If the soak has no processor time for so long after the start, the child watcher's thread has taken the exit code by then, and `pidfd_open` raises ProcessLookupError. Evidence: signals.feature, "A process that has ended before it can be watched"; an error before the change. Change: a process that has ended gets no descriptor and no signal. Why it works: its exit code is known already, and is what the run asks for.

--- a/nutmeglead/soak/fleet.py
+++ b/nutmeglead/soak/fleet.py
@@ -132,7 +132,10 @@
             )
         if self._pidfd >= 0:
             os.close(self._pidfd)
-        self._pidfd = os.pidfd_open(self._process.pid)
+        self._pidfd = -1
+        # The process may have ended, and its exit code been taken, while this one had no time.
+        with suppress(ProcessLookupError):
+            self._pidfd = os.pidfd_open(self._process.pid)
 
         while self._process.returncode is None and not self._handles_stop():
             await asyncio.sleep(START_CHECK_INTERVAL_S)
@@ -154,6 +157,8 @@
         `Process.send_signal` asks for the exit code first, and takes it from the child watcher,
         which then reports 255.
         """
+        if self._pidfd < 0:
+            return
         with suppress(ProcessLookupError):
             signal.pidfd_send_signal(self._pidfd, number)
 
--- a/nutmeglead/soak/tests/steps/signals_steps.py
+++ b/nutmeglead/soak/tests/steps/signals_steps.py
@@ -1,9 +1,11 @@
 """Steps for signals to entry programs that end by themselves."""
 
 import asyncio
+import os
 import signal
 import tempfile
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 
@@ -35,6 +37,18 @@
     context.exit_codes = asyncio.run(run_all())
 
 
+@when("one of them has ended before the soak can open its descriptor")
+def step_ended(context):
+    async def run():
+        program = EntryProgram("", context.directory / "no.jsonc", context.directory / "log")
+        with mock.patch.object(os, "pidfd_open", side_effect=ProcessLookupError):
+            await program.start()
+        program.signal(signal.SIGHUP)
+        return await program.wait_for_exit()
+
+    context.exit_codes = [asyncio.run(run())]
+
+
 @then("each has the exit code of settings that cannot be read")
 def step_codes(context):
     assert set(context.exit_codes) == {ExitCode.FILE_UNREADABLE}, context.exit_codes
