orders: send none to a server whose address another one has

Callers saw keys without an owner for seconds, and the service that had got the addresses of lost owners saw grants every 50 ms for as long as the map could not change (reused addresses beside a slow store).

Cause: three parts. A server of another service answers a grant with status 400, and only 421 marked the address as lost. What requests had learned of an address reached the servers' request path alone: grants and releases were sent all the same. And a renewal that failed in any way was due again in the next pass of the loop, 50 ms later, also if the server had refused it.

Change: the registry's record of lost addresses holds for grants and releases too; they fail with `AddressLost` and are reported as refused. An order that is refused with a status that no owner gives (other than 409 for a grant) starts the check that requests use, and the probes of lost servers share it. A server with a lost address is no candidate for keys on the acting node. Refused renewals are repeated at once, then after 50, 100 and 200 ms, and then at the renewal interval; grants of transfers double their pause up to it. Unanswered ones are repeated as before, since their timeout is pause enough.

Why it works: one record by incarnation decides for requests and orders, whichever learned of it. The first repetition still comes at once, so that a crashed server counts as lost after the same time as before, and four orders still fit into a hold.

--- a/nutmeglead/emulator/server_host.py
+++ b/nutmeglead/emulator/server_host.py
@@ -99,8 +99,12 @@
         self.notice_checker: NoticeChecker | None = None
         self.name = f"{keys.server_id}/{id(self):x}"
         self.in_flight = 0
+        # The status of answers to orders for another server; servers without keys know no orders.
+        self.misdirected_order_status = 421
         # Time in ms and id of each request that has arrived, refused ones included.
         self.arrivals: list[tuple[int, str]] = []
+        # Time in ms of each order that has arrived.
+        self.order_arrivals_ms: list[int] = []
         self._executions = executions
         self._clock = clock
         self._rng = rng
@@ -152,6 +156,10 @@
 
     async def _handle_order(self, exchange: CallerExchange) -> None:
         head = exchange.head
+        self.order_arrivals_ms.append(self._clock.now_ms())
+        if self._is_misdirected(head.headers):
+            await self._respond(exchange, self.misdirected_order_status, [], b"")
+            return
         try:
             order = decode_order(bytes(exchange.body))
         except (ValueError, KeyError) as error:
--- a/nutmeglead/entry/tests/reused_addresses.feature
+++ b/nutmeglead/entry/tests/reused_addresses.feature
@@ -18,3 +18,18 @@
       | 62   | silently      | answers           | are served                           |
       | 63   | silently      | refuses all calls | without an owner are refused at once |
       | 64   | after leaving | answers           | are served                           |
+
+  Scenario Outline: Orders to owners whose addresses are reused, where others answer <status> to orders
+    # Guards against grants that go on to the other service every 50 ms, because it answers another status than to requests,
+    # or because what requests have learned does not reach the orders.
+    Given callers of a service with keys, seed <seed>, and another service that refuses orders with <status>
+    When two owners end silently while the store <state>
+    Then at most 16 orders arrive at the other service
+    And no order arrives there later than 500 ms after the reuse
+
+    Examples: by what the store does meanwhile
+      | seed | status | state             |
+      | 65   | 400    | does not answer   |
+      | 66   | 421    | does not answer   |
+      | 67   | 400    | answers           |
+      | 68   | 404    | refuses all calls |
--- a/nutmeglead/entry/tests/reused_addresses.py
+++ b/nutmeglead/entry/tests/reused_addresses.py
@@ -17,9 +17,13 @@
 
 
 class ReusedAddresses(SteadyLoad):
-    """Let the addresses of some owners be reused under load; `others` are the servers there."""
+    """Let the addresses of some owners be reused under load; `others` are the servers there.
 
-    def __init__(self, seed):
+    They refuse orders with `order_status`.
+    """
+
+    def __init__(self, seed, order_status=421):
+        self.order_status = order_status
         options = replace(OPTIONS, services=(*OPTIONS.services, OTHER))
         super().__init__(seed, options, {SERVICE: SPEC, OTHER.name: OTHER_SPEC})
 
@@ -40,12 +44,22 @@
             await self.cluster.reuse_address(server_id, ServerId(f"o-{number}"), OTHER)
             for number, server_id in enumerate(ended)
         ]
+        for server in self.others:
+            server.host.misdirected_order_status = self.order_status
 
     def arrival_span_ms(self):
         """Return for how long after the reuse requests have arrived at the other service."""
         arrivals = [arrival for server in self.others for arrival in server.host.arrivals]
         return max((at_ms - self.reused_ms for at_ms, _ in arrivals), default=0)
 
+    def order_arrivals_ms(self):
+        """Return for each order that has arrived at the other service how long after the reuse."""
+        return [
+            at_ms - self.reused_ms
+            for server in self.others
+            for at_ms in server.host.order_arrivals_ms
+        ]
+
 
 async def end_silently(run):
     """End the owners without any sign, and let their addresses be reused."""
--- a/nutmeglead/entry/tests/steps/reused_addresses_steps.py
+++ b/nutmeglead/entry/tests/steps/reused_addresses_steps.py
@@ -26,6 +26,13 @@
     context.run = ReusedAddresses(seed)
 
 
+@given(
+    "callers of a service with keys, seed {seed:d}, and another service that refuses orders with {status:d}"
+)
+def step_other_service(context, seed, status):
+    context.run = ReusedAddresses(seed, status)
+
+
 @when("two owners end {manner} while the store {state}")
 def step_end(context, manner, state):
     async def trouble(run):
@@ -46,6 +53,18 @@
     assert context.run.arrival_span_ms() <= limit_ms, context.run.arrival_span_ms()
 
 
+@then("at most {count:d} orders arrive at the other service")
+def step_orders(context, count):
+    arrivals_ms = context.run.order_arrivals_ms()
+    assert len(arrivals_ms) <= count, (len(arrivals_ms), arrivals_ms[:count])
+
+
+@then("no order arrives there later than {limit_ms:d} ms after the reuse")
+def step_last_order(context, limit_ms):
+    arrivals_ms = context.run.order_arrivals_ms()
+    assert max(arrivals_ms, default=0) <= limit_ms, arrivals_ms[-5:]
+
+
 @then("all keys are served in the end")
 def step_served(context):
     assert set(context.run.late_statuses) == {200}, context.run.late_statuses
--- a/nutmeglead/forwarding/address_checks.py
+++ b/nutmeglead/forwarding/address_checks.py
@@ -6,7 +6,7 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.ids import ServiceName
 from nutmeglead.forwarding.addresses import AddressHolder
-from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord, ServiceSpec
+from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.forwarding.upstream import Upstream
 from nutmeglead.platform.grants import GrantClient
@@ -22,21 +22,27 @@
 class AddressChecks:
     """Check the addresses of servers that answer as another server would.
 
-    An address goes to another server at the earliest `reuse_after_ms` after its server has ended.
+    Requests and orders share the checks and, in the registry, their results. An address goes to
+    another server at the earliest `reuse_after_ms` after its server has ended. `health_path`
+    returns the path of the health checks of a service, or None if the service is not known.
     """
 
     def __init__(
-        self, client: GrantClient, registry: ServerRegistry, clock: Clock, reuse_after_ms: int
+        self,
+        client: GrantClient,
+        registry: ServerRegistry,
+        clock: Clock,
+        reuse_after_ms: int,
+        health_path: Callable[[ServiceName], str | None],
     ) -> None:
         self.reuse_after_ms = reuse_after_ms
         self._client = client
         self._registry = registry
         self._clock = clock
+        self._health_path = health_path
         self._running: dict[ServerIncarnation, asyncio.Task[AddressHolder]] = {}
 
-    def check_if_doubtful(
-        self, upstream: Upstream, spec: ServiceSpec
-    ) -> asyncio.Task[AddressHolder] | None:
+    def check_if_doubtful(self, upstream: Upstream) -> asyncio.Task[AddressHolder] | None:
         """Return a check of the address of a server that has answered as another one would.
 
         Return None if it must be the server itself, because it has answered a request recently.
@@ -44,21 +50,23 @@
         recent_ms = self.reuse_after_ms - MAX_ANSWER_AGE_MS
         if upstream.has_answered_within(recent_ms, self._clock.now_ms()):
             return None
-        return self._check(upstream.record, spec.health_path)
+        return self.check(upstream.record)
 
-    def check_again(self, find_spec: Callable[[ServiceName], ServiceSpec | None]) -> None:
-        """Check the lost addresses that are due, of servers of known services."""
+    def check_again(self) -> None:
+        """Check the lost addresses that are due."""
         for incarnation in self._registry.addresses.take_due(self._clock.now_ms()):
             record = self._registry.find(incarnation)
-            spec = None if record is None else find_spec(record.service)
-            if record is not None and spec is not None:
-                self._check(record, spec.health_path)
+            if record is not None:
+                self.check(record)
 
-    def _check(self, record: ServerRecord, health_path: str) -> asyncio.Task[AddressHolder]:
-        """Return the running check of a server's address, or a new one."""
+    def check(self, record: ServerRecord) -> asyncio.Task[AddressHolder] | None:
+        """Return the running check of a server's address, or a new one if its service is known."""
         running = self._running.get(record.incarnation)
         if running is not None:
             return running
+        health_path = self._health_path(record.service)
+        if health_path is None:
+            return None
         task = asyncio.get_running_loop().create_task(self._find_holder(record, health_path))
         self._running[record.incarnation] = task
         task.add_done_callback(lambda _: self._running.pop(record.incarnation, None))
--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -92,7 +92,9 @@
         self._own_domain = own_domain
         self._bounds = bounds
         client = GrantClient(fetcher, self.apply_notice)
-        self.address_checks = AddressChecks(client, registry, clock, bounds.reuse_after_ms)
+        self.address_checks = AddressChecks(
+            client, registry, clock, bounds.reuse_after_ms, self._health_path
+        )
         self._may_move_keys = may_move_keys
         self._apply_server_bounds()
         self._in_flight_elsewhere = in_flight_elsewhere
@@ -110,10 +112,6 @@
         """Return the lowest target latency of the routes that lead to a service."""
         return self.services[service].admission.target_latency_ms
 
-    def health_path(self, service: ServiceName) -> str:
-        """Return the path of the health checks of a service."""
-        return self.services[service].spec.health_path
-
     def manifest_fault_count(self) -> int:
         """Return how many parts of the manifest in force could not be used."""
         return 0 if self.manifest is None else len(self.manifest.faults)
@@ -234,11 +232,11 @@
         for service in self.services.values():
             for upstream in service.upstreams.values():
                 upstream.close_idle(now_ms)
-        self.address_checks.check_again(self._find_spec)
+        self.address_checks.check_again()
 
-    def _find_spec(self, name: ServiceName) -> ServiceSpec | None:
+    def _health_path(self, name: ServiceName) -> str | None:
         service = self.services.get(name)
-        return None if service is None else service.spec
+        return None if service is None else service.spec.health_path
 
     def begin_stop(self, answers_due_ms: int) -> None:
         """Answer every request in time, and refuse at once those that would take longer."""
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -244,7 +244,7 @@
 
     def _check_address(self, upstream: Upstream) -> None:
         checks = self._forwarder.address_checks
-        check = checks.check_if_doubtful(upstream, self._service.spec)
+        check = checks.check_if_doubtful(upstream)
         self._doubt = None if check is None else (upstream, check)
 
     def _exclude_server(self, upstream: Upstream) -> None:
--- a/nutmeglead/platform/grants.py
+++ b/nutmeglead/platform/grants.py
@@ -29,6 +29,7 @@
 )
 
 __all__ = [
+    "AddressLost",
     "GrantClient",
     "GrantError",
     "GrantRefused",
@@ -125,6 +126,16 @@
         return f"no order was sent to server {self.server_id}: {self.reason}"
 
 
+@dataclass
+class AddressLost(GrantError):
+    """An order was not sent, because another server has the address of its server."""
+
+    server_id: ServerId
+
+    def __str__(self) -> str:
+        return f"no order was sent to server {self.server_id}: another one has its address"
+
+
 class OrderNotPermitted(GrantError):
     """An order was not sent, because this node may not send orders of its map."""
 
--- a/nutmeglead/ranges/candidates.py
+++ b/nutmeglead/ranges/candidates.py
@@ -47,7 +47,7 @@
         """
         now_ms = self._clock.now_ms()
         ready = self.ready()
-        lost = {incarnation for incarnation in ready if self.health.is_lost(incarnation, now_ms)}
+        lost = {incarnation for incarnation in ready if self._is_lost(incarnation, now_ms)}
         for incarnation in lost - self._lost:
             log_event(
                 logger, Event.SERVER_LOST, service=self._service, server=incarnation.server_id
@@ -60,6 +60,11 @@
             and not self._registry.evacuations.is_evacuated(record.failure_domain)
         }
 
+    def _is_lost(self, incarnation: ServerIncarnation, now_ms: int) -> bool:
+        """Return whether a server does not answer, or another one has its address."""
+        has_lost_address = self._registry.addresses.is_lost(incarnation)
+        return has_lost_address or self.health.is_lost(incarnation, now_ms)
+
     def departures(
         self, owners: Iterable[ServerIncarnation | None]
     ) -> dict[ServerIncarnation | None, MoveReason]:
--- a/nutmeglead/ranges/context.py
+++ b/nutmeglead/ranges/context.py
@@ -6,6 +6,7 @@
 from nutmeglead._generated.peers.ttypes import MapDelta, OrderReport
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.ids import NodeId, ServiceName
+from nutmeglead.forwarding.address_checks import AddressChecks
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.peers.membership import Membership
 from nutmeglead.platform.grants import GrantClient
@@ -24,10 +25,10 @@
     membership: Membership
     registry: ServerRegistry
     grants: GrantClient
+    address_checks: AddressChecks
     max_hold_ms: int
     target_latency_ms: Callable[[ServiceName], int]
     store_age_ms: Callable[[], int]
-    health_path: Callable[[ServiceName], str]
     manifest_version: Callable[[], int]
     send_delta: Callable[[MapDelta], None]
     send_report: Callable[[OrderReport, NodeId], None]
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -79,6 +79,7 @@
         self._rights = RenewalRights(service, context.membership, self._clock.now_ms())
         self.order_sender = OrderSender(
             context.grants,
+            context.address_checks,
             context.registry,
             self._rights,
             self.candidates.health,
@@ -235,8 +236,7 @@
 
     async def _update_placement(self, now_ms: int) -> None:
         """Probe lost servers, plan moves and witness changes, and write a map if any is due."""
-        health_path = self._context.health_path(self.service)
-        self.order_sender.probe_lost(self.candidates.ready().values(), health_path)
+        self.order_sender.probe_lost(self.candidates.ready().values())
         servers = self.candidates.usable()
         own = self.ranges
         if self.awaits_first_map:
--- a/nutmeglead/ranges/fencing.py
+++ b/nutmeglead/ranges/fencing.py
@@ -15,7 +15,7 @@
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.forwarding.model import ServerIncarnation
-from nutmeglead.platform.grants import GrantRefused, ServerUnreachable
+from nutmeglead.platform.grants import AddressLost, GrantRefused, ServerUnreachable
 from nutmeglead.ranges.model import KeyRange, RangeMap
 from nutmeglead.ranges.orders import OrderSender
 
@@ -94,7 +94,8 @@
         error = released.err_value if isinstance(released, Err) else None
         is_gone = isinstance(error, ServerUnreachable) and error.is_refused
         # A server that refuses a release is another one, which has the address now.
-        if isinstance(released, Ok) or is_gone or isinstance(error, GrantRefused):
+        has_lost_address = isinstance(error, GrantRefused | AddressLost)
+        if isinstance(released, Ok) or is_gone or has_lost_address:
             unfenced.discard(keys)
             log_event(
                 logger,
--- a/nutmeglead/ranges/orders.py
+++ b/nutmeglead/ranges/orders.py
@@ -12,10 +12,12 @@
 
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.events import Event, log_event
+from nutmeglead.forwarding.address_checks import AddressChecks
 from nutmeglead.forwarding.addresses import AddressHolder
 from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.platform.grants import (
+    AddressLost,
     GrantClient,
     GrantError,
     GrantRefused,
@@ -31,6 +33,9 @@
 logger = logging.getLogger(__name__)
 
 RENEW_INTERVAL_MS = 400
+# Pauses before a refused renewal is repeated; later ones last for the renewal interval. The first
+# repetition comes at once, since two refusals are taken as the loss of the server.
+REFUSED_REPEAT_MS = (0, 50, 100, 200)
 # An order and its answer take under 30 ms between failure domains. Four unanswered orders fit into
 # a hold.
 GRANT_TIMEOUT_MS = 160
@@ -61,6 +66,7 @@
     def __init__(
         self,
         client: GrantClient,
+        address_checks: AddressChecks,
         registry: ServerRegistry,
         rights: RenewalRights,
         health: HolderHealth,
@@ -70,12 +76,15 @@
     ) -> None:
         self.max_hold_ms = max_hold_ms
         self._client = client
+        self._address_checks = address_checks
         self._registry = registry
         self._rights = rights
         self._health = health
         self._clock = clock
         self._current_map = current_map
-        self._renewed_ms: dict[ServerIncarnation, int] = {}
+        self._renewal_due_ms: dict[ServerIncarnation, int] = {}
+        # Refused renewals in a row.
+        self._refusal_counts: dict[ServerIncarnation, int] = {}
         self._renewing: dict[ServerIncarnation, asyncio.Task[None]] = {}
         self._probed_ms: dict[ServerIncarnation, int] = {}
         self._probes: set[asyncio.Task[None]] = set()
@@ -102,6 +111,10 @@
             )
         if current is None or not self._may_grant(keys):
             return Err(OrderNotPermitted())
+        if self._registry.addresses.is_lost(owner):
+            lost: Result[None, GrantError] = Err(AddressLost(owner.server_id))
+            self._record_result(record, lost)
+            return lost
         self._rights.begin_grant(owner)
         # True also after an exception or a cancellation.
         may_have_arrived = True
@@ -118,7 +131,7 @@
             may_have_arrived = not _is_unsent(sent)
         finally:
             self._rights.end_grant(owner, may_have_arrived, self._clock.now_ms())
-        self._record_result(owner, sent)
+        self._record_result(record, sent)
         return sent
 
     def _may_grant(self, keys: KeyRange) -> bool:
@@ -180,6 +193,8 @@
         record = self._registry.newest_record(holder)
         if record is None:
             return Err(ServerUnreachable(holder.server_id, "no address is known for the release"))
+        if self._registry.addresses.is_lost(record.incarnation):
+            return Err(AddressLost(holder.server_id))
         released = await self._client.release(
             record,
             (keys.first, keys.last),
@@ -189,13 +204,24 @@
         )
         if isinstance(released, Ok):
             self._health.on_answer(holder, self._clock.now_ms())
+        elif isinstance(released.err_value, GrantRefused):
+            self._check_address(record, released.err_value)
         return released
 
-    def probe_lost(self, records: Iterable[ServerRecord], health_path: str) -> None:
+    def _check_address(self, record: ServerRecord, refusal: GrantRefused) -> None:
+        """Find out who has refused an order as the server itself does not."""
+        if refusal.is_misdirected:
+            now_ms = self._clock.now_ms()
+            self._registry.record_address(record.incarnation, AddressHolder.ANOTHER, now_ms)
+        else:
+            self._address_checks.check(record)
+
+    def probe_lost(self, records: Iterable[ServerRecord]) -> None:
         """Start health checks of the servers that count as lost and are due for one.
 
         Without them, nothing would show that such a server answers again. A server that wants no
-        requests gets none of them either; grants, which are no requests, go on.
+        requests gets none of them either; grants, which are no requests, go on. Lost addresses are
+        checked at longer intervals, by `AddressChecks`.
         """
         now_ms = self._clock.now_ms()
         for record in records:
@@ -204,17 +230,18 @@
                 continue
             if self._registry.is_backing_off(record.incarnation, now_ms):
                 continue
+            if self._registry.addresses.is_lost(record.incarnation):
+                continue
             self._probed_ms[record.incarnation] = now_ms
-            task = asyncio.get_running_loop().create_task(self._probe(record, health_path))
+            task = asyncio.get_running_loop().create_task(self._probe(record))
             self._probes.add(task)
             task.add_done_callback(self._probes.discard)
 
-    async def _probe(self, record: ServerRecord, health_path: str) -> None:
-        holder = await self._client.find_holder(record, health_path, GRANT_TIMEOUT_MS)
-        now_ms = self._clock.now_ms()
-        self._registry.record_address(record.incarnation, holder, now_ms)
-        if holder is AddressHolder.ITSELF:
-            self._health.on_answer(record.incarnation, now_ms)
+    async def _probe(self, record: ServerRecord) -> None:
+        check = self._address_checks.check(record)
+        # Others wait for the same check.
+        if check is not None and await asyncio.shield(check) is AddressHolder.ITSELF:
+            self._health.on_answer(record.incarnation, self._clock.now_ms())
 
     def renew_due(self, owners: Collection[ServerIncarnation]) -> None:
         """Start the renewals of the given servers that are due, in one task for each server."""
@@ -228,29 +255,41 @@
                 assert entry.owner is not None
                 by_owner.setdefault(entry.owner, []).append(entry)
         for owner, owned_ranges in by_owner.items():
-            due_ms = self._renewed_ms.get(owner, -RENEW_INTERVAL_MS) + RENEW_INTERVAL_MS
-            if now_ms >= due_ms and owner not in self._renewing:
+            if now_ms >= self._renewal_due_ms.get(owner, 0) and owner not in self._renewing:
                 self._start_renewal(owner, owned_ranges, now_ms)
 
     def _start_renewal(
         self, owner: ServerIncarnation, owned_ranges: list[KeyRange], now_ms: int
     ) -> None:
-        self._renewed_ms[owner] = now_ms
+        self._renewal_due_ms[owner] = now_ms + RENEW_INTERVAL_MS
         task = asyncio.get_running_loop().create_task(self._renew(owner, owned_ranges))
         self._renewing[owner] = task
         task.add_done_callback(lambda _: self._renewing.pop(owner, None))
 
     async def _renew(self, owner: ServerIncarnation, owned_ranges: list[KeyRange]) -> None:
-        sent = await asyncio.gather(*(self._renew_range(owner, entry) for entry in owned_ranges))
-        if not all(sent):
-            # After a failure, the next call of `renew_due` renews without waiting for the interval.
-            self._renewed_ms.pop(owner, None)
-
-    async def _renew_range(self, owner: ServerIncarnation, entry: KeyRange) -> bool:
-        """Renew one range; return False if the renewal failed and has to be repeated."""
+        errors = await asyncio.gather(*(self._renew_range(owner, entry) for entry in owned_ranges))
+        if any(_is_refusal(error) for error in errors):
+            self._pause_renewals(owner)
+            return
+        self._refusal_counts.pop(owner, None)
+        if any(errors):
+            # Without an answer, the next call of `renew_due` renews without waiting for the
+            # interval: the timeout is pause enough.
+            self._renewal_due_ms.pop(owner, None)
+
+    def _pause_renewals(self, owner: ServerIncarnation) -> None:
+        """Delay the next renewals of a server that has refused one, longer with each refusal."""
+        count = self._refusal_counts.get(owner, 0)
+        self._refusal_counts[owner] = count + 1
+        is_first_ones = count < len(REFUSED_REPEAT_MS)
+        pause_ms = REFUSED_REPEAT_MS[count] if is_first_ones else RENEW_INTERVAL_MS
+        self._renewal_due_ms[owner] = self._clock.now_ms() + pause_ms
+
+    async def _renew_range(self, owner: ServerIncarnation, entry: KeyRange) -> GrantError | None:
+        """Renew one range; return the error if the renewal failed and has to be repeated."""
         current = self._current_map()
         if current is None or current.locate(entry.first) != entry:
-            return True
+            return None
         sent = await self.grant(owner, entry, None)
         if isinstance(sent, Err) and isinstance(sent.err_value, GrantRefused):
             if sent.err_value.is_stale:
@@ -265,24 +304,23 @@
                 fence=entry.fence,
                 status=sent.err_value.status,
             )
-        return not isinstance(sent, Err)
+        return sent.err_value if isinstance(sent, Err) else None
 
-    def _record_result(self, owner: ServerIncarnation, sent: Result[None, GrantError]) -> None:
+    def _record_result(self, record: ServerRecord, sent: Result[None, GrantError]) -> None:
         """Record the result of a grant for the server's health and the next report.
 
         A server that refuses a fence as too low has answered.
         """
-        now_ms = self._clock.now_ms()
+        owner, now_ms = record.incarnation, self._clock.now_ms()
         error = None if isinstance(sent, Ok) else sent.err_value
-        if isinstance(error, GrantRefused) and error.is_misdirected:
-            self._registry.record_address(owner, AddressHolder.ANOTHER, now_ms)
+        if isinstance(error, GrantRefused) and not error.is_stale:
+            self._check_address(record, error)
         if error is None or (isinstance(error, GrantRefused) and error.is_stale):
             self._registry.record_address(owner, AddressHolder.ITSELF, now_ms)
             self._health.on_answer(owner, now_ms)
             self.results.answered.add(owner)
         elif not isinstance(error, OrderNotPermitted):
-            is_connection_refused = isinstance(error, ServerUnreachable) and error.is_refused
-            is_refused = is_connection_refused or isinstance(error, GrantRefused)
+            is_refused = _is_refusal(error)
             self._health.on_failure(owner, is_refused, now_ms)
             (self.results.refused if is_refused else self.results.failed).append(owner)
 
@@ -296,3 +334,10 @@
     return isinstance(sent, Err) and isinstance(
         sent.err_value, ServerUnreachable | OrderNotPermitted
     )
+
+
+def _is_refusal(error: GrantError | None) -> bool:
+    """Return whether a server, or the VM without one, refuses orders for the server at once."""
+    if isinstance(error, ServerUnreachable):
+        return error.is_refused
+    return isinstance(error, GrantRefused | AddressLost)
--- a/nutmeglead/ranges/tests/orders.feature
+++ b/nutmeglead/ranges/tests/orders.feature
@@ -29,6 +29,32 @@
       | whose map gives the range to another | grant   | 0     | a grant is written after the node has reported the map  |
       | whose map splits the range           | grant   | 0     | a grant is written after the node has reported the map  |
 
+  Scenario Outline: A server that refuses the renewals of its grants with <status>
+    # Guards against grants that are repeated every 50 ms for as long as the map gives the keys to the server.
+    Given a node with a map, whose map a majority confirms
+    When it renews the grants of the server for 2000 ms, which refuses them with <status>
+    Then it has sent grants after <times_ms> ms
+    And it has asked <checks> times who has the server's address
+    And it counts the owner's address as <address>
+
+    Examples: by what the status says
+      | status | times_ms                                      | checks | address |
+      | 409    | 0, 50, 100, 200, 400, 800, 1200, 1600         | 0      | its own |
+      | 400    | 0, 50, 100, 200, 400, 800, 1200, 1600         | 8      | its own |
+      | 421    | 0                                             | 0      | lost    |
+
+  Scenario Outline: A <order> for a server whose address another one has
+    # Guards against orders to a server of another service: what requests have learned holds for orders too.
+    Given a node with a map, whose map a majority confirms
+    And another server has answered at the owner's address
+    When it sends a <order> to a server
+    Then the server has received 0 orders
+
+    Examples: by order
+      | order   |
+      | grant   |
+      | release |
+
   # Pattern "long work": servers end work that outlasts the hold which its keys had when it began.
   Scenario Outline: The hold covers the work of a service
     Given a map of a service with a target latency of <before_ms> ms
--- a/nutmeglead/ranges/transfer.py
+++ b/nutmeglead/ranges/transfer.py
@@ -15,7 +15,7 @@
 from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.fencing import HolderFencing
 from nutmeglead.ranges.model import KeyRange, RangeMap
-from nutmeglead.ranges.orders import OrderSender
+from nutmeglead.ranges.orders import RENEW_INTERVAL_MS, OrderSender
 from nutmeglead.ranges.rights import RenewalRights
 
 __all__ = ["Transfers"]
@@ -163,6 +163,7 @@
     async def _grant(self, entry: KeyRange, handover: str | None) -> bool:
         """Repeat the grant until the owner accepts it; return False if it needs a higher fence."""
         assert entry.owner is not None
+        delay_ms = RETRY_DELAY_MS
         while True:
             granted = await self._order_sender.grant(entry.owner, entry, handover)
             if not isinstance(granted, Err):
@@ -173,4 +174,6 @@
                 return False
             if not isinstance(error, OrderNotPermitted):
                 logger.debug("grant of keys %d..%d failed: %s", entry.first, entry.last, error)
-            await asyncio.sleep(RETRY_DELAY_MS / 1000)
+            await asyncio.sleep(delay_ms / 1000)
+            if isinstance(error, GrantRefused):
+                delay_ms = min(2 * delay_ms, RENEW_INTERVAL_MS)
