ranges: act by the stored rows after a write whose answer was lost

Callers of keys of lost servers were refused for 10 s although nine in ten nodes were sound: no node wrote a map.

It could not take the role again: a node leaves the role to an acting one that waits for the same slow store, and that acting node was itself. The others saw it alive and reaching the store. Nobody acted until 19.7 s. For the same reason nobody took the role from 9 to 13 s while the acting node was cut off: every read of the slow store was slow.

Change: a conflict in which the role's row is as this node wrote it means an earlier write of its own (`MapOutdated`): the node reads the rows and goes on from the stored map. So does an acting node that reads a newer map in the store or at a peer. A node that finds itself, with its incarnation, in the role's row acts under that row's epoch without another write, and it is next whatever its rank. A slow read keeps a node from the role only if the acting node is another one that waits no more than twice as long as the read took.

Why it works: only the holder of the role can write the map, and a late write fails once its row has changed; so a row that names this node and incarnation in the store's era is proof enough, and no order is sent before the map has been read.

--- a/nutmeglead/emulator/store_host.py
+++ b/nutmeglead/emulator/store_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from enum import Enum
 
 from nutmeglead.core.clock import Clock
@@ -38,6 +39,11 @@
         self.delay_ms = 0
         # Number of next transactions that are applied but not answered.
         self.lost_answers = 0
+        # Transactions that write to this table are applied after a delay, and never answered.
+        self.unanswered_table: str | None = None
+        self.unanswered_delay_ms = 0
+        self.unanswered_count = 0
+        self._late_tasks: set[asyncio.Task[None]] = set()
         self._server = PipelineServer(self._answer, lambda: LIMITS, clock)
 
     async def start(self, ip: str, port: int) -> int:
@@ -60,8 +66,26 @@
         await asyncio.sleep(self.delay_ms / 1000)
         head = exchange.head
         target = head.target.decode()
+        if target == STORE_TRANSACT_PATH and self._is_unanswered(bytes(exchange.body)):
+            self._apply_later(bytes(exchange.body))
+            await asyncio.sleep(FOREVER_S)
         status, body = await self.rows.answer(head.method.decode(), target, bytes(exchange.body))
         if self.lost_answers and target == STORE_TRANSACT_PATH:
             self.lost_answers -= 1
             await asyncio.sleep(FOREVER_S)
         await exchange.respond(status, self.rows.headers(), body)
+
+    def _is_unanswered(self, transaction: bytes) -> bool:
+        written = json.loads(transaction)["set_keys"]
+        return any(row["table"] == self.unanswered_table for row in written)
+
+    def _apply_later(self, transaction: bytes) -> None:
+        """Apply a transaction after the delay, also if its connection is closed by then."""
+        self.unanswered_count += 1
+        task = asyncio.get_running_loop().create_task(self._apply(transaction))
+        self._late_tasks.add(task)
+        task.add_done_callback(self._late_tasks.discard)
+
+    async def _apply(self, transaction: bytes) -> None:
+        await asyncio.sleep(self.unanswered_delay_ms / 1000)
+        await self.rows.answer("POST", STORE_TRANSACT_PATH, transaction)
--- a/nutmeglead/ranges/controller.py
+++ b/nutmeglead/ranges/controller.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Sequence
+from functools import partial
 
 from result import Err
 
@@ -22,7 +23,6 @@
 from nutmeglead.ranges.balance import (
     ServerCapacity,
     initial_moves,
-    reassignment_moves,
     work_imbalance,
 )
 from nutmeglead.ranges.candidates import OwnerCandidates
@@ -32,16 +32,17 @@
 from nutmeglead.ranges.keys import KEY_COUNT
 from nutmeglead.ranges.load import RecentKeyWindow
 from nutmeglead.ranges.model import KeyRange, RangeMap, WitnessSets, from_wire
-from nutmeglead.ranges.moves import Move, MoveReason
+from nutmeglead.ranges.moves import Move
 from nutmeglead.ranges.orders import OrderSender
-from nutmeglead.ranges.pins import Pin, pin_moves, pinned_intervals
+from nutmeglead.ranges.pins import Pin, pinned_intervals
 from nutmeglead.ranges.publish import MapPublisher
 from nutmeglead.ranges.renewal import Renewals
 from nutmeglead.ranges.rights import RenewalRights
-from nutmeglead.ranges.role import RoleLost, RoleRows, StoredState
+from nutmeglead.ranges.role import MapOutdated, RoleLost, RoleRows, StoredState
 from nutmeglead.ranges.role_watch import STORE_RETRY_MS, RoleWatch
 from nutmeglead.ranges.rounds import BalanceRounds
 from nutmeglead.ranges.transfer import Transfers
+from nutmeglead.ranges.urgent_moves import urgent_moves
 from nutmeglead.ranges.witnesses import choose_witnesses, next_witness_sets
 
 __all__ = ["RangeController"]
@@ -106,6 +107,8 @@
         self._rounds = BalanceRounds()
         self._next_write_ms = 0
         self._unwritten_since_ms: int | None = None
+        # Whether the store may have a newer map than this node, which acts.
+        self._is_stored_map_newer = False
         self._server_count_since = (0, 0)
 
     # ---- messages from other nodes ----
@@ -113,11 +116,15 @@
     def apply_copy(self, ranges: RangeMap, step: int) -> None:
         """Replace the map by a peer's or the store's whole map if that one is newer.
 
-        While acting, ignore one of the same version: only this node confirms grants.
+        While acting, ignore one of the same version: only this node confirms grants. A newer one
+        was written by this node without its knowledge, or by its successor; the store's rows tell.
         """
         own = self.ranges
         if own is not None and (ranges.version, step) <= (own.version, self.step):
             return
+        if own is not None and self.role.is_held and not self.awaits_first_map:
+            self._is_stored_map_newer |= ranges.version > own.version
+            return
         if own is not None and ranges.version == own.version and self.role.is_held:
             return
         self._set_map(ranges, step)
@@ -165,12 +172,7 @@
     def view(self) -> ServiceView:
         """Return the map version, role and recent grants that this node's heartbeats report."""
         now_ms, ranges = self._clock.now_ms(), self.ranges
-        previous_holders = {
-            incarnation
-            for entry in ranges or ()
-            if entry.is_pending
-            for incarnation in entry.previous
-        }
+        previous_holders = ranges.previous_holders() if ranges is not None else set()
         return ServiceView(
             self.service,
             ranges.version if ranges is not None else 0,
@@ -237,6 +239,9 @@
     async def _update_placement(self, now_ms: int) -> None:
         """Probe lost servers, plan moves and witness changes, and write a map if any is due."""
         self.order_sender.probe_lost(self.candidates.ready().values())
+        if self._is_stored_map_newer and now_ms >= self._next_write_ms:
+            await self._adopt_stored_map()
+            return
         servers = self.candidates.usable()
         own = self.ranges
         if self.awaits_first_map:
@@ -285,29 +290,14 @@
     def _urgent_moves(
         self, servers: dict[ServerIncarnation, ServerCapacity], now_ms: int
     ) -> list[Move]:
-        """Return the moves that do not wait for the balancer.
-
-        They give ranges without a usable owner to other servers, raise the fences of ranges whose
-        owners have seen a higher one, and give keys that the operator has assigned to their
-        servers.
-        """
+        """Return the moves that do not wait for the balancer."""
         assert self.ranges is not None
         if not servers:
             return []
-        moves: list[Move] = []
-        for entry in self.order_sender.stale_ranges:
-            if entry in self.ranges.ranges and entry.owner in servers:
-                moves.append(Move(entry.first, entry.last, entry.owner, MoveReason.STALE_FENCE))
+        stale = set(self.order_sender.stale_ranges)
         self.order_sender.stale_ranges.clear()
-        unusable = {entry.owner for entry in self.ranges} - servers.keys()
-        departures = self.candidates.departures(unusable)
-        orphaned = {
-            entry: departures[entry.owner] for entry in self.ranges if entry.owner in departures
-        }
-        if orphaned:
-            sample = self.recent_keys.sample(now_ms)
-            moves += reassignment_moves(self.ranges, orphaned, servers, sample)
-        return moves + pin_moves(self.ranges, self.pins, servers)
+        sample = partial(self.recent_keys.sample, now_ms)
+        return urgent_moves(self.ranges, stale, self.candidates, servers, self.pins, sample)
 
     def _hold_ms(self) -> int:
         """Return the longest hold of the known map and of the next one."""
@@ -339,10 +329,34 @@
             asked_ms = self._clock.now_ms()
             written = await self._rows.write_map(target, record)
         if isinstance(written, Err):
-            self._on_write_failed(written.err_value)
+            if isinstance(written.err_value, MapOutdated):
+                await self._adopt_stored_map()
+            else:
+                self._on_write_failed(written.err_value)
             return
         if not self.role.is_held:
             return
+        self._start_map(target, asked_ms)
+        self.keys_moved += log_moves(moves, target)
+
+    async def _adopt_stored_map(self) -> None:
+        """Go on from the map in the store, which an earlier write of this node has put there.
+
+        The answer to that write was lost, and the next map was planned without it.
+        """
+        self._is_stored_map_newer = False
+        asked_ms = self._clock.now_ms()
+        read = await self._rows.read()
+        if isinstance(read, Err):
+            self._is_stored_map_newer = True
+            self._next_write_ms = self._clock.now_ms() + STORE_RETRY_MS
+        elif not self._rows.is_own(read.ok_value.role) or read.ok_value.ranges is None:
+            self.role.give_up("another node acts")
+        elif self.role.is_held and read.ok_value.is_of_present_era:
+            self._start_map(read.ok_value.ranges, asked_ms)
+
+    def _start_map(self, target: RangeMap, asked_ms: int) -> None:
+        """Follow a map that the store had at a time, publish it and start its transfers."""
         # Grants that were confirmed during the write stay confirmed in ranges that did not change.
         current = self.ranges
         if current is not None:
@@ -352,7 +366,6 @@
         self._rights.confirm_by_store(target.version, asked_ms)
         self._unwritten_since_ms = None
         self._set_map(target, 0)
-        self.keys_moved += log_moves(moves, target)
         self._publish()
         self._transfers.start(target)
 
--- a/nutmeglead/ranges/model.py
+++ b/nutmeglead/ranges/model.py
@@ -121,6 +121,11 @@
             if entry.first <= keys.last and keys.first <= entry.last
         )
 
+    def previous_holders(self) -> set[ServerIncarnation]:
+        """Return the earlier holders of the ranges whose grants are not confirmed yet."""
+        pending = (entry for entry in self.ranges if entry.is_pending)
+        return {incarnation for entry in pending for incarnation in entry.previous}
+
     def owners(self) -> set[ServerIncarnation]:
         """Return the server incarnations that own at least one range."""
         return {entry.owner for entry in self.ranges if entry.owner is not None}
--- a/nutmeglead/ranges/role.py
+++ b/nutmeglead/ranges/role.py
@@ -20,7 +20,16 @@
 from nutmeglead.ranges.audit import audit_rows
 from nutmeglead.ranges.model import RangeMap, decode_map, encode_map
 
-__all__ = ["MAP_KEY", "RANGES_TABLE", "RoleLost", "RoleRows", "StoredState"]
+__all__ = [
+    "MAP_KEY",
+    "RANGES_TABLE",
+    "ROLES_TABLE",
+    "ROLE_KEY",
+    "MapOutdated",
+    "RoleLost",
+    "RoleRows",
+    "StoredState",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -36,11 +45,26 @@
 
     service: ServiceName
     reason: str = "another node acts"
+    # The version of the role's row that was found, if it was.
+    role_version: int | None = None
 
     def __str__(self) -> str:
         return f"{self.reason} for {self.service}"
 
 
+@dataclass
+class MapOutdated(PlatformError):
+    """Report a write that failed because of an earlier write of the map by this node.
+
+    Only the holder of the role writes the map, and the role's row is as this node wrote it.
+    """
+
+    service: ServiceName
+
+    def __str__(self) -> str:
+        return f"an earlier write of this node has changed the map of {self.service}"
+
+
 @dataclass(frozen=True)
 class StoredState:
     """Hold the role and the map in the store, None for a row that does not exist, and its era."""
@@ -82,6 +106,14 @@
         """Return whether the store has returned from an older copy since `read`."""
         return self._store.era != self._era
 
+    def is_own(self, role: RoleRow | None) -> bool:
+        """Return whether a role row names this node in its present incarnation.
+
+        It may do so although this node has learned of no write that succeeded.
+        """
+        own = (self._node_id, self._incarnation)
+        return role is not None and (role.node_id, role.incarnation) == own
+
     async def read(self) -> Result[StoredState, StoreUnavailable | CodecError]:
         """Return the role and the map, and record the rows' versions for the next write."""
         role_rows = await self._store.read(ROLES_TABLE, self._service)
@@ -137,7 +169,7 @@
 
     async def write_map(
         self, ranges: RangeMap, audit: AuditRecord | None = None
-    ) -> Result[None, RoleLost | StoreUnavailable | StoreAnswerLost]:
+    ) -> Result[None, RoleLost | MapOutdated | StoreUnavailable | StoreAnswerLost]:
         """Write the next map and the audit record of its moves, if this node holds the role."""
         role = self._row(ROLES_TABLE, ROLE_KEY, self._role_version, None)
         target = self._row(RANGES_TABLE, MAP_KEY, self._map_version, encode_map(ranges))
@@ -145,10 +177,13 @@
             audit_rows(self._service, audit) if audit is not None else ([], [])
         )
         written = await self._write([role, target], target, audit_written, audit_removed)
-        if isinstance(written, Err):
-            return written
-        self._map_version = written.ok_value
-        return Ok(None)
+        if isinstance(written, Ok):
+            self._map_version = written.ok_value
+            return Ok(None)
+        error = written.err_value
+        if isinstance(error, RoleLost) and error.role_version == self._role_version:
+            return Err(MapOutdated(self._service))
+        return Err(error)
 
     def _row(self, table: str, key: str, version: int, value: bytes | None) -> StoreRow:
         return StoreRow(table, self._service, key, value, version)
@@ -182,7 +217,8 @@
         logger.info(
             "%s: writing the row %s to the store failed: %s", self._service, target.key, error
         )
-        return Err(RoleLost(self._service))
+        role = _find_row(error.rows, ROLE_KEY)
+        return Err(RoleLost(self._service, role_version=role.version if role else None))
 
 
 def _find_row(rows: tuple[StoreRow, ...], key: str) -> StoreRow | None:
--- a/nutmeglead/ranges/role_watch.py
+++ b/nutmeglead/ranges/role_watch.py
@@ -7,7 +7,7 @@
 
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
-from nutmeglead.peers.membership import STORE_SILENT_AFTER_MS
+from nutmeglead.peers.membership import SILENT_AFTER_MS, STORE_SILENT_AFTER_MS
 from nutmeglead.ranges.audit import role_record
 from nutmeglead.ranges.context import ControllerContext
 from nutmeglead.ranges.numbers import first_epoch
@@ -23,6 +23,9 @@
 STORE_RETRY_MS = 250
 # Half of the silence after which the store counts as not serving a node.
 SLOW_READ_MS = STORE_SILENT_AFTER_MS // 2
+# A node counts as cut off from a slow store if its calls wait this many times as long as those of
+# the node that wants to act in its place.
+MAX_SLOWNESS_RATIO = 2
 
 RoleTakenCallback = Callable[[StoredState, int], None]
 
@@ -99,7 +102,7 @@
         if now_ms < self._next_attempt_ms:
             return
         allowed_rank = (now_ms - self._vacant_since_ms) // RANK_DELAY_MS
-        is_next = self.was_held_in_last_era and self.acting_id == self._context.node_id
+        is_next = self.acting_id == self._context.node_id
         if not is_next and membership.rank(now_ms, allowed_rank) > allowed_rank:
             return
         if not self._context.registry.records(self._service):
@@ -130,10 +133,13 @@
             )
             return
         role = state.ok_value.role
-        membership = self._context.membership
-        is_read_slow = self._clock.now_ms() - asked_ms > SLOW_READ_MS
-        if is_read_slow and self.acting_id and membership.is_alive(self.acting_id, asked_ms):
-            # The acting node waits for the same slow store; this node would move keys no sooner.
+        if self._rows.is_own(role) and self._is_newest(state.ok_value):
+            # The answer to the write was lost, or what followed was taken for a loss of the role.
+            assert role is not None
+            self._hold(state.ok_value, role.epoch, asked_ms)
+            return
+        if self._waits_for_same_store(asked_ms):
+            # This node would move keys no sooner.
             return
         if role is not None and role.epoch > self.epoch:
             self.follow(role.epoch, NodeId(role.node_id))
@@ -158,11 +164,37 @@
                 taken.err_value,
             )
             return
+        self._hold(state.ok_value, epoch, asked_ms)
+
+    def _waits_for_same_store(self, asked_ms: int) -> bool:
+        """Return whether the acting node waits for a store that is as slow for this node.
+
+        A store that has left a node without an answer for much longer does not answer that node.
+        """
+        read_ms = self._clock.now_ms() - asked_ms
+        if read_ms <= SLOW_READ_MS or self.acting_id in (None, self._context.node_id):
+            return False
+        membership, acting_id = self._context.membership, self.acting_id
+        if acting_id is None or not membership.is_alive(acting_id, asked_ms):
+            return False
+        peer = membership.get(acting_id)
+        if peer is None or peer.heartbeat is None or peer.heartbeat_received_ms is None:
+            return True
+        is_heard = peer.heartbeat_received_ms >= asked_ms - SILENT_AFTER_MS
+        return not is_heard or peer.heartbeat.store_age_ms <= MAX_SLOWNESS_RATIO * read_ms
+
+    def _is_newest(self, state: StoredState) -> bool:
+        """Return whether the stored role is of the store's era and of no older epoch than known."""
+        epoch = 0 if state.role is None else state.role.epoch
+        return epoch >= max(self.epoch, first_epoch(state.era, 0))
+
+    def _hold(self, state: StoredState, epoch: int, asked_ms: int) -> None:
+        """Act under an epoch, from a state of the rows in which this node holds the role."""
         self.epoch = epoch
-        self.acting_id = context.node_id
+        self.acting_id = self._context.node_id
         self.is_held = True
         self._vacant_since_ms = None
         log_event(logger, Event.ROLE_TAKEN, service=self._service, epoch=epoch)
-        self.era = state.ok_value.era
-        self._on_taken(state.ok_value, asked_ms)
+        self.era = state.era
+        self._on_taken(state, asked_ms)
         self.was_held_in_last_era = False
