entry: give a feed call up once it has not returned what a peer has

Cause: a feed call may wait long, and nothing but its timeout ended one that was lost on the way. What peers had received meanwhile did not count.

Evidence: `following.feature`, "A call at a store that is cut off is given up once a peer has what it should have returned", fails before: 1,700 ms after the copy the node counts the store as well.

Change: rows that a peer's copy has brought, and that the call in progress has not returned within 1,500 ms, show that the call is lost; it fails as one of a silent store does, and the next call is made without a wait. 1,500 ms is what a call without a wait is given as well (`FEED_MARGIN_MS`).

Why it works: a store returns a change that it has to a call that waits for it; a peer that has the change proves that the store had it.

--- a/nutmeglead/entry/operator_feed.py
+++ b/nutmeglead/entry/operator_feed.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING, Protocol
 
 from nutmeglead._generated.peers.ttypes import TicketStatus
+from nutmeglead.entry.followed_table import FollowedTable
 from nutmeglead.entry.tables import (
     apply_evacuation_rows,
     apply_manifest_rows,
     apply_server_rows,
 )
-from nutmeglead.entry.watch import FollowedTable
 from nutmeglead.platform.manifest import ManifestDecoder
 from nutmeglead.platform.store import StoreRows
 from nutmeglead.platform.wire import MANIFEST_TABLE, SERVERS_TABLE
--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -20,6 +20,7 @@
 from nutmeglead.core.tasks import start_essential_task
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.entry.copies import TICKET_STATUS_PATH, TableCopies
+from nutmeglead.entry.followed_table import FollowedTable
 from nutmeglead.entry.load_reports import LoadReports
 from nutmeglead.entry.loop_monitor import LoopMonitor
 from nutmeglead.entry.map_copies import MAP_PATH, MapCopies
@@ -31,7 +32,7 @@
 from nutmeglead.entry.store_era import StoreEra
 from nutmeglead.entry.table_source import TableSource
 from nutmeglead.entry.table_states import TableStates
-from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.entry.watch import TableWatch
 from nutmeglead.forwarding.forwarder import Forwarder
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.registry import ServerRegistry
--- a/nutmeglead/entry/tests/steps/copies_steps.py
+++ b/nutmeglead/entry/tests/steps/copies_steps.py
@@ -4,7 +4,8 @@
 
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.entry.contact import StoreContact
-from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.entry.followed_table import FollowedTable
+from nutmeglead.entry.watch import TableWatch
 from nutmeglead.platform.store import StoreRow, StoreRows
 
 TABLE = "servers"
--- a/nutmeglead/entry/tests/steps/following_steps.py
+++ b/nutmeglead/entry/tests/steps/following_steps.py
@@ -6,11 +6,13 @@
 from behave import given, then, when
 from result import Ok
 
+from nutmeglead._generated.peers.ttypes import CopiedRow, TableCopy
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.emulator.network import EmulatedLoop
 from nutmeglead.emulator.virtual_time import run_virtual
 from nutmeglead.entry.contact import StoreContact
-from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.entry.followed_table import FollowedTable
+from nutmeglead.entry.watch import TableWatch
 from nutmeglead.platform.store import StoreRow, StoreRows
 
 TABLE, KEY = "op", "config"
@@ -24,12 +26,13 @@
         self.changed = asyncio.Event()
         self.waiting_count = 0
         self.asked_after = []
+        self.is_cut_off = False
 
     async def feed(self, table, after, wait_ms):
         self.asked_after.append(after)
         self.waiting_count += 1
         try:
-            while self.version <= after:
+            while self.version <= after or self.is_cut_off:
                 await self.changed.wait()
         finally:
             self.waiting_count -= 1
@@ -58,7 +61,7 @@
     async def _run(self, clock):
         self.clock, self.store = clock, FeedStore()
         table = FollowedTable(TABLE, self._apply, 0)
-        contact = StoreContact(ManualClock())
+        contact = self.contact = StoreContact(ManualClock())
         self.watch = TableWatch(
             self.store, table, contact, clock, random.Random(1), lambda: not self.hears_hub
         )
@@ -82,6 +85,13 @@
         self.store.change()
         await asyncio.sleep(0)
 
+    async def cut_store_off(self):
+        self.store.is_cut_off = True
+
+    async def copy_change(self):
+        row = CopiedRow(KEY, 2, b"value", 0, None)
+        assert self.watch.apply_copy(TableCopy(2, 2, [row], False, False, None), 0)
+
     async def stop(self):
         self.task.cancel()
         await asyncio.sleep(0.01)
@@ -107,6 +117,32 @@
     context.node.steps.append(context.node.change_row)
 
 
+@when("the store is cut off from the node")
+def step_cut_off(context):
+    context.node.steps.append(context.node.cut_store_off)
+
+
+@when("the node copies the change from a peer")
+def step_copies(context):
+    context.node.steps.append(context.node.copy_change)
+
+
+@then("the node has made no other call")
+def step_no_other_call(context):
+    async def check():
+        # The first call has returned the row, the second one waits for its change.
+        assert context.node.store.asked_after == [0, 1], context.node.store.asked_after
+
+    context.node.steps.append(check)
+
+
+@then("the node counts the store as {state}")
+def step_contact(context, state):
+    context.node.run()
+    is_lost = context.node.contact.was_unavailable_within(0)
+    assert is_lost is (state == "lost"), context.node.store.asked_after
+
+
 @when("the node is stopped")
 def step_stopped(context):
     context.node.steps.append(context.node.stop)
--- a/nutmeglead/entry/tests/steps/malformed_entries_steps.py
+++ b/nutmeglead/entry/tests/steps/malformed_entries_steps.py
@@ -17,9 +17,10 @@
 from nutmeglead.core.ids import FailureDomainName, ServerId, ServiceName
 from nutmeglead.emulator.rows import RowStore, RowStoreFetcher
 from nutmeglead.entry.contact import StoreContact
+from nutmeglead.entry.followed_table import FollowedTable
 from nutmeglead.entry.tables import apply_server_rows
 from nutmeglead.entry.tests.deployment import OPTIONS, ROUTE, SERVICE, run_cluster
-from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.entry.watch import TableWatch
 from nutmeglead.forwarding.model import ServerIncarnation, ServerRecord, ServerState
 from nutmeglead.forwarding.registry import ServerRegistry
 from nutmeglead.forwarding.request import CallerRequest
--- a/nutmeglead/entry/tests/steps/patches_steps.py
+++ b/nutmeglead/entry/tests/steps/patches_steps.py
@@ -8,7 +8,8 @@
 from nutmeglead.core.codec import encode
 from nutmeglead.core.compression import compress, decompress
 from nutmeglead.entry.contact import StoreContact
-from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.entry.followed_table import FollowedTable
+from nutmeglead.entry.watch import TableWatch
 from nutmeglead.platform.store import StoreRow, StoreRows
 
 TABLE, KEY = "op", "config"
--- a/nutmeglead/entry/tests/steps/restored_tables_steps.py
+++ b/nutmeglead/entry/tests/steps/restored_tables_steps.py
@@ -8,8 +8,9 @@
 from nutmeglead.core.clock import ManualClock
 from nutmeglead.emulator.rows import RowStore, RowStoreFetcher
 from nutmeglead.entry.contact import StoreContact
+from nutmeglead.entry.followed_table import FollowedTable
 from nutmeglead.entry.store_era import StoreEra
-from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.entry.watch import TableWatch
 from nutmeglead.forwarding.registry import OUTAGE_RECOVERY_GRACE_MS
 from nutmeglead.platform.store import StoreClient
 
--- a/nutmeglead/entry/ticket_feed.py
+++ b/nutmeglead/entry/ticket_feed.py
@@ -14,8 +14,8 @@
 from nutmeglead.core.codec import decode
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import ServerId, ServiceName
+from nutmeglead.entry.followed_table import FollowedTable
 from nutmeglead.entry.lost_tickets import LostTickets
-from nutmeglead.entry.watch import FollowedTable
 from nutmeglead.forwarding.model import ServerState
 from nutmeglead.platform.store import StoreRows
 from nutmeglead.tickets.interface import build_manifest, pins_of, server_records
--- a/nutmeglead/entry/watch.py
+++ b/nutmeglead/entry/watch.py
@@ -5,17 +5,18 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from nutmeglead._generated.peers.ttypes import CopiedRow, TableCopy
 from nutmeglead.core.clock import Clock
 from nutmeglead.entry.contact import StoreContact
+from nutmeglead.entry.followed_table import FollowedTable
 from nutmeglead.entry.patches import RowPatches, apply_patches
 from nutmeglead.entry.restored_rows import RowHistory
 from nutmeglead.forwarding.registry import OUTAGE_RECOVERY_GRACE_MS
 from nutmeglead.platform.store import (
+    FEED_MARGIN_MS,
     StoreClient,
     StoreHistoryLost,
     StoreRow,
@@ -23,7 +24,7 @@
     StoreUnavailable,
 )
 
-__all__ = ["FollowedTable", "TableWatch"]
+__all__ = ["TableWatch"]
 
 logger = logging.getLogger(__name__)
 
@@ -49,20 +50,6 @@
 RETRY_MAX_MS = 800
 
 
-class FollowedTable(NamedTuple):
-    """Name a table of the store, the functions that apply its rows, and the pause after each call.
-
-    The further arguments of `apply` tell whether the rows are the whole table, and whether they
-    were read soon after a store outage. The pause of `settle_ms` lets one call return several
-    changes. `confirm` is called when such rows are known not to come from an outage.
-    """
-
-    name: str
-    apply: Callable[[StoreRows, bool, bool], None]
-    settle_ms: int
-    confirm: Callable[[], None] = lambda: None
-
-
 class TableWatch:
     """Apply a table's rows: all at first and after the store lost its history, then changes."""
 
@@ -114,6 +101,8 @@
         self._last_call_failed = False
         # Whether this node has taken copies since the newest answer to a feed call.
         self._took_copies = False
+        # Since when this node has had rows of a peer that the present feed call has not returned.
+        self._copied_ms: int | None = None
         # When the store sent the newest answer to a feed call.
         self._last_feed_ms = clock.now_ms()
 
@@ -199,6 +188,8 @@
             copy.after_outage,
         )
         self.changed_version = copy.changed_version
+        if self._copied_ms is None:
+            self._copied_ms = self._clock.now_ms()
         return True
 
     def _row_of_copy(self, copied: CopiedRow, transfer_ms: int) -> StoreRow | None:
@@ -241,9 +232,11 @@
         That is so once this node takes copies: otherwise the next change of a large row arrives
         both as a copy of the change and as the whole row, which delays the copy. It is so too once
         this node has to check its calls, and this call was not checked, and once it learns that the
-        store has returned from an older copy.
+        store has returned from an older copy. A call that does not return what a peer has is given
+        up as failed, long before its own waiting time is over.
         """
         is_checked, era = self._checks_calls(), self._known_era()
+        self._copied_ms = None
         call = asyncio.ensure_future(self._next_rows())
         check = asyncio.ensure_future(self._check_call()) if is_checked else None
         try:
@@ -265,12 +258,18 @@
                     if lost is not None:
                         return lost
                     check = None
+                if self._copied_ms is not None and self._is_call_lost(self._copied_ms):
+                    return Err(StoreUnavailable("a peer has changes that it has not returned"))
             return None
         finally:
             call.cancel()
             if check is not None:
                 check.cancel()
 
+    def _is_call_lost(self, copied_ms: int) -> bool:
+        """Return whether a feed call is as late with changes of a peer as one without a wait."""
+        return self._clock.now_ms() - copied_ms > FEED_MARGIN_MS
+
     async def _check_call(
         self,
     ) -> Result[None, StoreHistoryLost | StoreUnavailable] | None:
--- a/nutmeglead/platform/store.py
+++ b/nutmeglead/platform/store.py
@@ -26,6 +26,7 @@
 from nutmeglead.platform.wire import STORE_FEED_PATH, STORE_READ_PATH, STORE_TRANSACT_PATH
 
 __all__ = [
+    "FEED_MARGIN_MS",
     "StoreAnswerLost",
     "StoreClient",
     "StoreConflict",
