role_watch: take a slow store for a cut one only after two failed calls

Callers of keys that were due to move waited for a role that changed hands four times in 16 s with a slow store.

A transaction takes longer than a read, and transactions on a part wait for each other: the acting node was sound.

Change: 3,000 ms without an answer, in place of the ratio: two calls of 1,500 ms in a row have failed by then.

--- a/nutmeglead/ranges/role_watch.py
+++ b/nutmeglead/ranges/role_watch.py
@@ -23,9 +23,9 @@
 STORE_RETRY_MS = 250
 # Half of the silence after which the store counts as not serving a node.
 SLOW_READ_MS = STORE_SILENT_AFTER_MS // 2
-# A node counts as cut off from a slow store if its calls wait this many times as long as those of
-# the node that wants to act in its place.
-MAX_SLOWNESS_RATIO = 2
+# A node without an answer for this time is cut off also from a slow store: two calls in a row, with
+# a timeout of 1,500 ms each, have failed. One transaction may take much longer than a read.
+SLOW_STORE_SILENT_AFTER_MS = 3_000
 
 RoleTakenCallback = Callable[[StoredState, int], None]
 
@@ -169,7 +169,7 @@
     def _waits_for_same_store(self, asked_ms: int) -> bool:
         """Return whether the acting node waits for a store that is as slow for this node.
 
-        A store that has left a node without an answer for much longer does not answer that node.
+        One that has left the acting node without an answer for long does not answer it at all.
         """
         read_ms = self._clock.now_ms() - asked_ms
         if read_ms <= SLOW_READ_MS or self.acting_id in (None, self._context.node_id):
@@ -181,7 +181,7 @@
         if peer is None or peer.heartbeat is None or peer.heartbeat_received_ms is None:
             return True
         is_heard = peer.heartbeat_received_ms >= asked_ms - SILENT_AFTER_MS
-        return not is_heard or peer.heartbeat.store_age_ms <= MAX_SLOWNESS_RATIO * read_ms
+        return not is_heard or peer.heartbeat.store_age_ms <= SLOW_STORE_SILENT_AFTER_MS
 
     def _is_newest(self, state: StoredState) -> bool:
         """Return whether the stored role is of the store's era and of no older epoch than known."""
