--- a/nutmeglead/entry/process.py
+++ b/nutmeglead/entry/process.py
@@ -19,6 +19,7 @@
 from nutmeglead.core.tasks import start_essential_task
 from nutmeglead.entry.contact import StoreContact
 from nutmeglead.entry.copies import TICKET_STATUS_PATH, TableCopies
+from nutmeglead.entry.followed_table import FollowedTable
 from nutmeglead.entry.load_reports import LoadReports
 from nutmeglead.entry.loop_monitor import LoopMonitor
 from nutmeglead.entry.map_copies import MAP_PATH, MapCopies
@@ -32,7 +33,7 @@
 from nutmeglead.entry.store_era import StoreEra
 from nutmeglead.entry.table_source import TableSource
 from nutmeglead.entry.table_states import TableStates
-from nutmeglead.entry.watch import FollowedTable, TableWatch
+from nutmeglead.entry.watch import TableWatch
 from nutmeglead.forwarding.forwarder import Forwarder
 from nutmeglead.forwarding.model import ClientLimits
 from nutmeglead.forwarding.registry import ServerRegistry
@@ -216,8 +217,7 @@
         Return what was cut off when the stop grace ended.
         """
         schedule = StopSchedule.plan(self.clock.now_ms(), self.settings.bounds.stop_grace_ms)
-        self.is_stopping = True
-        self.membership.is_leaving = True
+        self.is_stopping = self.membership.is_leaving = True
         for controller in self.controllers.values():
             controller.is_node_stopping = True
         self.peers.send_heartbeats()
@@ -315,10 +315,10 @@
             self.membership,
             self.registry,
             GrantClient(self._order_fetcher, self.forwarder.apply_notice),
+            self.forwarder.address_checks,
             self.settings.bounds.max_hold_ms,
             self.forwarder.target_latency_ms,
             self.store_age_ms,
-            self.forwarder.health_path,
             self.operator_version,
             self.peers.send_delta,
             self.peers.send_report,
--- a/nutmeglead/ranges/role_watch.py
+++ b/nutmeglead/ranges/role_watch.py
@@ -8,7 +8,7 @@
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
 from nutmeglead.peers.fetch import PEER_TIMEOUT_MS
-from nutmeglead.peers.peer import STORE_SILENT_AFTER_MS
+from nutmeglead.peers.peer import SILENT_AFTER_MS, STORE_SILENT_AFTER_MS
 from nutmeglead.peers.silence import is_loss_shown
 from nutmeglead.ranges.audit import role_record
 from nutmeglead.ranges.context import ControllerContext
@@ -29,6 +29,9 @@
 DOUBT_CHECK_INTERVAL_MS = 500
 # Half of the silence after which the store counts as not serving a node.
 SLOW_READ_MS = STORE_SILENT_AFTER_MS // 2
+# A node without an answer for this time is cut off also from a slow store: two calls in a row, with
+# a timeout of 1,500 ms each, have failed. One transaction may take much longer than a read.
+SLOW_STORE_SILENT_AFTER_MS = 3_000
 
 RoleTakenCallback = Callable[[StoredState, int], None]
 
@@ -114,7 +117,7 @@
                 await self._look_for_sign(now_ms)
                 return
         allowed_rank = vacant_ms // RANK_DELAY_MS
-        is_next = self.was_held_in_last_era and self.acting_id == self._context.node_id
+        is_next = self.acting_id == self._context.node_id
         if not is_next and membership.rank(now_ms, allowed_rank) > allowed_rank:
             return
         if not self._context.registry.records(self._service):
@@ -183,10 +186,16 @@
             )
             return
         role, context = state.ok_value.role, self._context
-        membership = context.membership
-        is_read_slow = self._clock.now_ms() - asked_ms > SLOW_READ_MS
-        if is_read_slow and self.acting_id and membership.is_alive(self.acting_id, asked_ms):
-            # The acting node waits for the same slow store; this node would move keys no sooner.
+        if context.membership.is_leaving:
+            # This node has begun to stop while it read the role.
+            return
+        if self._rows.is_own(role) and self._is_newest(state.ok_value):
+            # The answer to the write was lost, or what followed was taken for a loss of the role.
+            assert role is not None
+            self._hold(state.ok_value, role.epoch, asked_ms)
+            return
+        if self._waits_for_same_store(asked_ms):
+            # This node would move keys no sooner.
             return
         if role is not None:
             self.follow(role.epoch, NodeId(role.node_id))
@@ -195,9 +204,6 @@
             read_ms = self._clock.now_ms()
             if self._is_acting_able(read_ms) or self._is_in_doubt(read_ms):
                 return
-        if membership.is_leaving:
-            # This node has begun to stop while it read the role.
-            return
         epoch = first_epoch(state.ok_value.era, max(self.epoch, role.epoch if role else 0))
         record = role_record(
             context.node_id,
@@ -215,11 +221,37 @@
                 taken.err_value,
             )
             return
+        self._hold(state.ok_value, epoch, asked_ms)
+
+    def _waits_for_same_store(self, asked_ms: int) -> bool:
+        """Return whether the acting node waits for a store that is as slow for this node.
+
+        One that has left the acting node without an answer for long does not answer it at all.
+        """
+        read_ms = self._clock.now_ms() - asked_ms
+        if read_ms <= SLOW_READ_MS or self.acting_id in (None, self._context.node_id):
+            return False
+        membership, acting_id = self._context.membership, self.acting_id
+        if acting_id is None or not membership.is_alive(acting_id, asked_ms):
+            return False
+        peer = membership.get(acting_id)
+        if peer is None or peer.heartbeat is None or peer.heartbeat_received_ms is None:
+            return True
+        is_heard = peer.heartbeat_received_ms >= asked_ms - SILENT_AFTER_MS
+        return not is_heard or peer.heartbeat.store_age_ms <= SLOW_STORE_SILENT_AFTER_MS
+
+    def _is_newest(self, state: StoredState) -> bool:
+        """Return whether the stored role is of the store's era and of no older epoch than known."""
+        epoch = 0 if state.role is None else state.role.epoch
+        return epoch >= max(self.epoch, first_epoch(state.era, 0))
+
+    def _hold(self, state: StoredState, epoch: int, asked_ms: int) -> None:
+        """Act under an epoch, from a state of the rows in which this node holds the role."""
         self.epoch = epoch
-        self.acting_id = context.node_id
+        self.acting_id = self._context.node_id
         self.is_held = True
         self._vacant_since_ms = None
         log_event(logger, Event.ROLE_TAKEN, service=self._service, epoch=epoch)
-        self.era = state.ok_value.era
-        self._on_taken(state.ok_value, asked_ms)
+        self.era = state.era
+        self._on_taken(state, asked_ms)
         self.was_held_in_last_era = False
