--- a/nutmeglead/emulator/server_host.py
+++ b/nutmeglead/emulator/server_host.py
@@ -46,11 +46,11 @@
     slots: int = 4
     queue: int = 8
     work_ms: float = 60.0
+    answer_bytes: int = 200
+    health_path: str = "/health"
     # Share of the requests that take `long_work_ms` instead.
     long_share: float = 0.0
     long_work_ms: float = 0.0
-    answer_bytes: int = 200
-    health_path: str = "/health"
 
 
 @dataclass
