ranges: take the role at once from an acting node whose process is gone

Cause: a node that hears less than half of the listed nodes can't tell whether the acting one is lost, and waits 3 s for a sign. Evidence: roles.feature, rows 9, 10 and 21, with a bound of 2,000 ms, the stated time in which a key is served again; they fail before this change. Change: a host that refuses the connection says that no process listens there; the doubt ends, and the next in rank takes the role. Why it works: the port of a process that runs is open until it has stopped, so that no host of a live acting node refuses. A host without power answers nothing, and its successor still waits (three new rows).

--- a/nutmeglead/entry/role_views.py
+++ b/nutmeglead/entry/role_views.py
@@ -2,13 +2,17 @@
 
 from collections.abc import Mapping
 
+from result import Err, Ok, Result
+
 from nutmeglead._generated.peers.ttypes import ServiceView
 from nutmeglead.core.clock import Clock
 from nutmeglead.core.codec import encode
 from nutmeglead.core.ids import NodeId, ServiceName
 from nutmeglead.http.client import HttpFetcher
-from nutmeglead.peers.fetch import fetch_from_peer
+from nutmeglead.http.errors import ConnectFailed
+from nutmeglead.peers.fetch import fetch_and_log
 from nutmeglead.peers.membership import Membership
+from nutmeglead.ranges.context import NoViewReason
 from nutmeglead.ranges.controller import RangeController
 
 __all__ = ["ROLE_PATH", "RoleViews"]
@@ -36,11 +40,15 @@
         controller = self._controllers.get(ServiceName(path.removeprefix(ROLE_PATH)))
         return None if controller is None else encode(controller.view())
 
-    async def ask(self, service: ServiceName, node_id: NodeId) -> ServiceView | None:
-        """Return a peer's view of a service, or None if it has no row or does not answer."""
+    async def ask(self, service: ServiceName, node_id: NodeId) -> Result[ServiceView, NoViewReason]:
+        """Return a peer's view of a service, or why there is none."""
         peer = self._membership.get(node_id)
         if peer is None:
-            return None
+            return Err(NoViewReason.NO_ANSWER)
         path = ROLE_PATH + service
-        fetched = await fetch_from_peer(self._fetcher, peer, path, ServiceView, self._clock)
-        return None if fetched is None else fetched.message
+        fetched = await fetch_and_log(self._fetcher, peer, path, ServiceView, self._clock)
+        if not isinstance(fetched, Err):
+            return Ok(fetched.ok_value.message)
+        error = fetched.err_value
+        is_gone = isinstance(error, ConnectFailed) and error.is_refused
+        return Err(NoViewReason.PROCESS_GONE if is_gone else NoViewReason.NO_ANSWER)
--- a/nutmeglead/entry/tests/roles.feature
+++ b/nutmeglead/entry/tests/roles.feature
@@ -35,10 +35,22 @@
       | 6    | 5     | 1     | 1100     | a takeover waits although most nodes hear each other    |
       | 7    | 12    | 1     | 1100     | the same, with more nodes than hubs                     |
       | 8    | 12    | 5     | 1100     | the same, where nearly half are lost                    |
-      | 9    | 5     | 4     | 5000     | the last node never acts, because it hears no other one |
-      | 10   | 12    | 11    | 5000     | the same, with more nodes than hubs                     |
+      | 9    | 5     | 4     | 2000     | the last node never acts, because it hears no other one |
+      | 10   | 12    | 11    | 2000     | the same, with more nodes than hubs                     |
+      | 21   | 12    | 7     | 2000     | a takeover waits although the acting process is gone    |
       | 11   | 2     | 1     | 1100     | one of two nodes waits as if it were cut off            |
 
+  Scenario Outline: <count> nodes lose power at once
+    Given a cluster of <nodes> nodes with seed <seed>, whose acting node is watched
+    When <count> nodes lose power at once, the acting one among them
+    Then another node acts within <taken_ms> ms
+
+    Examples: each row names the failure it guards against
+      | seed | nodes | count | taken_ms | failure                                                 |
+      | 22   | 12    | 1     | 1100     | a takeover waits although most nodes hear each other    |
+      | 23   | 5     | 4     | 5000     | the last node never acts, because nothing answers it    |
+      | 24   | 12    | 11    | 5000     | the same, with more nodes than hubs                     |
+
   Scenario: All nodes start again at once, without the one that acted
     # Guards against a system that waits for a node which is gone.
     Given a cluster of 5 nodes with seed 12, whose acting node is watched
--- a/nutmeglead/entry/tests/steps/roles_steps.py
+++ b/nutmeglead/entry/tests/steps/roles_steps.py
@@ -138,6 +138,18 @@
     context.role_run.run(trouble)
 
 
+@when("{count:d} nodes lose power at once, the acting one among them")
+def step_power(context, count):
+    async def trouble(run):
+        run.lost_ms = run.clock.now_ms()
+        for node_id in run.acting_first()[:count]:
+            # No packet of a host without power answers a connection.
+            run.cluster.network.isolated.add(run.cluster.node_ip(node_id))
+            run.cluster.kill_node(node_id)
+
+    context.role_run.run(trouble)
+
+
 @when("all nodes are lost at once, and all but the acting one start again after {pause_ms:d} ms")
 def step_all_lost(context, pause_ms):
     async def trouble(run):
--- a/nutmeglead/http/client.py
+++ b/nutmeglead/http/client.py
@@ -251,7 +251,8 @@
     except TimeoutError:
         return Err(ConnectFailed(f"{ip}:{port}", f"no answer within {timeout_ms} ms"))
     except OSError as error:
-        return Err(ConnectFailed(f"{ip}:{port}", str(error)))
+        is_refused = isinstance(error, ConnectionRefusedError)
+        return Err(ConnectFailed(f"{ip}:{port}", str(error), is_refused))
     enable_dead_peer_detection(channel.transport)
     # Set before anything is written, since a process that is killed cannot set it.
     reset_on_close(channel.transport)
--- a/nutmeglead/http/errors.py
+++ b/nutmeglead/http/errors.py
@@ -23,10 +23,14 @@
 
 @dataclass
 class ConnectFailed(HttpError):
-    """The connection was not established, so no byte of the request was written."""
+    """The connection was not established, so no byte of the request was written.
+
+    `is_refused` tells whether the host answered that no process listens there.
+    """
 
     address: str
     reason: str
+    is_refused: bool = False
 
     def __str__(self) -> str:
         return f"no connection to {self.address}: {self.reason}"
--- a/nutmeglead/peers/fetch.py
+++ b/nutmeglead/peers/fetch.py
@@ -16,7 +16,14 @@
 from nutmeglead.http.messages import RequestHead, header_value
 from nutmeglead.peers.peer import Peer
 
-__all__ = ["COMPRESSED_ENCODING", "PEER_TIMEOUT_MS", "Fetched", "fetch_from_peer", "fetch_struct"]
+__all__ = [
+    "COMPRESSED_ENCODING",
+    "PEER_TIMEOUT_MS",
+    "Fetched",
+    "fetch_and_log",
+    "fetch_from_peer",
+    "fetch_struct",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -63,14 +70,21 @@
     fetcher: HttpFetcher, peer: Peer, path: str, struct: type[T], clock: Clock
 ) -> Fetched[T] | None:
     """Return the struct that a peer serves at a path, or None after logging the error."""
+    return (await fetch_and_log(fetcher, peer, path, struct, clock)).ok()
+
+
+async def fetch_and_log(
+    fetcher: HttpFetcher, peer: Peer, path: str, struct: type[T], clock: Clock
+) -> Result[Fetched[T], HttpError | CodecError]:
+    """Return the struct that a peer serves at a path, or the error after logging it."""
     started_ms = clock.now_ms()
     fetched = await fetch_struct(fetcher, peer.row, path, struct, PEER_TIMEOUT_MS)
     if not isinstance(fetched, Err):
-        return fetched.ok_value
+        return fetched
     error = fetched.err_value
     if isinstance(error, CodecError):
         log_event(logger, Event.MESSAGE_REFUSED, sender=peer.node_id, error=str(error))
-        return None
+        return fetched
     log_event(
         logger,
         Event.PEER_FETCH_FAILED,
@@ -80,4 +94,4 @@
         received_bytes=error.received_bytes if isinstance(error, TimedOut) else None,
         error=str(error),
     )
-    return None
+    return fetched
--- a/nutmeglead/ranges/context.py
+++ b/nutmeglead/ranges/context.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum, auto
+
+from result import Result
 
 from nutmeglead._generated.peers.ttypes import MapDelta, OrderReport, ServiceView
 from nutmeglead.core.clock import Clock
@@ -12,7 +15,14 @@
 from nutmeglead.platform.grants import GrantClient
 from nutmeglead.ranges.model import RangeMap
 
-__all__ = ["ControllerContext"]
+__all__ = ["ControllerContext", "NoViewReason"]
+
+
+class NoViewReason(Enum):
+    """Why a node has sent no view: its host says that its process is gone, or nothing is known."""
+
+    PROCESS_GONE = auto()
+    NO_ANSWER = auto()
 
 
 @dataclass(frozen=True)
@@ -33,5 +43,4 @@
     send_delta: Callable[[MapDelta], None]
     send_report: Callable[[OrderReport, NodeId], None]
     on_map: Callable[[RangeMap], None]
-    # Returns None if the node does not answer.
-    ask_view: Callable[[ServiceName, NodeId], Awaitable[ServiceView | None]]
+    ask_view: Callable[[ServiceName, NodeId], Awaitable[Result[ServiceView, NoViewReason]]]
--- a/nutmeglead/ranges/role_watch.py
+++ b/nutmeglead/ranges/role_watch.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from result import Err
+from result import Err, Ok
 
 from nutmeglead.core.events import Event, log_event
 from nutmeglead.core.ids import NodeId, ServiceName
@@ -11,7 +11,7 @@
 from nutmeglead.peers.peer import SILENT_AFTER_MS, STORE_SILENT_AFTER_MS
 from nutmeglead.peers.silence import is_loss_shown
 from nutmeglead.ranges.audit import role_record
-from nutmeglead.ranges.context import ControllerContext
+from nutmeglead.ranges.context import ControllerContext, NoViewReason
 from nutmeglead.ranges.numbers import first_epoch
 from nutmeglead.ranges.role import RoleRows, StoredState
 
@@ -65,6 +65,8 @@
         self._on_taken = on_taken
         self._on_lost = on_lost
         self._vacant_since_ms: int | None = None
+        # The acting node if its host has answered that its process is gone.
+        self._gone_id: NodeId | None = None
         # The role epoch and the map version in the store when this node last looked for a sign.
         self._last_sign: tuple[int, int] | None = None
         self._next_attempt_ms = 0
@@ -78,7 +80,7 @@
             return
         self.epoch = epoch
         self.acting_id = acting_id
-        self._vacant_since_ms = self._last_sign = None
+        self._vacant_since_ms = self._last_sign = self._gone_id = None
         if acting_id != self._context.node_id:
             self.give_up(f"node {acting_id} acts under epoch {epoch}")
 
@@ -104,7 +106,7 @@
         """
         membership = self._context.membership
         if self.acting_id not in (None, self._context.node_id) and self._is_acting_able(now_ms):
-            self._vacant_since_ms = self._last_sign = None
+            self._vacant_since_ms = self._last_sign = self._gone_id = None
             return
         if self._vacant_since_ms is None:
             self._vacant_since_ms = now_ms
@@ -138,7 +140,7 @@
 
     def _is_in_doubt(self, now_ms: int) -> bool:
         """Return whether another node acts that may be able to, although this one cannot tell."""
-        if self.acting_id in (None, self._context.node_id):
+        if self.acting_id in (None, self._context.node_id, self._gone_id):
             return False
         return not is_loss_shown(self._context.membership, self.acting_id, now_ms)
 
@@ -153,12 +155,15 @@
             return
         self._next_attempt_ms = now_ms + DOUBT_CHECK_INTERVAL_MS
         acting_id = self.acting_id
-        view = await self._context.ask_view(self._service, acting_id)
-        if view is not None:
-            if view.acting_node_id:
-                self.follow(view.role_epoch, NodeId(view.acting_node_id))
+        answer = await self._context.ask_view(self._service, acting_id)
+        if isinstance(answer, Ok):
+            if answer.ok_value.acting_node_id:
+                self.follow(answer.ok_value.role_epoch, NodeId(answer.ok_value.acting_node_id))
             self._vacant_since_ms = self._clock.now_ms()
             return
+        if answer.err_value is NoViewReason.PROCESS_GONE and acting_id == self.acting_id:
+            self._gone_id, self._next_attempt_ms = acting_id, now_ms
+            return
         asked_ms = self._clock.now_ms()
         state = await self._rows.read()
         read_ms = self._clock.now_ms()
