forwarding: log an answer that its caller did not wait for as caller-left

Cause: the outcome was set before the answer waited for those ahead of it on the connection. Evidence: requests.feature, "The log tells of an answer that its caller did not wait for"; before the change one of the two counted as answered. Change: an answer counts as begun once its turn has come.

--- a/nutmeglead/forwarding/forwarder.py
+++ b/nutmeglead/forwarding/forwarder.py
@@ -300,7 +300,7 @@
         try:
             await handler.run(exchange)
         except asyncio.CancelledError:
-            handler.record_cancelled(exchange.is_cut_off)
+            handler.record_cancelled(exchange)
             raise
         finally:
             handler.close()
--- a/nutmeglead/forwarding/job.py
+++ b/nutmeglead/forwarding/job.py
@@ -102,17 +102,18 @@
             self._waited_ms,
         )
 
-    def record_cancelled(self, is_cut_off: bool) -> None:
+    def record_cancelled(self, exchange: CallerExchange) -> None:
         """Set the outcome to `cut-off` or `caller-left`, by which side has ended the connection.
 
-        An answer that was begun keeps its outcome if the caller has left.
+        An answer that was begun keeps its outcome if the caller has left; one that waited for those
+        before it on the connection was not.
         """
         self._add_running_attempt()
-        if is_cut_off:
+        if exchange.is_cut_off:
             self.outcome = "cut-off"
             self.failure = ExchangeCutOff("this process has cut off the connection")
-        elif self.status == 0:
-            self.outcome = "caller-left"
+        elif not exchange.response_started:
+            self.outcome, self.status = "caller-left", 0
             self.failure = CallerLeft("the caller closed its connection")
 
     def _add_running_attempt(self) -> None:
--- a/nutmeglead/forwarding/tests/request_scenario.py
+++ b/nutmeglead/forwarding/tests/request_scenario.py
@@ -102,7 +102,7 @@
         self.second = ScriptedServer("second", [ANSWERS_CORRECTLY])
         registry = ServerRegistry()
         clock = SystemClock()
-        forwarder = Forwarder(
+        forwarder = self.forwarder = Forwarder(
             registry,
             NullKeyCounter(),
             clock,
@@ -176,6 +176,18 @@
         while not self.first.disconnect_count:
             await asyncio.sleep(0)
 
+    async def send_ahead_and_disconnect(self):
+        """Disconnect once the first server has answered the second of two requests only."""
+        _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(request(SAFE) + request(SAFE, request_id="r2"))
+        await self.wait_for_requests(2)
+        upstream = self.forwarder.services[SERVICE].upstreams[record(self.first, NEAR).incarnation]
+        while upstream.in_flight > 1:
+            await asyncio.sleep(0)
+        writer.close()
+        while upstream.in_flight:
+            await asyncio.sleep(0)
+
     async def send_and_be_cut_off(self):
         """Send a request, and end the callers' connections once the first server has it."""
         _, writer = await asyncio.open_connection("127.0.0.1", self.port)
--- a/nutmeglead/forwarding/tests/requests.feature
+++ b/nutmeglead/forwarding/tests/requests.feature
@@ -107,6 +107,12 @@
       | disconnects                     | caller-left | callers without patience look like a bad stop    |
       | the process ends its connection | cut-off     | an operator looks for the cause at the caller    |
 
+  Scenario: The log tells of an answer that its caller did not wait for
+    # Guards against requests that are logged as answered though their callers got nothing (issues 53 and 60).
+    Given a first server that never answers, then answers correctly
+    When a caller sends two safe requests and disconnects after the answer to the second
+    Then the log counts both as caller-left
+
   Scenario: The log names the server that does not answer before the deadline
     # Guards against requests that end with 504 and name no server: nobody can tell which one they waited for (issue 57).
     Given a first server that never answers
--- a/nutmeglead/forwarding/tests/steps/requests_steps.py
+++ b/nutmeglead/forwarding/tests/steps/requests_steps.py
@@ -136,6 +136,17 @@
     assert fields["attempts"] == ["first:in progress"], fields
 
 
+@when("a caller sends two safe requests and disconnects after the answer to the second")
+def step_send_ahead_and_disconnect(context):
+    context.request_scenario.actions.append(context.request_scenario.send_ahead_and_disconnect)
+
+
+@then("the log counts both as caller-left")
+def step_both_left(context):
+    counts = run_once(context).forwarder.log.outcomes
+    assert [(key[-1], count) for key, count in counts.items()] == [("caller-left", 2)], counts
+
+
 @when("a caller sends a request for the first server and then one without a route")
 def step_send_pipelined(context):
     context.request_scenario.actions.append(context.request_scenario.send_pipelined)
