--- a/nutmeglead/entry/tests/steps/unanswered_writes_steps.py
+++ b/nutmeglead/entry/tests/steps/unanswered_writes_steps.py
@@ -1,6 +1,6 @@
 """Steps for writes of a service's rows that get no answer from a slow store."""
 
-from behave import when
+from behave import given, when
 
 from nutmeglead.emulator.store_host import StoreFault
 from nutmeglead.entry.tests.cluster_run import crash_server_with_most_keys, pause
@@ -11,7 +11,7 @@
 # of 1,500 ms and a pause of 250 ms, and then plans its next map anew.
 REFUSED_UNTIL_MS = 1_850
 CUT_MS = 9_000
-LATE_MS = 2_000
+LATE_MS = 4_000
 MAX_WAIT_MS = 9_000
 STEP_MS = 10
 
@@ -76,6 +76,11 @@
 }
 
 
+@given("a run of {run_s:d} s, of which the late write takes 4 s")
+def step_run_time(context, run_s):
+    context.cluster_run.run_ms = run_s * 1000
+
+
 @when("writes to a store that needs {answer_ms:d} ms get no answer: {trouble}")
 def step_trouble(context, answer_ms, trouble):
     async def run(cluster):
--- a/nutmeglead/entry/tests/unanswered_writes.feature
+++ b/nutmeglead/entry/tests/unanswered_writes.feature
@@ -14,7 +14,15 @@
       | seed | trouble                                                         | gap_ms | failure                                                          |
       | 81   | the map is written and then another server crashes              | 6000   | a node takes its own write for that of another, and none acts    |
       | 82   | the role is written by the successor of a killed node           | 6000   | the row names a node that waits for itself to act                |
-      | 83   | the role is written late for a node that has stopped trying     | 6000   | the row names a node that no longer knows of its write           |
+
+  Scenario: The role is written late for a node that has stopped trying
+    # Guards against a row that names a node which no longer knows of its write.
+    Given a settled cluster with seed 83
+    And a run of 18 s, of which the late write takes 4 s
+    When writes to a store that needs 400 ms get no answer: the role is written late for a node that has stopped trying
+    Then no key ever has two holders
+    And keys are without a holder for at most 6000 ms
+    And at the end every key is held
 
   Scenario: A map that the acting node wrote without an answer does not cost it the role
     # Guards against a role that changes hands, or is vacant, because a node's own earlier write is in the way of the next one.
