emulator, soak: count no loss on a connection to a process that is being killed

Cause: callers note how often a process was disturbed when they have a connection. A kill that is sent just before that counts already, but the process ends a moment later, and its kernel still takes the connection. The requests on it count as lost by a process without a fault. Change: the loss counts unless the process was killed.

--- a/nutmeglead/emulator/kept_callers.py
+++ b/nutmeglead/emulator/kept_callers.py
@@ -37,11 +37,16 @@
     def disturbance_count(self) -> int:
         """Return how often it was killed, frozen or cut off, or released from that."""
 
+    @property
+    def is_killed(self) -> bool:
+        """Return whether it was killed, although its kernel may still have taken a connection."""
+
 
 class UndisturbedPeer:
     """A process that has no faults."""
 
     disturbance_count = 0
+    is_killed = False
 
 
 @dataclass(frozen=True)
@@ -132,7 +137,7 @@
                 record = self.lost
             except HttpError:
                 return
-            if peer.disturbance_count == count:
+            if peer.disturbance_count == count and not peer.is_killed:
                 ended_ms = self._clock.wall_ms()
                 whole = [each for each in connection.outstanding if each.is_whole]
                 record.extend(
--- a/nutmeglead/emulator/tests/kept_callers.feature
+++ b/nutmeglead/emulator/tests/kept_callers.feature
@@ -21,6 +21,7 @@
       | ends connections that are idle for 100 ms        | after idleness       | no   | no         | a caller writes although it has seen the end      |
       | answers nothing                                  | in parts             | no   | some       | a caller waits for good                           |
       | is killed instead of answering                   | after idleness       | no   | no         | a fault of the process counts as a loss by itself |
+      | was killed just before callers connect           | ahead                | no   | no         | the same, while its kernel still takes connections |
 
   Scenario: Callers leave a connection that was idle for longer than they use
     # Guards against a count of requests that a process may close, as its idle timeout is over.
--- a/nutmeglead/emulator/tests/steps/kept_callers_steps.py
+++ b/nutmeglead/emulator/tests/steps/kept_callers_steps.py
@@ -38,6 +38,7 @@
     """Do the same to each connection; `act` is called for each whole request with its id."""
 
     disturbance_count = 0
+    is_killed = False
 
     def __init__(self, act):
         self.act = act
@@ -110,6 +111,10 @@
     process.transport.close()
 
 
+def be_dying(process, request_id):
+    process.transport.close()
+
+
 # Distinct functions, as the process does these two when no whole request has arrived.
 def close_begun(process, request_id):
     process.transport.close()
@@ -131,6 +136,7 @@
     "ends connections that are idle for 100 ms": close_idle,
     "answers nothing": answer_nothing,
     "is killed instead of answering": be_killed,
+    "was killed just before callers connect": be_dying,
 }
 
 
@@ -146,6 +152,7 @@
     async def run(clock):
         loop = asyncio.get_running_loop()
         await loop.create_server(lambda: Process(context.act), *ADDRESS)
+        Process.is_killed = context.act is be_dying
         context.callers = KeptCallers(
             "kept", ADDRESS, LIMITS, head, clock, random.Random(SEED), lambda: Process, sendings
         )
--- a/nutmeglead/soak/fleet.py
+++ b/nutmeglead/soak/fleet.py
@@ -88,6 +88,11 @@
             self.stop_ms = now_ms
         self.disturbance_count += number in DISTURBING_SIGNALS
 
+    @property
+    def is_killed(self) -> bool:
+        """Return whether the process was killed; it may end a moment later."""
+        return signal.SIGKILL in self.signals
+
     @property
     def ended_as_planned(self) -> bool:
         """Return whether the process was stopped, and neither killed nor paused."""
